Add the thin whole path: quickstart serves, bills and settles

Cause: an empty repository.

Conclusion: the slices, their rings and the fold fit together; safety under faults, sizing and routing policies are still thin.

--- /dev/null
+++ b/crates/hibiscus-events/src/lib.rs
@@ -0,0 +1,15 @@
+//! Numbered events of a process, kept in a bounded ring and written to the
+//! log.
+//!
+//! [`catalogue`] lists every event with its number. An [`recorder::EventRecorder`]
+//! stamps each event by a hybrid logical clock, so that the rings of all
+//! processes merge into one time line in which no effect precedes its cause.
+
+pub mod catalogue;
+pub mod logging;
+pub mod recorder;
+
+pub use catalogue::EventCode;
+pub use recorder::EventFields;
+pub use recorder::EventRecord;
+pub use recorder::EventRecorder;
--- /dev/null
+++ b/crates/hibiscus-membership/src/lib.rs
@@ -0,0 +1,12 @@
+//! Which instances and servers there are, as one process sees it.
+//!
+//! The platform's instance list lags, and heartbeats get lost, so two
+//! processes may see different fleets at the same time. Nothing here decides
+//! what must be agreed: a wrong view costs an extra hop, and the ledger's
+//! fold decides. [`view`] merges the list with the heartbeats, [`ranking`]
+//! orders instances for a shard or a caller, and [`address`] makes the
+//! answers that callers get.
+
+pub mod address;
+pub mod ranking;
+pub mod view;
--- /dev/null
+++ b/crates/hibiscus-peer/src/lib.rs
@@ -0,0 +1,21 @@
+//! Authenticated request and reply link between the instances of a fleet.
+//!
+//! One thread with a current-thread runtime owns the `quinn` endpoint; the
+//! duties' threads reach it through bounded rings. A call is one stream: the
+//! request's bytes, then the reply's. Both ends present a certificate signed
+//! by the fleet's authority, so a process of another fleet is refused during
+//! the handshake. A call that fails may have been received: callers repeat
+//! only what is idempotent.
+
+mod connect;
+mod link;
+mod tls;
+
+pub use link::LinkError;
+pub use link::LinkOptions;
+pub use link::PeerCall;
+pub use link::PeerLink;
+pub use link::PendingCall;
+pub use link::Result;
+pub use tls::FLEET_NAME;
+pub use tls::LinkKeys;
--- /dev/null
+++ b/crates/hibiscus-peer/src/link.rs
@@ -0,0 +1,279 @@
+//! The link's thread and the rings that join it to the duties.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc as std_mpsc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use quinn::Endpoint;
+use quinn::Incoming;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::VarInt;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::connect::ConnectionCache;
+use crate::connect::MESSAGE_LIMIT;
+use crate::tls;
+use crate::tls::LinkKeys;
+
+/// Calls that wait for the link's thread.
+const RING_CAPACITY: usize = 8_192;
+/// Time that the link waits for its last packets to leave.
+const CLOSE_LIMIT: Duration = Duration::from_millis(300);
+
+/// Why the link failed.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// A key or certificate cannot be read.
+    #[error("failed to read the link's {0}: it must be one PEM block")]
+    BadKeys(&'static str),
+    /// The port cannot be opened.
+    #[error("failed to open the peer port {address}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The peer did not answer in time or refused the connection.
+    #[error("failed to get a reply from the peer")]
+    NoReply,
+    /// Too many calls are waiting.
+    #[error("failed to send to the peer: too many calls are waiting")]
+    Busy,
+}
+
+/// Result of a link operation.
+pub type Result<T> = std::result::Result<T, LinkError>;
+
+/// What a link needs.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkOptions<'a> {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Keys of this instance.
+    pub keys: LinkKeys<'a>,
+}
+
+/// A call received from a peer.
+#[derive(Debug)]
+pub struct PeerCall {
+    /// The request.
+    pub body: Vec<u8>,
+    reply: oneshot::Sender<Vec<u8>>,
+}
+
+impl PeerCall {
+    /// Sends the reply. A peer that no longer waits gets none.
+    pub fn reply(self, body: Vec<u8>) {
+        let _gone = self.reply.send(body);
+    }
+}
+
+/// A call to a peer, on its way to the link's thread.
+struct OutgoingCall {
+    peer: SocketAddr,
+    body: Vec<u8>,
+    timeout: Duration,
+    reply: std_mpsc::SyncSender<Option<Vec<u8>>>,
+}
+
+/// A call whose reply has not come yet.
+#[derive(Debug)]
+pub struct PendingCall {
+    reply: std_mpsc::Receiver<Option<Vec<u8>>>,
+}
+
+impl PendingCall {
+    /// Waits for the reply; the call's own timeout bounds the wait.
+    pub fn wait(self) -> Result<Vec<u8>> {
+        match self.reply.recv() {
+            Ok(Some(body)) => Ok(body),
+            Ok(None) | Err(_) => Err(LinkError::NoReply),
+        }
+    }
+}
+
+/// The link of one process. Dropping the last clone closes it.
+#[derive(Clone)]
+pub struct PeerLink {
+    address: SocketAddr,
+    outgoing: mpsc::Sender<OutgoingCall>,
+    thread: Arc<LinkThread>,
+}
+
+/// Joins the link's thread when the link is closed.
+struct LinkThread {
+    stop: mpsc::Sender<()>,
+    handle: std::sync::Mutex<Option<JoinHandle<()>>>,
+}
+
+impl PeerLink {
+    /// Opens the port and puts received calls into `inbox`; a call that finds
+    /// it full is dropped, and its sender sees no reply.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a key cannot be read or the port cannot be opened.
+    pub fn start(options: &LinkOptions<'_>, inbox: std_mpsc::SyncSender<PeerCall>) -> Result<Self> {
+        let server = tls::server_config(&options.keys)?;
+        let client = tls::client_config(&options.keys)?;
+        let listen = options.listen;
+        let (outgoing, calls) = mpsc::channel(RING_CAPACITY);
+        let (stop, stopped) = mpsc::channel(1);
+        let (ready, started) = std_mpsc::sync_channel(1);
+        let handle = thread::Builder::new()
+            .name("peer-link".to_owned())
+            .spawn(move || {
+                let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                else {
+                    return;
+                };
+                runtime.block_on(async move {
+                    let mut endpoint = match Endpoint::server(server, listen) {
+                        Ok(endpoint) => endpoint,
+                        Err(error) => {
+                            let _gone = ready.send(Err(error));
+                            return;
+                        }
+                    };
+                    endpoint.set_default_client_config(client);
+                    let _gone = ready.send(endpoint.local_addr());
+                    run(endpoint, calls, stopped, inbox).await;
+                });
+                runtime.shutdown_background();
+            })
+            .map_err(|source| LinkError::Bind {
+                address: listen,
+                source,
+            })?;
+        let address = started
+            .recv()
+            .map_err(|_closed| LinkError::NoReply)?
+            .map_err(|source| LinkError::Bind {
+                address: listen,
+                source,
+            })?;
+        Ok(Self {
+            address,
+            outgoing,
+            thread: Arc::new(LinkThread {
+                stop,
+                handle: std::sync::Mutex::new(Some(handle)),
+            }),
+        })
+    }
+
+    /// Address that the link listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends `body` to `peer` and waits up to `timeout` for the reply.
+    pub fn call(&self, peer: SocketAddr, body: Vec<u8>, timeout: Duration) -> Result<Vec<u8>> {
+        self.start_call(peer, body, timeout)?.wait()
+    }
+
+    /// Sends `body` to `peer`; several calls may be started, then waited for.
+    pub fn start_call(
+        &self,
+        peer: SocketAddr,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<PendingCall> {
+        let (reply, pending) = std_mpsc::sync_channel(1);
+        let call = OutgoingCall {
+            peer,
+            body,
+            timeout,
+            reply,
+        };
+        self.outgoing
+            .try_send(call)
+            .map_err(|_full| LinkError::Busy)?;
+        Ok(PendingCall { reply: pending })
+    }
+
+    /// Closes the link after its last replies have left.
+    pub fn close(&self) {
+        let _closing = self.thread.stop.try_send(());
+        let handle = self.thread.handle.lock().ok().and_then(|mut held| held.take());
+        let Some(handle) = handle else {
+            return;
+        };
+        let _ended = handle.join();
+    }
+}
+
+/// Serves calls in both directions until the link is closed.
+async fn run(
+    endpoint: Endpoint,
+    mut calls: mpsc::Receiver<OutgoingCall>,
+    mut stopped: mpsc::Receiver<()>,
+    inbox: std_mpsc::SyncSender<PeerCall>,
+) {
+    let cache = Arc::new(ConnectionCache::new(endpoint.clone()));
+    loop {
+        tokio::select! {
+            call = calls.recv() => {
+                let Some(call) = call else {
+                    break;
+                };
+                tokio::spawn(send_call(Arc::clone(&cache), call));
+            }
+            incoming = endpoint.accept() => {
+                let Some(incoming) = incoming else {
+                    break;
+                };
+                tokio::spawn(serve_connection(incoming, inbox.clone()));
+            }
+            _stop = stopped.recv() => break,
+        }
+    }
+    endpoint.close(VarInt::from_u32(0), b"closing");
+    let _late = tokio::time::timeout(CLOSE_LIMIT, endpoint.wait_idle()).await;
+}
+
+/// Makes one call and hands its reply over.
+async fn send_call(cache: Arc<ConnectionCache>, call: OutgoingCall) {
+    let exchange = cache.exchange(call.peer, &call.body);
+    let reply = tokio::time::timeout(call.timeout, exchange).await;
+    let _gone = call.reply.try_send(reply.ok().flatten());
+}
+
+/// Receives the calls of one connection.
+async fn serve_connection(incoming: Incoming, inbox: std_mpsc::SyncSender<PeerCall>) {
+    let Ok(connection) = incoming.await else {
+        return;
+    };
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        tokio::spawn(serve_call(send, receive, inbox.clone()));
+    }
+}
+
+/// Receives one call and sends its reply.
+async fn serve_call(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    inbox: std_mpsc::SyncSender<PeerCall>,
+) {
+    let Ok(body) = receive.read_to_end(MESSAGE_LIMIT).await else {
+        return;
+    };
+    let (reply, answered) = oneshot::channel();
+    if inbox.try_send(PeerCall { body, reply }).is_err() {
+        return;
+    }
+    let Ok(body) = answered.await else {
+        return;
+    };
+    if send.write_all(&body).await.is_ok() {
+        let _closed = send.finish();
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-request/src/lib.rs
@@ -0,0 +1,7 @@
+//! The life of a request, as types that make a false "not run" impossible.
+//!
+//! A request moves `Admitted -> Opened -> Dispatched -> Settled`
+//! ([`life`]). Only the states before [`life::DispatchedRequest`] can be
+//! turned into [`life::NotRunProof`], which the answer "not run" needs.
+
+pub mod life;
--- /dev/null
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -0,0 +1,165 @@
+//! Heads and error bodies of answers to callers.
+
+use std::net::SocketAddr;
+
+use hibiscus_types::RefusalReason;
+use hibiscus_types::RequestOutcome;
+use hyper::Response;
+use serde::Serialize;
+
+use crate::callers::body::AnswerBody;
+
+/// Header that tells whether the request ran.
+pub const OUTCOME_HEADER: &str = "x-hibiscus-outcome";
+/// Header that carries the request's key.
+pub const KEY_HEADER: &str = "x-hibiscus-key";
+
+/// Error of a request, as the caller gets it.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// What went wrong and what the caller can do.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorDetail {
+    /// What went wrong, as a sentence.
+    pub message: String,
+    /// `invalid_request_error`, `budget_error` or `service_error`.
+    pub r#type: &'static str,
+    /// The reason's code.
+    pub code: &'static str,
+    /// What proves the reason, such as a ledger offset.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evidence: Option<String>,
+    /// Whether the same request may be sent again.
+    pub retry: bool,
+    /// Milliseconds to wait before sending again.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// Other addresses to send to.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// A failed request: everything that its answer needs.
+#[derive(Clone, Debug)]
+pub struct RequestFailure {
+    /// What is known of its execution.
+    pub outcome: RequestOutcome,
+    /// Why it failed.
+    pub reason: RefusalReason,
+    /// What went wrong, as a sentence.
+    pub message: String,
+    /// What proves the reason.
+    pub evidence: Option<String>,
+    /// Other addresses to send to.
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl RequestFailure {
+    /// A request that no server received.
+    pub fn not_run(reason: RefusalReason, message: impl Into<String>) -> Self {
+        Self {
+            outcome: RequestOutcome::NotRun,
+            reason,
+            message: message.into(),
+            evidence: None,
+            addresses: Vec::new(),
+        }
+    }
+
+    /// The HTTP status.
+    pub fn status(&self) -> u16 {
+        match self.reason {
+            RefusalReason::BadRequest | RefusalReason::KeyExpired => 400,
+            RefusalReason::Unauthenticated => 401,
+            RefusalReason::BudgetExhausted => 402,
+            RefusalReason::NoRoute => 404,
+            RefusalReason::InProgress => 409,
+            RefusalReason::Quarantined => 422,
+            RefusalReason::Overloaded => 429,
+            RefusalReason::ServerFailed | RefusalReason::AnswerBroken => 502,
+            RefusalReason::DeadlineExceeded => 504,
+            RefusalReason::BudgetUnconfirmed
+            | RefusalReason::NotRecorded
+            | RefusalReason::Stopping
+            | RefusalReason::NotReady
+            | RefusalReason::NoServer => 503,
+        }
+    }
+
+    /// Whether the same request may be sent again.
+    fn retry(&self) -> bool {
+        let temporary = matches!(self.status(), 429 | 502 | 503 | 504);
+        temporary && self.outcome != RequestOutcome::Unknown
+    }
+
+    /// The kind of error, as OpenAI-compatible clients expect it.
+    fn kind(&self) -> &'static str {
+        match self.status() {
+            400 | 401 | 404 | 409 | 422 => "invalid_request_error",
+            402 => "budget_error",
+            _ => "service_error",
+        }
+    }
+
+    /// The error body.
+    pub fn body(&self) -> ErrorBody {
+        let retry = self.retry();
+        ErrorBody {
+            error: ErrorDetail {
+                message: self.message.clone(),
+                r#type: self.kind(),
+                code: self.reason.as_str(),
+                evidence: self.evidence.clone(),
+                retry,
+                retry_after_ms: retry.then_some(RETRY_AFTER_MS),
+                addresses: self.addresses.clone(),
+            },
+        }
+    }
+}
+
+/// Time that a caller is asked to wait before sending again.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Head of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: String,
+    /// What is known of the execution.
+    pub outcome: RequestOutcome,
+    /// The request's key, empty when it has none.
+    pub key: String,
+}
+
+/// Joins head and body.
+pub fn respond(head: &AnswerHead, body: AnswerBody) -> Response<AnswerBody> {
+    let mut builder = Response::builder()
+        .status(head.status)
+        .header("content-type", &head.content_type)
+        .header(OUTCOME_HEADER, head.outcome.as_str());
+    if !head.key.is_empty() {
+        builder = builder.header(KEY_HEADER, &head.key);
+    }
+    builder
+        .body(body)
+        .unwrap_or_else(|_error| Response::new(AnswerBody::whole("")))
+}
+
+/// The answer to a failed request.
+pub fn fail(failure: &RequestFailure) -> Response<AnswerBody> {
+    let head = AnswerHead {
+        status: failure.status(),
+        content_type: "application/json".to_owned(),
+        outcome: failure.outcome,
+        key: String::new(),
+    };
+    let body = serde_json::to_vec(&failure.body()).unwrap_or_default();
+    respond(&head, AnswerBody::whole(body))
+}
--- /dev/null
+++ b/crates/hibiscus-router/src/context.rs
@@ -0,0 +1,83 @@
+//! What all duties of one process share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use hibiscus_events::EventRecorder;
+use hibiscus_peer::PeerLink;
+use hibiscus_platform::log::HttpLog;
+use hibiscus_types::IncarnationId;
+
+use crate::config::ConfigCell;
+use crate::membership::FleetCell;
+use crate::servers::ServerTable;
+use crate::settings::RouterSettings;
+
+/// Views and handles that every duty may use.
+pub struct RouterContext {
+    /// The settings.
+    pub settings: RouterSettings,
+    /// This life of the process.
+    pub incarnation: IncarnationId,
+    /// The event ring.
+    pub events: EventRecorder,
+    /// The configuration in force.
+    pub config: ConfigCell,
+    /// The fleet as seen from here.
+    pub fleet: FleetCell,
+    /// The backend servers as seen from here.
+    pub servers: ServerTable,
+    /// The link to the other instances.
+    pub link: PeerLink,
+    /// The log service.
+    pub log: HttpLog,
+    /// Requests in progress.
+    pub in_progress: AtomicU32,
+    draining: AtomicBool,
+    ended: AtomicBool,
+}
+
+/// The shared context.
+pub type SharedContext = Arc<RouterContext>;
+
+impl RouterContext {
+    /// Joins the parts of a process that starts.
+    pub fn new(settings: RouterSettings, link: PeerLink, log: HttpLog) -> Self {
+        let events = EventRecorder::new(settings.instance.name.as_str());
+        Self {
+            settings,
+            incarnation: IncarnationId::generate(),
+            events,
+            config: ConfigCell::default(),
+            fleet: FleetCell::default(),
+            servers: ServerTable::default(),
+            link,
+            log,
+            in_progress: AtomicU32::new(0),
+            draining: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+        }
+    }
+
+    /// Whether the process takes no new requests.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Lets the process take no new requests.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the duties must end.
+    pub fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Lets the duties end.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-router/src/ledger/mod.rs
@@ -0,0 +1,6 @@
+//! Duties around the ledger streams: appending in batches, following, and
+//! answering other instances as a broker.
+
+pub mod append;
+pub mod broker;
+pub mod client;
--- /dev/null
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -0,0 +1,194 @@
+//! Reservation, open and settlement of one request.
+
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+use std::time::Instant;
+
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
+use hibiscus_ledger::holder::TokenReservation;
+use hibiscus_ledger::record::LedgerRecord;
+use hibiscus_ledger::record::RequestOpen;
+use hibiscus_ledger::record::RequestSettlement;
+use hibiscus_ledger::shard_of;
+use hibiscus_ledger::witness::WitnessAnswer;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::RefusalReason;
+use hibiscus_types::TokenCount;
+
+use crate::callers::answer::RequestFailure;
+use crate::context::SharedContext;
+use crate::holder::HolderMessage;
+use crate::holder::ReserveCall;
+use crate::holder::ReserveRefusal;
+use crate::ledger::broker::BrokerReply;
+use crate::ledger::broker::BrokerRequest;
+use crate::ledger::client;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::requests::CallerRequest;
+use crate::witness::WitnessRequest;
+
+/// Time that a witness may take.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a broker may take to hand a record to the log.
+const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Result of a step.
+pub type Result<T> = std::result::Result<T, RequestFailure>;
+
+/// Sets the request's maximum cost aside.
+pub fn reserve(
+    context: &SharedContext,
+    holder: &SyncSender<HolderMessage>,
+    request: &CallerRequest,
+) -> Result<TokenReservation> {
+    let wait = context.settings.allowance_wait().min(request.remaining());
+    let (reply, answered) = mpsc::sync_channel(1);
+    let call = ReserveCall {
+        team: request.key.team.clone(),
+        budget: request.budget.clone(),
+        tokens: request.cost,
+        deadline: Instant::now() + wait,
+        reply,
+    };
+    if holder.try_send(HolderMessage::Reserve(call)).is_err() {
+        return Err(RequestFailure::not_run(
+            RefusalReason::Overloaded,
+            "failed to take the request: too many wait for allowance",
+        ));
+    }
+    match answered.recv() {
+        Ok(Ok(reservation)) => Ok(reservation),
+        Ok(Err(ReserveRefusal::Exhausted { offset })) => Err(RequestFailure {
+            evidence: Some(format!("ledger offset {offset}")),
+            ..RequestFailure::not_run(
+                RefusalReason::BudgetExhausted,
+                format!(
+                    "failed to reserve {} tokens: budget `{}` does not cover them",
+                    request.cost, request.budget
+                ),
+            )
+        }),
+        Ok(Err(ReserveRefusal::Unconfirmed)) | Err(_) => Err(RequestFailure::not_run(
+            RefusalReason::BudgetUnconfirmed,
+            format!(
+                "failed to reserve {} tokens of budget `{}` in time",
+                request.cost, request.budget
+            ),
+        )),
+    }
+}
+
+/// Ends a reservation of which `charge` was used.
+pub fn end_reservation(
+    holder: &SyncSender<HolderMessage>,
+    reservation: TokenReservation,
+    charge: TokenCount,
+) {
+    // The holder outlives the requests, so the message arrives.
+    let _ended = holder.send(HolderMessage::Settle {
+        reservation,
+        charge,
+    });
+}
+
+/// Has the open acknowledged by the grant's witnesses.
+pub fn acknowledge_open(
+    context: &SharedContext,
+    reservation: &TokenReservation,
+    open: &RequestOpen,
+) -> Result<()> {
+    let ask = |witness| WitnessRequest::Open {
+        witness,
+        open: open.clone(),
+    };
+    let answers = ask_witnesses(context, &reservation.witnesses, ask);
+    if answers.contains(&WitnessAnswer::Sealed) {
+        return Err(RequestFailure::not_run(
+            RefusalReason::NotRecorded,
+            "failed to record the request: its grant is sealed",
+        ));
+    }
+    if answers.contains(&WitnessAnswer::Acknowledged) {
+        return Ok(());
+    }
+    Err(RequestFailure::not_run(
+        RefusalReason::NotRecorded,
+        "failed to record the request: no witness answered",
+    ))
+}
+
+/// Has the settlement acknowledged by a witness, or by a broker when no
+/// witness answers; false when nobody does.
+pub fn acknowledge_settlement(
+    context: &SharedContext,
+    reservation: &TokenReservation,
+    settlement: &RequestSettlement,
+) -> bool {
+    let ask = |witness| WitnessRequest::Settle {
+        witness,
+        settlement: settlement.clone(),
+    };
+    let answers = ask_witnesses(context, &reservation.witnesses, ask);
+    if answers.contains(&WitnessAnswer::Acknowledged) {
+        return true;
+    }
+    let shard = shard_of(&settlement.key.team, context.settings.budgets.shards);
+    let request = BrokerRequest::Append {
+        shard,
+        records: vec![LedgerRecord::Settle(settlement.clone())],
+    };
+    let reply = client::call(context, shard, &request, BROKER_TIMEOUT);
+    matches!(reply, Some(BrokerReply::Appending))
+}
+
+/// Asks all witnesses at once and collects the answers that come.
+fn ask_witnesses<F>(
+    context: &SharedContext,
+    witnesses: &[IncarnationId],
+    ask: F,
+) -> Vec<WitnessAnswer>
+where
+    F: Fn(IncarnationId) -> WitnessRequest,
+{
+    let mut pending = Vec::with_capacity(witnesses.len());
+    for witness in witnesses {
+        let Some(address) = witness_address(context, *witness) else {
+            continue;
+        };
+        let request = PeerRequest::Witness(ask(*witness));
+        let Ok(call) = request.start(context, address, WITNESS_TIMEOUT) else {
+            continue;
+        };
+        pending.push(call);
+    }
+    let mut answers = Vec::with_capacity(pending.len());
+    for call in pending {
+        let Ok(PeerReply::Witness(reply)) = PeerReply::receive(call) else {
+            continue;
+        };
+        answers.push(reply.answer);
+    }
+    answers
+}
+
+/// Where the witness is reached.
+fn witness_address(context: &SharedContext, witness: IncarnationId) -> Option<SocketAddr> {
+    let fleet = context.fleet.lock();
+    fleet.instance_of(witness).map(|instance| instance.peers)
+}
+
+/// Records an event of a request.
+pub fn note(context: &SharedContext, code: EventCode, request: &CallerRequest, server: &str) {
+    let fields = EventFields {
+        request: request.key.to_string(),
+        team: request.key.team.to_string(),
+        budget: request.budget.to_string(),
+        server: server.to_owned(),
+        ..EventFields::default()
+    };
+    context.events.record(code, fields);
+}
--- /dev/null
+++ b/crates/hibiscus-types/src/codec.rs
@@ -0,0 +1,46 @@
+//! Versioned binary encoding of records and peer messages.
+//!
+//! Every encoded value starts with its format version. A process that meets
+//! a newer version must stop deciding on that stream, so the version is read
+//! before the rest is decoded.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Format version that this release writes and the newest that it reads.
+pub const FORMAT_VERSION: u16 = 1;
+
+/// Why a value could not be encoded or decoded.
+#[derive(Debug, thiserror::Error)]
+pub enum CodecError {
+    /// The value was written by a newer release.
+    #[error("failed to decode a record of format {found}: this release reads up to {FORMAT_VERSION}")]
+    NewerFormat {
+        /// The version found.
+        found: u16,
+    },
+    /// The bytes are no value of the expected type.
+    #[error("failed to decode a record")]
+    Malformed(#[source] postcard::Error),
+    /// The value cannot be encoded.
+    #[error("failed to encode a record")]
+    Encode(#[source] postcard::Error),
+}
+
+/// Result of encoding or decoding.
+pub type Result<T> = std::result::Result<T, CodecError>;
+
+/// Encodes `value` behind the current format version.
+pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    postcard::to_stdvec(&(FORMAT_VERSION, value)).map_err(CodecError::Encode)
+}
+
+/// Decodes a value written by [`encode`] of this release or an older one.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    let (found, rest) =
+        postcard::take_from_bytes::<u16>(bytes).map_err(CodecError::Malformed)?;
+    if found > FORMAT_VERSION {
+        return Err(CodecError::NewerFormat { found });
+    }
+    postcard::from_bytes(rest).map_err(CodecError::Malformed)
+}
--- /dev/null
+++ b/crates/hibiscus-types/src/outcome.rs
@@ -0,0 +1,89 @@
+//! How a request ended, and why one was refused.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What is known of a request's execution when its caller is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestOutcome {
+    /// A server executed the request.
+    Ran,
+    /// No server received any byte of the request.
+    NotRun,
+    /// A server may have executed the request.
+    Unknown,
+}
+
+impl RequestOutcome {
+    /// The value of the outcome header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Why a request was refused or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The request is malformed.
+    BadRequest,
+    /// The API key belongs to no team.
+    Unauthenticated,
+    /// No routing rule or model matches the call.
+    NoRoute,
+    /// The ledger proves that the budget cannot cover the request.
+    BudgetExhausted,
+    /// Not enough allowance was held and the ledger could not be read.
+    BudgetUnconfirmed,
+    /// Neither a witness nor the log could record the request.
+    NotRecorded,
+    /// A bounded queue is full.
+    Overloaded,
+    /// The instance is stopping.
+    Stopping,
+    /// The instance has no configuration yet.
+    NotReady,
+    /// No server of the service can take the request.
+    NoServer,
+    /// The idempotency key is older than the window.
+    KeyExpired,
+    /// A request with the same key was started and its end is not known.
+    InProgress,
+    /// The request stopped each server that ran it.
+    Quarantined,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// The server failed while it ran the request.
+    ServerFailed,
+    /// The answer ended before its end marker.
+    AnswerBroken,
+}
+
+impl RefusalReason {
+    /// The value of the error's `code` field.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthenticated => "unauthenticated",
+            Self::NoRoute => "no_route",
+            Self::BudgetExhausted => "budget_exhausted",
+            Self::BudgetUnconfirmed => "budget_unconfirmed",
+            Self::NotRecorded => "not_recorded",
+            Self::Overloaded => "overloaded",
+            Self::Stopping => "stopping",
+            Self::NotReady => "not_ready",
+            Self::NoServer => "no_server",
+            Self::KeyExpired => "key_expired",
+            Self::InProgress => "in_progress",
+            Self::Quarantined => "quarantined",
+            Self::DeadlineExceeded => "deadline_exceeded",
+            Self::ServerFailed => "server_failed",
+            Self::AnswerBroken => "answer_broken",
+        }
+    }
+}
