--- a/crates/hibiscus-bench/src/commands/quickstart.rs
+++ b/crates/hibiscus-bench/src/commands/quickstart.rs
@@ -151,7 +151,10 @@
     let prompt = format!("{key} len=12 how does this jacket fit?");
     match caller.stream_chat(address, key, "stylist", &prompt, 64) {
         Ok(answer) => {
-            let own = answer.text.split_whitespace().all(|word| word.starts_with(key));
+            let own = answer
+                .text
+                .split_whitespace()
+                .all(|word| word.starts_with(key));
             println!(
                 "{key}: {} tokens billed, first token {:.1} ms, whole {:.1} ms, own={own}",
                 answer.billed,
--- a/crates/hibiscus-config/src/file.rs
+++ b/crates/hibiscus-config/src/file.rs
@@ -135,7 +135,10 @@
         for property in &root.properties {
             let section = property.name.as_str();
             if !SECTIONS.contains(&section) {
-                let message = format!("unknown section `{section}`; allowed: {}", SECTIONS.join(", "));
+                let message = format!(
+                    "unknown section `{section}`; allowed: {}",
+                    SECTIONS.join(", ")
+                );
                 self.fault(property.start(), message);
                 continue;
             }
--- a/crates/hibiscus-config/src/record.rs
+++ b/crates/hibiscus-config/src/record.rs
@@ -1,8 +1,9 @@
 //! Records of the configuration stream.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::collections::BTreeMap;
 
 use crate::entry::ConfigEntry;
 use crate::entry::EntryKey;
--- a/crates/hibiscus-events/src/recorder.rs
+++ b/crates/hibiscus-events/src/recorder.rs
@@ -101,7 +101,13 @@
 
     /// Records an event and writes it to the log.
     pub fn record(&self, code: EventCode, fields: EventFields) {
-        log::log!(code.level(), "{} {} {}", code.number(), code.text(), describe(&fields));
+        log::log!(
+            code.level(),
+            "{} {} {}",
+            code.number(),
+            code.text(),
+            describe(&fields)
+        );
         let time = self.clock.new_timestamp();
         let elapsed = time.get_time().to_duration();
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/hibiscus-ledger/src/fold.rs
+++ b/crates/hibiscus-ledger/src/fold.rs
@@ -256,11 +256,7 @@
     fn settle(&mut self, settlement: &RequestSettlement) -> RecordVerdict {
         let was_open = self.close_open(settlement);
         if settlement.end == SettledEnd::NotRun {
-            let ended = (
-                settlement.key.clone(),
-                settlement.grant,
-                settlement.attempt,
-            );
+            let ended = (settlement.key.clone(), settlement.grant, settlement.attempt);
             self.not_run.insert(ended);
             self.drop_reservation(settlement, was_open, TokenCount::ZERO);
             return RecordVerdict::Accepted;
--- a/crates/hibiscus-peer/src/connect.rs
+++ b/crates/hibiscus-peer/src/connect.rs
@@ -46,10 +46,10 @@
     async fn connection(&self, peer: SocketAddr) -> Option<Connection> {
         let slot = self.slot(peer);
         let mut held = slot.lock().await;
-        if let Some(connection) = held.as_ref() {
-            if connection.close_reason().is_none() {
-                return Some(connection.clone());
-            }
+        if let Some(connection) = held.as_ref()
+            && connection.close_reason().is_none()
+        {
+            return Some(connection.clone());
         }
         let connecting = self.endpoint.connect(peer, FLEET_NAME).ok()?;
         let connection = connecting.await.ok()?;
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -203,7 +203,12 @@
     /// Closes the link after its last replies have left.
     pub fn close(&self) {
         let _closing = self.thread.stop.try_send(());
-        let handle = self.thread.handle.lock().ok().and_then(|mut held| held.take());
+        let handle = self
+            .thread
+            .handle
+            .lock()
+            .ok()
+            .and_then(|mut held| held.take());
         let Some(handle) = handle else {
             return;
         };
--- a/crates/hibiscus-peer/src/tls.rs
+++ b/crates/hibiscus-peer/src/tls.rs
@@ -72,10 +72,9 @@
 pub(crate) fn server_config(keys: &LinkKeys<'_>) -> Result<ServerConfig> {
     let parsed = keys.parse()?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let verifier =
-        WebPkiClientVerifier::builder_with_provider(parsed.roots, Arc::clone(&provider))
-            .build()
-            .map_err(|_error| LinkError::BadKeys("authority"))?;
+    let verifier = WebPkiClientVerifier::builder_with_provider(parsed.roots, Arc::clone(&provider))
+        .build()
+        .map_err(|_error| LinkError::BadKeys("authority"))?;
     let tls = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
         .map_err(|_error| LinkError::BadKeys("certificate"))?
--- a/crates/hibiscus-platform/src/log.rs
+++ b/crates/hibiscus-platform/src/log.rs
@@ -136,10 +136,7 @@
         let url = format!("{}/v1/streams/{stream}", self.base);
         let mut response = self.agent.post(&url).send(data).map_err(unreachable)?;
         check_status(response.status().as_u16())?;
-        let text = response
-            .body_mut()
-            .read_to_string()
-            .map_err(unreachable)?;
+        let text = response.body_mut().read_to_string().map_err(unreachable)?;
         let answer: AppendAnswer =
             serde_json::from_str(&text).map_err(|_error| LogError::Malformed)?;
         Ok(answer.offset)
--- a/crates/hibiscus-router/src/callers/body.rs
+++ b/crates/hibiscus-router/src/callers/body.rs
@@ -17,15 +17,18 @@
 #[error("failed to send the whole answer")]
 pub struct BrokenAnswer;
 
+/// One piece of an answer, or its breaking off.
+pub type Result<T> = std::result::Result<T, BrokenAnswer>;
+
 /// Sends the pieces of an answer.
 #[derive(Debug)]
 pub struct AnswerSender {
-    ring: mpsc::Sender<Result<Bytes, BrokenAnswer>>,
+    ring: mpsc::Sender<Result<Bytes>>,
 }
 
 /// The pieces of an answer as a body.
 pub struct AnswerBody {
-    ring: mpsc::Receiver<Result<Bytes, BrokenAnswer>>,
+    ring: mpsc::Receiver<Result<Bytes>>,
 }
 
 /// A new answer body and the handle that feeds it.
@@ -67,7 +70,7 @@
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenAnswer>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
         self.ring
             .poll_recv(context)
             .map(|piece| piece.map(|piece| piece.map(Frame::data)))
--- a/crates/hibiscus-router/src/cli.rs
+++ b/crates/hibiscus-router/src/cli.rs
@@ -34,9 +34,7 @@
 
 /// The parser of the command line.
 pub fn cli() -> OptionParser<RouterCommand> {
-    let check = long("check")
-        .help("Check the settings and exit")
-        .switch();
+    let check = long("check").help("Check the settings and exit").switch();
     let settings = positional::<PathBuf>("SETTINGS").help("Settings file, JSON with comments");
     construct!(RouterCommand { check, settings })
         .to_options()
@@ -55,7 +53,10 @@
         }
     };
     if command.check {
-        println!("settings of instance `{}` are correct", settings.instance.name);
+        println!(
+            "settings of instance `{}` are correct",
+            settings.instance.name
+        );
         return ExitCode::SUCCESS;
     }
     serve(settings)
@@ -85,7 +86,10 @@
             return ExitCode::from(EXIT_START);
         }
     };
-    println!("callers={} operators={} peers={}", router.addresses.callers, router.addresses.operators, router.addresses.peers);
+    println!(
+        "callers={} operators={} peers={}",
+        router.addresses.callers, router.addresses.operators, router.addresses.peers
+    );
     let _first = signals.forever().next();
     std::thread::spawn(move || {
         let _second = signals.forever().next();
--- a/crates/hibiscus-router/src/config/mod.rs
+++ b/crates/hibiscus-router/src/config/mod.rs
@@ -1,8 +1,8 @@
 //! Duty: follows the configuration stream and puts each version in force.
 
 use std::sync::Arc;
-use std::sync::RwLock;
 use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::thread;
 use std::time::Duration;
 
@@ -37,7 +37,10 @@
 
     /// Puts `snapshot` in force unless a later version is.
     pub fn put(&self, snapshot: ConfigSnapshot) {
-        let mut held = self.snapshot.write().unwrap_or_else(PoisonError::into_inner);
+        let mut held = self
+            .snapshot
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
         if snapshot.version > held.version {
             *held = Arc::new(snapshot);
         }
@@ -48,7 +51,10 @@
 pub fn follow(context: &SharedContext) {
     let mut fold = ConfigFold::default();
     while !context.is_ended() {
-        let page = match context.log.read(CONFIG_STREAM, fold.next_offset(), POLL_WAIT) {
+        let page = match context
+            .log
+            .read(CONFIG_STREAM, fold.next_offset(), POLL_WAIT)
+        {
             Ok(page) => page,
             Err(error) => {
                 note_failure(context, &error.to_string());
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -306,8 +306,12 @@
     ready.retain(|instance| instance.name != own.name);
     let key = format!("witness/{}/{budget}", own.name);
     let ranked = ranking::rank(key.as_bytes(), &ready);
-    let near = ranked.iter().find(|held| held.data_centre == own.data_centre);
-    let far = ranked.iter().find(|held| held.data_centre != own.data_centre);
+    let near = ranked
+        .iter()
+        .find(|held| held.data_centre == own.data_centre);
+    let far = ranked
+        .iter()
+        .find(|held| held.data_centre != own.data_centre);
     let mut chosen: Vec<_> = near.into_iter().chain(far).collect();
     for instance in &ranked {
         if chosen.len() >= WITNESSES {
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -145,7 +145,9 @@
         peer::dispatch(context, &calls, &rings);
     });
     let addresses = BoundAddresses {
-        callers: callers_port.local_addr().unwrap_or(context.settings.listen.callers),
+        callers: callers_port
+            .local_addr()
+            .unwrap_or(context.settings.listen.callers),
         operators,
         peers: context.link.address(),
     };
@@ -176,8 +178,7 @@
         events.record(EventCode::InstanceStopping, EventFields::default());
         self.context.drain();
         let refused_until = Instant::now() + lifetime;
-        while self.context.in_progress.load(Ordering::Relaxed) > 0
-            || Instant::now() < refused_until
+        while self.context.in_progress.load(Ordering::Relaxed) > 0 || Instant::now() < refused_until
         {
             thread::sleep(DRAIN_POLL);
         }
@@ -252,7 +253,9 @@
         let (ring, records) = mpsc::sync_channel(append::RING_CAPACITY);
         rings.push(ring);
         let context = Arc::clone(context);
-        handles.push(thread::spawn(move || append::run(&context, shard, &records)));
+        handles.push(thread::spawn(move || {
+            append::run(&context, shard, &records)
+        }));
     }
     (AppendRings { rings }, handles)
 }
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -100,7 +100,13 @@
         head: Some(head),
         pieces: None,
     };
-    let end = attempt_all(context, &request, &service.name, &reservation, &mut progress);
+    let end = attempt_all(
+        context,
+        &request,
+        &service.name,
+        &reservation,
+        &mut progress,
+    );
     finish(context, holder, &request, reservation, progress, end);
 }
 
@@ -131,7 +137,12 @@
             },
         };
         let dispatched = ready.dispatch(server.name.clone());
-        open::note(context, EventCode::RequestDispatched, request, server.name.as_str());
+        open::note(
+            context,
+            EventCode::RequestDispatched,
+            request,
+            server.name.as_str(),
+        );
         let result = stream_from(context, request, reservation, &server, progress);
         context.servers.release(&server.name);
         match result {
@@ -147,7 +158,10 @@
             outcome: RequestOutcome::Unknown,
             ..RequestFailure::not_run(
                 RefusalReason::ServerFailed,
-                format!("failed to finish the request: {} servers failed", tried.len()),
+                format!(
+                    "failed to finish the request: {} servers failed",
+                    tried.len()
+                ),
             )
         });
     }
@@ -172,7 +186,12 @@
         opened: UnixMillis::now(),
     };
     open::acknowledge_open(context, reservation, &record)?;
-    open::note(context, EventCode::RequestOpened, request, server.name.as_str());
+    open::note(
+        context,
+        EventCode::RequestOpened,
+        request,
+        server.name.as_str(),
+    );
     let admitted = AdmittedRequest::new(request.key.clone());
     Ok(admitted.opened(reservation.grant, reservation.tokens, 0))
 }
@@ -324,9 +343,10 @@
 ) {
     let (settled_end, charge) = match &end {
         RunEnd::NotRun(_) => (SettledEnd::NotRun, TokenCount::ZERO),
-        RunEnd::Whole | RunEnd::CallerLeft | RunEnd::Failed(_) => {
-            (SettledEnd::Ran, progress.charge(request).min(reservation.tokens))
-        }
+        RunEnd::Whole | RunEnd::CallerLeft | RunEnd::Failed(_) => (
+            SettledEnd::Ran,
+            progress.charge(request).min(reservation.tokens),
+        ),
     };
     let settlement = RequestSettlement {
         key: request.key.clone(),
--- a/crates/hibiscus-router/src/requests/plain.rs
+++ b/crates/hibiscus-router/src/requests/plain.rs
@@ -167,7 +167,12 @@
         remaining: request.remaining(),
         resume_from: 0,
     };
-    open::note(context, EventCode::RequestDispatched, request, server.name.as_str());
+    open::note(
+        context,
+        EventCode::RequestDispatched,
+        request,
+        server.name.as_str(),
+    );
     let RequestPath::Plain { route } = &request.path else {
         return answer::fail(&unknown_end());
     };
@@ -185,7 +190,12 @@
             answer::fail(&RequestFailure::not_run(RefusalReason::NoServer, message))
         }
         Err(_) => {
-            open::note(context, EventCode::RequestFailed, request, server.name.as_str());
+            open::note(
+                context,
+                EventCode::RequestFailed,
+                request,
+                server.name.as_str(),
+            );
             answer::fail(&unknown_end())
         }
     }
--- a/crates/hibiscus-routing/src/policy.rs
+++ b/crates/hibiscus-routing/src/policy.rs
@@ -23,7 +23,8 @@
             if servers[index].leaving {
                 continue;
             }
-            let better = best.is_none_or(|held| servers[index].expected() < servers[held].expected());
+            let better =
+                best.is_none_or(|held| servers[index].expected() < servers[held].expected());
             if better {
                 best = Some(index);
             }
--- a/crates/hibiscus-support/src/engine.rs
+++ b/crates/hibiscus-support/src/engine.rs
@@ -324,8 +324,15 @@
     start: u64,
     behaviour: EngineBehaviour,
 ) -> RunPlan {
-    let prompt_bytes: usize = chat.messages.iter().map(|message| message.content.len()).sum();
-    let last = chat.messages.last().map_or("", |message| message.content.as_str());
+    let prompt_bytes: usize = chat
+        .messages
+        .iter()
+        .map(|message| message.content.len())
+        .sum();
+    let last = chat
+        .messages
+        .last()
+        .map_or("", |message| message.content.as_str());
     let mut words = last.split_whitespace();
     let marker = words.next().unwrap_or("token").to_owned();
     let wanted = last
@@ -363,11 +370,7 @@
 }
 
 /// Sends the events of one run.
-async fn generate(
-    shared: Arc<EngineShared>,
-    plan: RunPlan,
-    mut sender: Sender<Bytes, Infallible>,
-) {
+async fn generate(shared: Arc<EngineShared>, plan: RunPlan, mut sender: Sender<Bytes, Infallible>) {
     let whole = send_events(&shared, &plan, &mut sender).await;
     let mut state = shared.state.lock().expect("the engine state is whole");
     state.running -= 1;
@@ -384,7 +387,11 @@
 ) -> bool {
     tokio::time::sleep(plan.behaviour.prefill).await;
     for index in plan.start..plan.length {
-        if plan.behaviour.truncate_after.is_some_and(|limit| index >= limit) {
+        if plan
+            .behaviour
+            .truncate_after
+            .is_some_and(|limit| index >= limit)
+        {
             return false;
         }
         if index > plan.start {
@@ -394,7 +401,11 @@
             std::future::pending::<()>().await;
         }
         let text = format!("{}.{index} ", plan.marker);
-        if sender.send_data(event(plan, Some(text), None)).await.is_err() {
+        if sender
+            .send_data(event(plan, Some(text), None))
+            .await
+            .is_err()
+        {
             return false;
         }
         let mut state = shared.state.lock().expect("the engine state is whole");
@@ -429,7 +440,11 @@
 
 /// The engine's load report.
 fn load_report(shared: &EngineShared) -> Response<AnswerBody> {
-    let running = shared.state.lock().expect("the engine state is whole").running;
+    let running = shared
+        .state
+        .lock()
+        .expect("the engine state is whole")
+        .running;
     let body = format!("{{\"running\":{running},\"waiting\":0}}");
     Response::builder()
         .header("content-type", "application/json")
--- a/crates/hibiscus-support/src/fleet.rs
+++ b/crates/hibiscus-support/src/fleet.rs
@@ -9,6 +9,7 @@
 use hibiscus_platform::list::ListedServer;
 use hibiscus_platform::list::ListedState;
 use hibiscus_router::ops;
+use hibiscus_router::ops::BoundAddresses;
 use hibiscus_router::ops::RunningRouter;
 use hibiscus_router::settings::BudgetSettings;
 use hibiscus_router::settings::FleetSettings;
@@ -25,6 +26,7 @@
 use crate::keys::FleetAuthority;
 use crate::list::ListStandin;
 use crate::log::LogStandin;
+use crate::process::RouterProcess;
 
 /// Time between looks at a fleet that starts.
 const READY_POLL: Duration = Duration::from_millis(10);
@@ -86,16 +88,36 @@
     pub fn start_router(&self, settings: RouterSettings) -> RunningRouter {
         let instance = settings.instance.clone();
         let router = ops::start(settings).expect("the instance starts");
+        self.list_instance(instance, router.addresses);
+        router
+    }
+
+    /// Lists a router process.
+    pub fn list_process(
+        &self,
+        name: &str,
+        data_centre: &str,
+        region: &str,
+        process: &RouterProcess,
+    ) {
+        let instance = InstanceSettings {
+            name: InstanceName::from(name),
+            data_centre: DataCentre::from(data_centre),
+            region: region.into(),
+        };
+        self.list_instance(instance, process.addresses);
+    }
+
+    fn list_instance(&self, instance: InstanceSettings, addresses: BoundAddresses) {
         self.list.put_instance(ListedInstance {
             name: instance.name,
             data_centre: instance.data_centre,
             region: instance.region,
-            callers: router.addresses.callers,
-            operators: router.addresses.operators,
-            peers: router.addresses.peers,
+            callers: addresses.callers,
+            operators: addresses.operators,
+            peers: addresses.peers,
             state: ListedState::Live,
         });
-        router
     }
 
     /// Lists a backend server.
--- a/crates/hibiscus-support/src/http.rs
+++ b/crates/hibiscus-support/src/http.rs
@@ -1,9 +1,9 @@
 //! The HTTP server that the stand-ins share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod list;
 pub mod log;
 pub mod plain;
+pub mod process;
+pub mod proxy;
 
 mod http;
 
--- a/crates/hibiscus-types/src/codec.rs
+++ b/crates/hibiscus-types/src/codec.rs
@@ -14,7 +14,9 @@
 #[derive(Debug, thiserror::Error)]
 pub enum CodecError {
     /// The value was written by a newer release.
-    #[error("failed to decode a record of format {found}: this release reads up to {FORMAT_VERSION}")]
+    #[error(
+        "failed to decode a record of format {found}: this release reads up to {FORMAT_VERSION}"
+    )]
     NewerFormat {
         /// The version found.
         found: u16,
@@ -37,8 +39,7 @@
 
 /// Decodes a value written by [`encode`] of this release or an older one.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
-    let (found, rest) =
-        postcard::take_from_bytes::<u16>(bytes).map_err(CodecError::Malformed)?;
+    let (found, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(CodecError::Malformed)?;
     if found > FORMAT_VERSION {
         return Err(CodecError::NewerFormat { found });
     }
--- a/crates/hibiscus-types/src/id.rs
+++ b/crates/hibiscus-types/src/id.rs
@@ -72,7 +72,9 @@
 }
 
 /// One life of one process. A restarted process is another incarnation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct IncarnationId(Uuid);
 
@@ -100,7 +102,9 @@
 }
 
 /// An allowance grant. The holder that asks for the grant makes the number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct GrantId(Uuid);
 
@@ -158,7 +162,9 @@
 }
 
 /// An amount of model tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct TokenCount(u64);
 
--- a/crates/hibiscus-types/src/time.rs
+++ b/crates/hibiscus-types/src/time.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 
 /// Milliseconds since the Unix epoch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct UnixMillis(u64);
 
--- /dev/null
+++ b/crates/hibiscusctl/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! One file a subcommand, each with its `cli` and its `exec`.
+
+pub mod check;
--- a/tests/testsuite/lib.rs
+++ b/tests/testsuite/lib.rs
@@ -1,1 +1,1 @@
-//! x
+//! Integration tests over real processes; the tests are in `main.rs`.
