Ask again after a refused grant, and never grant without a witness

Cause: the new process test found two faults. A holder that was refused once remembered zero free tokens and never asked again; a grant asked for before the first heartbeat named no witness, so no open could be recorded.

Before: whole_path::a_chat_is_answered_by_a_fleet_of_processes failed after 20 s.

Conclusion: a refusal is forgotten once answered, and the holder waits for witnesses.

--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -144,6 +144,7 @@
             state.take(message);
         }
         state.refuse_late();
+        state.ask_for_waiting();
     }
 }
 
@@ -205,13 +206,17 @@
         if tokens.is_zero() {
             return;
         }
+        let witnesses = choose_witnesses(self.context, budget);
+        if witnesses.is_empty() {
+            return;
+        }
         let grant = AllowanceGrant {
             id: GrantId::generate(),
             budget: budget.clone(),
             holder: self.context.incarnation,
             instance: self.context.settings.instance.name.clone(),
             tokens,
-            witnesses: choose_witnesses(self.context, budget),
+            witnesses,
         };
         let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
         desk.asked = self.wanted.try_send(GrantWanted { shard, grant }).is_ok();
@@ -229,7 +234,6 @@
             offset,
         }) = reply
         else {
-            self.ask(&budget);
             return;
         };
         desk.free = Some(free);
@@ -268,7 +272,10 @@
                 _ => still.push_back(call),
             }
         }
-        desk.exhausted_at = None;
+        if desk.exhausted_at.take().is_some() {
+            // Credits may follow: the next request asks the ledger again.
+            desk.free = None;
+        }
         desk.waiting = still;
     }
 
@@ -285,6 +292,19 @@
         }
     }
 
+    /// Asks again for budgets whose last grant could not be asked for.
+    fn ask_for_waiting(&mut self) {
+        let mut unasked = Vec::new();
+        for (budget, desk) in &self.desks {
+            if !desk.asked && !desk.waiting.is_empty() {
+                unasked.push(budget.clone());
+            }
+        }
+        for budget in unasked {
+            self.ask(&budget);
+        }
+    }
+
     fn give_back(&mut self) {
         let config = self.context.config.get();
         for (budget, grant, tokens) in self.held.take_unreserved() {
