--- a/crates/hibiscusctl/src/commands/check.rs
+++ b/crates/hibiscusctl/src/commands/check.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use bpaf::Parser;
+use bpaf::construct;
 use bpaf::positional;
 use hibiscus_config::file::OperatorFile;
 
@@ -13,13 +14,22 @@
 /// Exit code of an unreadable file.
 const EXIT_UNREADABLE: u8 = 2;
 
+/// Arguments of the subcommand.
+#[derive(Clone, Debug)]
+pub struct CheckCommand {
+    /// The operators' file.
+    pub file: PathBuf,
+}
+
 /// The parser of the subcommand's arguments.
-pub fn cli() -> impl Parser<PathBuf> {
-    positional::<PathBuf>("FILE").help("Operators' file, JSON with comments")
+pub fn cli() -> impl Parser<CheckCommand> {
+    let file = positional::<PathBuf>("FILE").help("Operators' file, JSON with comments");
+    construct!(CheckCommand { file })
 }
 
 /// Checks the file and prints its faults.
-pub fn exec(path: &PathBuf) -> ExitCode {
+pub fn exec(command: &CheckCommand) -> ExitCode {
+    let path = &command.file;
     let shown = path.display();
     let text = match fs::read_to_string(path) {
         Ok(text) => text,
--- a/crates/hibiscusctl/src/main.rs
+++ b/crates/hibiscusctl/src/main.rs
@@ -1,26 +1,27 @@
 //! The operators' command line.
 
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::OptionParser;
 use bpaf::Parser;
+use bpaf::construct;
 use hibiscusctl::commands::check;
 
 /// A subcommand with its arguments.
 #[derive(Clone, Debug)]
 enum ControlCommand {
     /// Reports every fault of an operators' file.
-    Check(PathBuf),
+    Check(check::CheckCommand),
 }
 
 /// The parser of the command line.
 fn cli() -> OptionParser<ControlCommand> {
-    check::cli()
+    let check = check::cli()
         .to_options()
         .descr("Reports every fault of an operators' file")
         .command("check")
-        .map(ControlCommand::Check)
+        .map(ControlCommand::Check);
+    construct!([check])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates a hibiscusswitch deployment")
@@ -28,6 +29,6 @@
 
 fn main() -> ExitCode {
     match cli().run() {
-        ControlCommand::Check(path) => check::exec(&path),
+        ControlCommand::Check(command) => check::exec(&command),
     }
 }
