Refuse bad input on the callers' port with its header or field

Headers are checked before the body is received, so that only known callers take memory; all bodies together are bounded by limits.body_memory_bytes, a stalled write ends after limits.send_ms, and a connection over the limit is told so.

--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -1,10 +1,12 @@
 //! Heads and error bodies of answers to callers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hyper::Response;
+use hyper::http::HeaderValue;
 use serde::Serialize;
 
 use crate::callers::body::AnswerBody;
@@ -13,6 +15,10 @@
 pub const OUTCOME_HEADER: &str = "x-hibiscus-outcome";
 /// Header that carries the request's key.
 pub const KEY_HEADER: &str = "x-hibiscus-key";
+/// Header that carries the seconds to wait before sending again.
+pub const RETRY_AFTER_HEADER: &str = "retry-after";
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: u64 = 1_000;
 
 /// Error of a request, as the caller gets it.
 #[derive(Clone, Debug, Serialize)]
@@ -56,6 +62,8 @@
     pub evidence: Option<String>,
     /// Other addresses to send to.
     pub addresses: Vec<SocketAddr>,
+    /// Time to wait before sending again, `None` for the reason's usual time.
+    pub retry_after: Option<Duration>,
 }
 
 impl RequestFailure {
@@ -67,39 +75,40 @@
             message: message.into(),
             evidence: None,
             addresses: Vec::new(),
+            retry_after: None,
         }
     }
 
     /// The HTTP status.
     pub fn status(&self) -> u16 {
-        match self.reason {
-            RefusalReason::BadRequest | RefusalReason::KeyExpired => 400,
-            RefusalReason::Unauthenticated => 401,
-            RefusalReason::BudgetExhausted => 402,
-            RefusalReason::NoRoute => 404,
-            RefusalReason::InProgress => 409,
-            RefusalReason::Quarantined => 422,
-            RefusalReason::Overloaded => 429,
-            RefusalReason::ServerFailed | RefusalReason::AnswerBroken => 502,
-            RefusalReason::DeadlineExceeded => 504,
-            RefusalReason::BudgetUnconfirmed
-            | RefusalReason::NotRecorded
-            | RefusalReason::Stopping
-            | RefusalReason::NotReady
-            | RefusalReason::NoServer => 503,
-        }
+        status_of(self.reason)
     }
 
     /// Whether the same request may be sent again.
     fn retry(&self) -> bool {
-        let temporary = matches!(self.status(), 429 | 502 | 503 | 504);
+        let temporary = matches!(self.status(), 408 | 429 | 502 | 503 | 504);
         temporary && self.outcome != RequestOutcome::Unknown
     }
 
+    /// Milliseconds to wait before sending again. Other addresses can be
+    /// tried at once.
+    fn retry_after_ms(&self) -> Option<u64> {
+        if !self.retry() {
+            return None;
+        }
+        let usual = if self.addresses.is_empty() {
+            RETRY_AFTER
+        } else {
+            Duration::ZERO
+        };
+        let wait = self.retry_after.unwrap_or(usual);
+        Some(u64::try_from(wait.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// The kind of error, as OpenAI-compatible clients expect it.
     fn kind(&self) -> &'static str {
         match self.status() {
-            400 | 401 | 404 | 409 | 422 => "invalid_request_error",
+            400 | 401 | 404 | 405 | 408 | 409 | 413 | 422 | 431 => "invalid_request_error",
             402 => "budget_error",
             _ => "service_error",
         }
@@ -107,15 +116,14 @@
 
     /// The error body.
     pub fn body(&self) -> ErrorBody {
-        let retry = self.retry();
         ErrorBody {
             error: ErrorDetail {
                 message: self.message.clone(),
                 r#type: self.kind(),
                 code: self.reason.as_str(),
                 evidence: self.evidence.clone(),
-                retry,
-                retry_after_ms: retry.then_some(RETRY_AFTER_MS),
+                retry: self.retry(),
+                retry_after_ms: self.retry_after_ms(),
                 addresses: self.addresses.clone(),
             },
         }
@@ -123,7 +131,31 @@
 }
 
 /// Time that a caller is asked to wait before sending again.
-const RETRY_AFTER_MS: u64 = 1_000;
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The HTTP status of `reason`.
+pub const fn status_of(reason: RefusalReason) -> u16 {
+    match reason {
+        RefusalReason::BadRequest | RefusalReason::KeyExpired => 400,
+        RefusalReason::Unauthenticated => 401,
+        RefusalReason::BudgetExhausted => 402,
+        RefusalReason::NoRoute => 404,
+        RefusalReason::MethodNotAllowed => 405,
+        RefusalReason::ReceiveTimeout => 408,
+        RefusalReason::InProgress => 409,
+        RefusalReason::BodyTooLarge => 413,
+        RefusalReason::Quarantined => 422,
+        RefusalReason::Overloaded => 429,
+        RefusalReason::HeadersTooLarge => 431,
+        RefusalReason::ServerFailed | RefusalReason::AnswerBroken => 502,
+        RefusalReason::DeadlineExceeded => 504,
+        RefusalReason::BudgetUnconfirmed
+        | RefusalReason::NotRecorded
+        | RefusalReason::Stopping
+        | RefusalReason::NotReady
+        | RefusalReason::NoServer => 503,
+    }
+}
 
 /// Head of an answer.
 #[derive(Clone, Debug)]
@@ -161,5 +193,22 @@
         key: String::new(),
     };
     let body = serde_json::to_vec(&failure.body()).unwrap_or_default();
-    respond(&head, AnswerBody::whole(body))
+    let mut response = respond(&head, AnswerBody::whole(body));
+    if let Some(wait_ms) = failure.retry_after_ms() {
+        let seconds = HeaderValue::from(wait_ms.div_ceil(MILLIS_PER_SECOND));
+        response.headers_mut().insert(RETRY_AFTER_HEADER, seconds);
+    }
+    if failure.reason == RefusalReason::MethodNotAllowed {
+        let allowed = HeaderValue::from_static("POST");
+        response.headers_mut().insert("allow", allowed);
+    }
+    response
+}
+
+/// Names the request's key in an answer that does not name it yet.
+pub fn stamp_key(response: &mut Response<AnswerBody>, key: &str) {
+    let Ok(value) = HeaderValue::from_str(key) else {
+        return;
+    };
+    response.headers_mut().entry(KEY_HEADER).or_insert(value);
 }
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -9,38 +9,61 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_membership::address;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::UnixMillis;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::oneshot;
 
+use crate::callers::address;
+use crate::callers::admission;
+use crate::callers::admission::CallerIdentity;
 use crate::callers::answer;
-use crate::callers::answer::AnswerHead;
 use crate::callers::answer::RequestFailure;
 use crate::callers::body::AnswerBody;
+use crate::callers::receive;
+use crate::callers::receive::BodyMemory;
+use crate::callers::receive::ReceivedBody;
+use crate::callers::stream::TimedStream;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
 use crate::requests;
-use crate::requests::CallerRequest;
 use crate::requests::RequestPath;
+use crate::requests::chat::HeadSender;
 
 /// Bytes of a request's headers at most.
 const HEADER_LIMIT: usize = 16 * 1024;
+/// Bytes of headers that are read at all, so that larger ones are refused
+/// with a reason rather than cut.
+const READ_LIMIT: usize = 2 * HEADER_LIMIT;
+/// Connections over the limit that are being refused at one time.
+const REFUSED_CONNECTIONS: usize = 64;
+/// Time that the refusal of a connection may take.
+const REFUSE_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes read of a refused connection, so that it is not reset unread.
+const REFUSED_READ: usize = 4 * 1024;
+/// Answer to a connection over the limit.
+const REFUSAL: &str = "HTTP/1.1 429 Too Many Requests\r\n\
+    content-type: application/json\r\n\
+    x-hibiscus-outcome: not-run\r\n\
+    retry-after: 1\r\n\
+    connection: close\r\n\
+    content-length: 150\r\n\r\n\
+    {\"error\":{\"message\":\"failed to take the connection: too many are open\",\
+    \"type\":\"service_error\",\"code\":\"overloaded\",\"retry\":true,\"retry_after_ms\":1000}}";
 /// Stack of a request's thread, in bytes.
 const REQUEST_STACK: usize = 256 * 1024;
 /// Time between looks at the stop flag.
@@ -51,6 +74,8 @@
     context: SharedContext,
     holder: SyncSender<HolderMessage>,
     connections: Arc<Semaphore>,
+    refused: Arc<Semaphore>,
+    bodies: BodyMemory,
 }
 
 /// Serves `listener` until the process ends.
@@ -60,10 +85,13 @@
     holder: SyncSender<HolderMessage>,
 ) {
     let connections = Arc::new(Semaphore::new(context.settings.limits.connections as usize));
+    let bodies = BodyMemory::new(context.settings.limits.body_memory_bytes);
     let state = Arc::new(PortState {
         context,
         holder,
         connections,
+        refused: Arc::new(Semaphore::new(REFUSED_CONNECTIONS)),
+        bodies,
     });
     loop {
         tokio::select! {
@@ -85,18 +113,22 @@
 /// Serves one connection in a task of its own, unless there are too many.
 fn accept(state: &Arc<PortState>, stream: TcpStream, peer: SocketAddr) {
     let Ok(permit) = Arc::clone(&state.connections).try_acquire_owned() else {
+        refuse(state, stream);
         return;
     };
     // Tokens are small writes that must not wait for each other.
     let _unsupported = stream.set_nodelay(true);
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        let receive = Duration::from_millis(state.context.settings.limits.receive_ms);
+        let limits = &state.context.settings.limits;
+        let receive = Duration::from_millis(limits.receive_ms);
+        let stream = TimedStream::new(stream, Duration::from_millis(limits.send_ms));
         let service = service_fn(move |request| answer(Arc::clone(&state), request, peer));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(receive)
-            .max_buf_size(HEADER_LIMIT)
+            .max_buf_size(READ_LIMIT)
+            .half_close(false)
             .serve_connection(TokioIo::new(stream), service);
         // A caller that breaks the protocol or leaves ends only its own
         // connection.
@@ -105,53 +137,87 @@
     });
 }
 
+/// Tells a connection over the limit that nothing ran. Beyond a second limit
+/// connections are closed without a word.
+fn refuse(state: &PortState, mut stream: TcpStream) {
+    let Ok(permit) = Arc::clone(&state.refused).try_acquire_owned() else {
+        return;
+    };
+    tokio::spawn(async move {
+        let refusal = async {
+            let mut unread = [0; REFUSED_READ];
+            let _read = stream.read(&mut unread).await;
+            let _sent = stream.write_all(REFUSAL.as_bytes()).await;
+            let _closed = stream.shutdown().await;
+        };
+        let _late = tokio::time::timeout(REFUSE_LIMIT, refusal).await;
+        drop(permit);
+    });
+}
+
 /// Answers one request.
 async fn answer(
     state: Arc<PortState>,
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Response<AnswerBody>, Infallible> {
-    let path = request.uri().path().to_owned();
-    if request.method() == Method::GET && path == "/v1/address" {
-        return Ok(address_answer(&state.context, peer));
+    let target = request.uri();
+    if request.method() == Method::GET && target.path() == address::ADDRESS_PATH {
+        return Ok(address::respond(&state.context, target.query(), peer));
     }
-    let answered = match receive(&state, request, path).await {
-        Ok(request) => run(&state, request).await,
+    let received = Instant::now();
+    let (head, body) = request.into_parts();
+    let identity = match identify(&state, &head, received) {
+        Ok(identity) => identity,
+        Err(failure) => return Ok(answer::fail(&failure)),
+    };
+    let key = identity.key.key.clone();
+    let limits = &state.context.settings.limits;
+    let mut response = match receive::receive(body, limits, &state.bodies).await {
+        Ok(body) => run(&state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
-    Ok(answered)
+    answer::stamp_key(&mut response, &key);
+    Ok(response)
 }
 
-/// Receives the body within its limits and checks who calls what.
-async fn receive(
+/// Checks everything that can be checked before the body is received.
+fn identify(
     state: &PortState,
-    request: Request<Incoming>,
-    path: String,
-) -> Result<CallerRequest, RequestFailure> {
+    head: &Parts,
+    received: Instant,
+) -> Result<CallerIdentity, RequestFailure> {
     let context = &state.context;
     if context.is_draining() {
         return Err(stopping(context));
     }
-    let limits = &context.settings.limits;
-    let received = Instant::now();
-    let (head, body) = request.into_parts();
-    let limited = Limited::new(body, limits.body_bytes).collect();
-    let timeout = Duration::from_millis(limits.receive_ms);
-    let body = match tokio::time::timeout(timeout, limited).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
-            let message = format!(
-                "failed to receive the body: it is broken or larger than {} bytes",
-                limits.body_bytes
-            );
-            return Err(RequestFailure::not_run(RefusalReason::BadRequest, message));
-        }
-        Err(_) => {
-            let message = format!("failed to receive the body within {} ms", limits.receive_ms);
-            return Err(RequestFailure::not_run(RefusalReason::BadRequest, message));
-        }
-    };
-    requests::admit(context, &head, path, body, received)
+    check_header_size(head)?;
+    let identity = admission::identify(context, head, received)?;
+    let limit = context.settings.limits.requests;
+    if context.in_progress.load(Ordering::Relaxed) >= limit {
+        return Err(overloaded(limit));
+    }
+    Ok(identity)
+}
+
+/// Checks the size of the request line and the headers.
+fn check_header_size(head: &Parts) -> Result<(), RequestFailure> {
+    let mut bytes = head.uri.to_string().len();
+    for (name, value) in &head.headers {
+        bytes += name.as_str().len() + value.len();
+    }
+    if bytes <= HEADER_LIMIT {
+        return Ok(());
+    }
+    let message = format!("failed to read the headers: they are larger than {HEADER_LIMIT} bytes");
+    let reason = RefusalReason::HeadersTooLarge;
+    Err(RequestFailure::not_run(reason, message))
+}
+
+/// Refuses because `limit` requests are in progress.
+fn overloaded(limit: u32) -> RequestFailure {
+    let message = format!("failed to take the request: {limit} requests are in progress");
+    RequestFailure::not_run(RefusalReason::Overloaded, message)
 }
 
 /// Refuses with the addresses of the instances that stay.
@@ -169,15 +235,18 @@
     failure
 }
 
-/// Runs an admitted request in a thread of its own.
-async fn run(state: &PortState, request: CallerRequest) -> Response<AnswerBody> {
+/// Runs a received request in a thread of its own.
+async fn run(
+    state: &PortState,
+    identity: CallerIdentity,
+    body: ReceivedBody,
+) -> Response<AnswerBody> {
     let context = Arc::clone(&state.context);
     let limit = context.settings.limits.requests;
     let running = context.in_progress.fetch_add(1, Ordering::Relaxed);
     if running >= limit {
         context.in_progress.fetch_sub(1, Ordering::Relaxed);
-        let message = format!("failed to take the request: {limit} requests are in progress");
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&overloaded(limit));
     }
     let holder = state.holder.clone();
     let (head, answered) = oneshot::channel();
@@ -185,10 +254,7 @@
         .name("request".to_owned())
         .stack_size(REQUEST_STACK)
         .spawn(move || {
-            match request.path {
-                RequestPath::Chat { .. } => requests::chat::run(&context, &holder, request, head),
-                RequestPath::Plain { .. } => requests::plain::run(&context, &holder, request, head),
-            }
+            serve_request(&context, &holder, identity, body, head);
             context.in_progress.fetch_sub(1, Ordering::Relaxed);
         });
     if spawned.is_err() {
@@ -208,17 +274,25 @@
     }
 }
 
-/// The ranked addresses for a caller.
-fn address_answer(context: &SharedContext, peer: SocketAddr) -> Response<AnswerBody> {
-    let ready = context.fleet.lock().ready(UnixMillis::now());
-    let caller = peer.ip().to_string();
-    let answer = address::answer(&caller, &context.settings.instance.data_centre, &ready);
-    let head = AnswerHead {
-        status: 200,
-        content_type: "application/json".to_owned(),
-        outcome: RequestOutcome::Ran,
-        key: String::new(),
+/// Checks the body and takes the request through its life. The body's memory
+/// counts until the end.
+fn serve_request(
+    context: &SharedContext,
+    holder: &SyncSender<HolderMessage>,
+    identity: CallerIdentity,
+    body: ReceivedBody,
+    head: HeadSender,
+) {
+    let request = match admission::admit(context, identity, body.bytes) {
+        Ok(request) => request,
+        Err(failure) => {
+            let _left = head.send(answer::fail(&failure));
+            return;
+        }
     };
-    let body = serde_json::to_vec(&answer).unwrap_or_default();
-    answer::respond(&head, AnswerBody::whole(Bytes::from(body)))
+    match request.path {
+        RequestPath::Chat { .. } => requests::chat::run(context, holder, request, head),
+        RequestPath::Plain { .. } => requests::plain::run(context, holder, request, head),
+    }
+    drop(body.memory);
 }
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -391,6 +391,9 @@
     if progress.stream {
         let closing = progress.closing();
         let _left = progress.send(closing);
+        if let Some(pieces) = progress.pieces {
+            pieces.finish();
+        }
         return;
     }
     let whole = progress.whole();
--- a/crates/hibiscus-router/src/requests/mod.rs
+++ b/crates/hibiscus-router/src/requests/mod.rs
@@ -1,8 +1,9 @@
 //! Duty: takes each request through its life.
 //!
-//! [`admit`] checks who calls what; [`chat`] and [`plain`] reserve allowance,
-//! have the open acknowledged, send the request to a server, and have the
-//! settlement acknowledged before the answer's end goes to the caller.
+//! [`crate::callers::admission`] checks who calls what; [`chat`] and [`plain`]
+//! reserve allowance, have the open acknowledged, send the request to a
+//! server, and have the settlement acknowledged before the answer's end goes
+//! to the caller.
 
 pub mod chat;
 pub mod open;
@@ -14,32 +15,9 @@
 use hibiscus_config::entry::RouteEntry;
 use hibiscus_config::entry::ServiceEntry;
 use hibiscus_types::BudgetName;
-use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestKey;
 use hibiscus_types::TokenCount;
 use hyper::body::Bytes;
-use hyper::http::HeaderMap;
-use hyper::http::request::Parts;
-use serde::Deserialize;
-
-use crate::callers::answer::RequestFailure;
-use crate::context::SharedContext;
-
-/// Header that carries the caller's idempotency key.
-pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
-/// Header that carries the caller's deadline in milliseconds.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-/// Header that carries the caller's priority, 0 to 9.
-pub const PRIORITY_HEADER: &str = "x-priority";
-/// Longest idempotency key, in bytes.
-const KEY_LIMIT: usize = 128;
-/// Priority of a request that names none.
-const DEFAULT_PRIORITY: u8 = 5;
-/// Bytes of prompt that make at least one token.
-const BYTES_PER_TOKEN: u64 = 3;
-
-/// Result of admitting a request.
-pub type Result<T> = std::result::Result<T, RequestFailure>;
 
 /// What a caller asks for.
 #[derive(Clone, Debug)]
@@ -85,124 +63,3 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
-
-/// The part of a chat request that the router reads.
-#[derive(Deserialize)]
-struct ChatHead {
-    model: String,
-    #[serde(default)]
-    stream: bool,
-    max_tokens: Option<u64>,
-}
-
-/// Checks a received request.
-pub fn admit(
-    context: &SharedContext,
-    head: &Parts,
-    path: String,
-    body: Bytes,
-    received: Instant,
-) -> Result<CallerRequest> {
-    let config = context.config.get();
-    if config.version == 0 {
-        return Err(RequestFailure::not_run(
-            RefusalReason::NotReady,
-            "failed to take the request: this instance has no configuration yet",
-        ));
-    }
-    let api_key = header(&head.headers, "authorization")
-        .strip_prefix("Bearer ")
-        .unwrap_or("");
-    let Some(team) = config.team_of_key(api_key) else {
-        return Err(RequestFailure::not_run(
-            RefusalReason::Unauthenticated,
-            "failed to identify the team: the API key is missing or unknown",
-        ));
-    };
-    let Some(budget) = config.budget_of(team) else {
-        let message = format!("failed to find a budget of team `{team}`");
-        return Err(RequestFailure::not_run(RefusalReason::NoRoute, message));
-    };
-    let key = match header(&head.headers, IDEMPOTENCY_HEADER) {
-        "" => RequestKey::stamp(team.clone()),
-        key if key.len() <= KEY_LIMIT => RequestKey::new(team.clone(), key),
-        _ => {
-            let message = format!("the idempotency key is longer than {KEY_LIMIT} bytes");
-            return Err(RequestFailure::not_run(RefusalReason::BadRequest, message));
-        }
-    };
-    let deadline_ms = header(&head.headers, DEADLINE_HEADER)
-        .parse()
-        .unwrap_or(context.settings.limits.deadline_ms);
-    let priority = header(&head.headers, PRIORITY_HEADER)
-        .parse()
-        .unwrap_or(DEFAULT_PRIORITY);
-    let mut request = CallerRequest {
-        key,
-        budget: budget.name.clone(),
-        path: RequestPath::Plain {
-            route: no_route(&path),
-        },
-        cost: TokenCount::ZERO,
-        prompt_tokens: TokenCount::ZERO,
-        deadline: received + Duration::from_millis(deadline_ms),
-        priority,
-        body,
-    };
-    if path == "/v1/chat/completions" {
-        admit_chat(context, &mut request)?;
-        return Ok(request);
-    }
-    let Some(route) = config.routes.get(&path) else {
-        let message = format!("failed to find a routing rule for `{path}`");
-        return Err(RequestFailure::not_run(RefusalReason::NoRoute, message));
-    };
-    request.cost = route.cost;
-    request.path = RequestPath::Plain {
-        route: route.clone(),
-    };
-    Ok(request)
-}
-
-/// A routed call that is replaced before the request is used.
-fn no_route(path: &str) -> RouteEntry {
-    RouteEntry {
-        path: path.to_owned(),
-        service: "".into(),
-        idempotent: false,
-        cost: TokenCount::ZERO,
-    }
-}
-
-/// Fills in what a chat completion asks for.
-fn admit_chat(context: &SharedContext, request: &mut CallerRequest) -> Result<()> {
-    let chat: ChatHead = serde_json::from_slice(&request.body).map_err(|error| {
-        let message = format!("failed to read the chat request: {error}");
-        RequestFailure::not_run(RefusalReason::BadRequest, message)
-    })?;
-    let config = context.config.get();
-    let Some(service) = config.service_of_model(&chat.model) else {
-        let message = format!("failed to find a service for model `{}`", chat.model);
-        return Err(RequestFailure::not_run(RefusalReason::NoRoute, message));
-    };
-    let budgets = &context.settings.budgets;
-    let completion = chat.max_tokens.unwrap_or(budgets.default_max_tokens);
-    let prompt = (request.body.len() as u64).div_ceil(BYTES_PER_TOKEN);
-    request.prompt_tokens = TokenCount::new(prompt);
-    request.cost = TokenCount::new(prompt)
-        + TokenCount::new(completion)
-        + TokenCount::new(budgets.margin_tokens);
-    request.path = RequestPath::Chat {
-        service: service.clone(),
-        stream: chat.stream,
-    };
-    Ok(())
-}
-
-/// A header's text, empty when it is missing.
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("")
-}
--- a/crates/hibiscus-router/src/settings.rs
+++ b/crates/hibiscus-router/src/settings.rs
@@ -81,8 +81,12 @@
     pub connections: u32,
     /// Bytes of a request's body.
     pub body_bytes: usize,
+    /// Bytes of all requests' bodies together.
+    pub body_memory_bytes: usize,
     /// Milliseconds to receive a request's headers, and again its body.
     pub receive_ms: u64,
+    /// Milliseconds that a caller may leave an answer unread.
+    pub send_ms: u64,
     /// Milliseconds that a request may take when it names no deadline.
     pub deadline_ms: u64,
     /// Milliseconds without a byte after which a server counts as failed.
@@ -95,7 +99,9 @@
             requests: 2_000,
             connections: 8_000,
             body_bytes: 1024 * 1024,
+            body_memory_bytes: 64 * 1024 * 1024,
             receive_ms: 10_000,
+            send_ms: 30_000,
             deadline_ms: 120_000,
             server_silence_ms: 10_000,
         }
@@ -110,6 +116,8 @@
     pub margin_tokens: u64,
     /// Completion tokens when a request names no `max_tokens`.
     pub default_max_tokens: u64,
+    /// Bytes of a request's body that count as one token of its prompt.
+    pub bytes_per_token: u64,
     /// Milliseconds that a request waits for allowance before it is refused.
     pub wait_ms: u64,
     /// Appends a second and shard at most.
@@ -123,6 +131,7 @@
         Self {
             margin_tokens: 16,
             default_max_tokens: 512,
+            bytes_per_token: 3,
             wait_ms: 2_000,
             appends_per_second: 20,
             shards: 1,
--- a/crates/hibiscus-types/src/outcome.rs
+++ b/crates/hibiscus-types/src/outcome.rs
@@ -62,9 +62,41 @@
     ServerFailed,
     /// The answer ended before its end marker.
     AnswerBroken,
+    /// The path takes no call of this method.
+    MethodNotAllowed,
+    /// The body did not arrive in time.
+    ReceiveTimeout,
+    /// The body is larger than the instance takes.
+    BodyTooLarge,
+    /// The headers are larger than the instance takes.
+    HeadersTooLarge,
 }
 
 impl RefusalReason {
+    /// All reasons.
+    pub const ALL: [Self; 20] = [
+        Self::BadRequest,
+        Self::Unauthenticated,
+        Self::NoRoute,
+        Self::BudgetExhausted,
+        Self::BudgetUnconfirmed,
+        Self::NotRecorded,
+        Self::Overloaded,
+        Self::Stopping,
+        Self::NotReady,
+        Self::NoServer,
+        Self::KeyExpired,
+        Self::InProgress,
+        Self::Quarantined,
+        Self::DeadlineExceeded,
+        Self::ServerFailed,
+        Self::AnswerBroken,
+        Self::MethodNotAllowed,
+        Self::ReceiveTimeout,
+        Self::BodyTooLarge,
+        Self::HeadersTooLarge,
+    ];
+
     /// The value of the error's `code` field.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -84,6 +116,10 @@
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::ServerFailed => "server_failed",
             Self::AnswerBroken => "answer_broken",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::ReceiveTimeout => "receive_timeout",
+            Self::BodyTooLarge => "body_too_large",
+            Self::HeadersTooLarge => "headers_too_large",
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests, a module a topic.
 
+mod callers;
 mod events;
 mod whole_path;
