--- a/crates/hibiscus-peer/src/connect.rs
+++ b/crates/hibiscus-peer/src/connect.rs
@@ -10,7 +10,7 @@
 use quinn::Endpoint;
 use tokio::sync::Mutex;
 
-use crate::tls::FLEET_NAME;
+use crate::keys::FLEET_NAME;
 
 /// Largest message, in bytes.
 pub(crate) const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
--- a/crates/hibiscus-peer/src/lib.rs
+++ b/crates/hibiscus-peer/src/lib.rs
@@ -8,14 +8,17 @@
 //! only what is idempotent.
 
 mod connect;
+mod keys;
 mod link;
 mod tls;
 
+pub use keys::FLEET_NAME;
+pub use keys::KeyFault;
+pub use keys::KeyPart;
+pub use keys::LinkKeys;
 pub use link::LinkError;
 pub use link::LinkOptions;
 pub use link::PeerCall;
 pub use link::PeerLink;
 pub use link::PendingCall;
 pub use link::Result;
-pub use tls::FLEET_NAME;
-pub use tls::LinkKeys;
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -17,8 +17,9 @@
 
 use crate::connect::ConnectionCache;
 use crate::connect::MESSAGE_LIMIT;
+use crate::keys::KeyFault;
+use crate::keys::LinkKeys;
 use crate::tls;
-use crate::tls::LinkKeys;
 
 /// Calls that wait for the link's thread.
 const RING_CAPACITY: usize = 8_192;
@@ -28,9 +29,9 @@
 /// Why the link failed.
 #[derive(Debug, thiserror::Error)]
 pub enum LinkError {
-    /// A key or certificate cannot be read.
-    #[error("failed to read the link's {0}: it must be one PEM block")]
-    BadKeys(&'static str),
+    /// A key or certificate cannot be used.
+    #[error(transparent)]
+    BadKeys(#[from] KeyFault),
     /// The port cannot be opened.
     #[error("failed to open the peer port {address}")]
     Bind {
@@ -120,6 +121,7 @@
     ///
     /// Fails when a key cannot be read or the port cannot be opened.
     pub fn start(options: &LinkOptions<'_>, inbox: std_mpsc::SyncSender<PeerCall>) -> Result<Self> {
+        options.keys.check()?;
         let server = tls::server_config(&options.keys)?;
         let client = tls::client_config(&options.keys)?;
         let listen = options.listen;
--- a/crates/hibiscus-peer/src/tls.rs
+++ b/crates/hibiscus-peer/src/tls.rs
@@ -10,16 +10,13 @@
 use quinn::VarInt;
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
-use rustls::RootCertStore;
-use rustls::pki_types::CertificateDer;
-use rustls::pki_types::PrivateKeyDer;
-use rustls::pki_types::pem::PemObject;
 use rustls::server::WebPkiClientVerifier;
 
-use crate::link::LinkError;
+use crate::keys;
+use crate::keys::KeyPart;
+use crate::keys::LinkKeys;
+use crate::keys::Result;
 
-/// Name that the certificate of every instance carries.
-pub const FLEET_NAME: &str = "hibiscus-fleet";
 /// Time without a packet after which a connection is closed.
 const IDLE_LIMIT_MS: u32 = 4_000;
 /// Time between keep-alive packets on an idle connection.
@@ -27,62 +24,20 @@
 /// Calls in progress on one connection.
 const STREAM_LIMIT: u32 = 4_096;
 
-/// Result of reading keys.
-type Result<T> = std::result::Result<T, LinkError>;
-
-/// The keys of one instance, in PEM.
-#[derive(Clone, Copy, Debug)]
-pub struct LinkKeys<'a> {
-    /// Certificate of the fleet's authority.
-    pub authority: &'a str,
-    /// Certificate of this instance.
-    pub certificate: &'a str,
-    /// Private key of this instance.
-    pub key: &'a str,
-}
-
-/// Keys in the form that the TLS library takes.
-struct ParsedKeys {
-    roots: Arc<RootCertStore>,
-    chain: Vec<CertificateDer<'static>>,
-    key: PrivateKeyDer<'static>,
-}
-
-impl LinkKeys<'_> {
-    fn parse(&self) -> Result<ParsedKeys> {
-        let authority = CertificateDer::from_pem_slice(self.authority.as_bytes())
-            .map_err(|_error| LinkError::BadKeys("authority"))?;
-        let certificate = CertificateDer::from_pem_slice(self.certificate.as_bytes())
-            .map_err(|_error| LinkError::BadKeys("certificate"))?;
-        let key = PrivateKeyDer::from_pem_slice(self.key.as_bytes())
-            .map_err(|_error| LinkError::BadKeys("key"))?;
-        let mut roots = RootCertStore::empty();
-        roots
-            .add(authority)
-            .map_err(|_error| LinkError::BadKeys("authority"))?;
-        Ok(ParsedKeys {
-            roots: Arc::new(roots),
-            chain: vec![certificate],
-            key,
-        })
-    }
-}
-
 /// Settings of the accepting side.
 pub(crate) fn server_config(keys: &LinkKeys<'_>) -> Result<ServerConfig> {
     let parsed = keys.parse()?;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let verifier = WebPkiClientVerifier::builder_with_provider(parsed.roots, Arc::clone(&provider))
+    let verifier = WebPkiClientVerifier::builder_with_provider(parsed.roots, keys::provider())
         .build()
-        .map_err(|_error| LinkError::BadKeys("authority"))?;
-    let tls = rustls::ServerConfig::builder_with_provider(provider)
+        .map_err(|error| keys::fault(KeyPart::Authority, error.to_string()))?;
+    let tls = rustls::ServerConfig::builder_with_provider(keys::provider())
         .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|_error| LinkError::BadKeys("certificate"))?
+        .map_err(|error| keys::fault(KeyPart::Certificate, error.to_string()))?
         .with_client_cert_verifier(verifier)
         .with_single_cert(parsed.chain, parsed.key)
-        .map_err(|_error| LinkError::BadKeys("key"))?;
-    let quic =
-        QuicServerConfig::try_from(tls).map_err(|_error| LinkError::BadKeys("certificate"))?;
+        .map_err(|error| keys::fault(KeyPart::Key, error.to_string()))?;
+    let quic = QuicServerConfig::try_from(tls)
+        .map_err(|error| keys::fault(KeyPart::Certificate, error.to_string()))?;
     let mut config = ServerConfig::with_crypto(Arc::new(quic));
     config.transport_config(transport());
     Ok(config)
@@ -91,15 +46,14 @@
 /// Settings of the connecting side.
 pub(crate) fn client_config(keys: &LinkKeys<'_>) -> Result<ClientConfig> {
     let parsed = keys.parse()?;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let tls = rustls::ClientConfig::builder_with_provider(provider)
+    let tls = rustls::ClientConfig::builder_with_provider(keys::provider())
         .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|_error| LinkError::BadKeys("certificate"))?
+        .map_err(|error| keys::fault(KeyPart::Certificate, error.to_string()))?
         .with_root_certificates(parsed.roots)
         .with_client_auth_cert(parsed.chain, parsed.key)
-        .map_err(|_error| LinkError::BadKeys("key"))?;
-    let quic =
-        QuicClientConfig::try_from(tls).map_err(|_error| LinkError::BadKeys("certificate"))?;
+        .map_err(|error| keys::fault(KeyPart::Key, error.to_string()))?;
+    let quic = QuicClientConfig::try_from(tls)
+        .map_err(|error| keys::fault(KeyPart::Certificate, error.to_string()))?;
     let mut config = ClientConfig::new(Arc::new(quic));
     config.transport_config(transport());
     Ok(config)
--- a/crates/hibiscus-router/src/callers/address.rs
+++ b/crates/hibiscus-router/src/callers/address.rs
@@ -35,7 +35,8 @@
         Err(failure) => return answer::fail(&failure),
     };
     let ready = context.fleet.lock().ready(UnixMillis::now());
-    let answer = address::answer(&caller, &context.settings.instance.data_centre, &ready);
+    let mut answer = address::answer(&caller, &context.settings.instance.data_centre, &ready);
+    answer.lifetime_s = context.settings.address_lifetime().as_secs();
     let head = AnswerHead {
         status: 200,
         content_type: "application/json".to_owned(),
--- a/crates/hibiscus-router/src/cli.rs
+++ b/crates/hibiscus-router/src/cli.rs
@@ -39,7 +39,7 @@
     construct!(RouterCommand { check, settings })
         .to_options()
         .descr("Routes requests within prepaid token budgets")
-        .footer("Exit codes: 0 stopped as planned or settings correct, 2 settings faulty, 3 a port cannot be opened, 4 forced by a second signal")
+        .footer("Exit codes: 0 stopped as planned or settings correct, 1 command line faulty, 2 settings faulty, 3 a port cannot be opened, 4 forced by a second signal")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
@@ -62,12 +62,18 @@
     serve(settings)
 }
 
-/// Reads and checks the settings file.
+/// Reads and checks the settings file. The message holds one line a fault.
 fn read_settings(command: &RouterCommand) -> Result<RouterSettings, String> {
     let path = command.settings.display();
     let text = fs::read_to_string(&command.settings)
         .map_err(|error| format!("failed to read `{path}`: {error}"))?;
-    RouterSettings::parse(&text).map_err(|error| format!("{path}: {error}"))
+    RouterSettings::parse(&text).map_err(|error| {
+        let mut message = error.to_string();
+        for fault in &error.0 {
+            message.push_str(&format!("\n{path}:{fault}"));
+        }
+        message
+    })
 }
 
 /// Serves until a signal; a second one ends the process at once.
--- a/crates/hibiscus-router/src/settings.rs
+++ b/crates/hibiscus-router/src/settings/mod.rs
@@ -1,5 +1,12 @@
 //! Settings of one router process: JSON with comments, checked whole before
 //! anything starts.
+//!
+//! [`RouterSettings::parse`] compares the text with a table of all fields, so
+//! that every fault is reported at once with its line, and only then converts
+//! it.
+
+mod check;
+mod fields;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,20 +14,15 @@
 use hibiscus_types::DataCentre;
 use hibiscus_types::InstanceName;
 use hibiscus_types::RegionName;
-use jsonc_parser::ParseOptions;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Why settings cannot be used.
-#[derive(Debug, thiserror::Error)]
-pub enum SettingsError {
-    /// The text is not JSON with comments.
-    #[error("failed to read the settings: {0}")]
-    Syntax(String),
-    /// A field is missing, unknown or out of range.
-    #[error("failed to check the settings: {0}")]
-    Field(String),
-}
+pub use crate::settings::check::SettingsFault;
+
+/// All faults of the settings, in order of line.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("failed to check the settings: {} fault(s)", .0.len())]
+pub struct SettingsError(pub Vec<SettingsFault>);
 
 /// Result of reading settings.
 pub type Result<T> = std::result::Result<T, SettingsError>;
@@ -91,6 +93,9 @@
     pub deadline_ms: u64,
     /// Milliseconds without a byte after which a server counts as failed.
     pub server_silence_ms: u64,
+    /// Milliseconds that callers may keep an address; a planned stop lasts
+    /// at least as long.
+    pub address_lifetime_ms: u64,
 }
 
 impl Default for LimitSettings {
@@ -104,6 +109,7 @@
             send_ms: 30_000,
             deadline_ms: 120_000,
             server_silence_ms: 10_000,
+            address_lifetime_ms: 30_000,
         }
     }
 }
@@ -161,28 +167,20 @@
 
 impl RouterSettings {
     /// Reads and checks `text`.
+    ///
+    /// # Errors
+    ///
+    /// Reports every fault with its line, its field and what is allowed.
     pub fn parse(text: &str) -> Result<Self> {
-        let value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-            .map_err(|error| SettingsError::Syntax(error.to_string()))?
-            .unwrap_or_default();
-        let settings: Self = serde_json::from_value(value)
-            .map_err(|error| SettingsError::Field(error.to_string()))?;
-        settings.check()?;
-        Ok(settings)
+        check::read(text).map_err(|mut faults| {
+            faults.sort_by_key(|fault| (fault.line, fault.column));
+            SettingsError(faults)
+        })
     }
 
-    fn check(&self) -> Result<()> {
-        if self.budgets.shards == 0 {
-            return Err(SettingsError::Field(
-                "budgets.shards: must be at least 1".to_owned(),
-            ));
-        }
-        if self.budgets.appends_per_second == 0 {
-            return Err(SettingsError::Field(
-                "budgets.appends_per_second: must be at least 1".to_owned(),
-            ));
-        }
-        Ok(())
+    /// Time that callers may keep an address.
+    pub fn address_lifetime(&self) -> Duration {
+        Duration::from_millis(self.limits.address_lifetime_ms)
     }
 
     /// Time that a request waits for allowance.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod callers;
 mod events;
+mod settings;
 mod whole_path;
