Wait for freed places in the tests of the callers' limits

A request's place and memory are free soon after its answer, not at once, so that the two tests of full limits could be refused by the request before them. They now wait for the state that they test; what they check is unchanged.

--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -37,6 +37,8 @@
 const MEMORY_LIMIT_KIB: u64 = 64 * 1024;
 /// API key of one team of the example.
 const API_KEY: &str = "regina-example-key";
+/// Beginning of an answer with a result.
+const STATUS_LINE: &[u8; 12] = b"HTTP/1.1 200";
 /// A request that every check accepts.
 const GOOD_BODY: &str =
     r#"{"model":"stylist","max_tokens":8,"messages":[{"role":"user","content":"fit len=4"}]}"#;
@@ -116,6 +118,27 @@
         self.exchange(&chat_request("", GOOD_BODY))
     }
 
+    /// Begins a stream that does not end. The place of the request before is
+    /// free soon after its answer, not at once: tries until one begins.
+    fn hang(&self) -> TcpStream {
+        let body = GOOD_BODY
+            .replace("len=4", "hang")
+            .replace("{\"model\"", "{\"stream\":true,\"model\"");
+        let deadline = Instant::now() + READY_LIMIT;
+        while Instant::now() < deadline {
+            let mut stream = self.connect();
+            stream
+                .write_all(&chat_request("", &body))
+                .expect("the port takes the bytes");
+            let mut status = [0; STATUS_LINE.len()];
+            stream.read_exact(&mut status).expect("an answer begins");
+            if status == *STATUS_LINE {
+                return stream;
+            }
+        }
+        panic!("no stream begins");
+    }
+
     /// Resident memory of the first process, in KiB.
     fn memory_kib(&self) -> u64 {
         self.status_field("VmRSS:")
@@ -444,11 +467,16 @@
     let fleet = CallerFleet::start(&limits);
     let mut partial = chat_request("", &"x".repeat(14 * 1024));
     partial.truncate(partial.len() - 1024);
-    let mut slow = fleet.connect();
-    slow.write_all(&partial).expect("the port takes the bytes");
-    // The slow body may arrive after the next: ask until it has.
+    // A slow body may arrive after the next one, or be refused itself: send
+    // more until one holds the memory.
+    let mut slow = Vec::new();
     let deadline = Instant::now() + READY_LIMIT;
     let answer = loop {
+        let mut stream = fleet.connect();
+        stream
+            .write_all(&partial)
+            .expect("the port takes the bytes");
+        slow.push(stream);
         let answer = fleet.exchange(&chat_request("", &"x".repeat(8 * 1024)));
         if answer.status == 429 {
             break answer;
@@ -510,16 +538,7 @@
         ..LimitSettings::default()
     };
     let fleet = CallerFleet::start(&limits);
-    let body = GOOD_BODY.replace("len=4", "hang");
-    let mut hanging = fleet.connect();
-    hanging
-        .write_all(&chat_request(
-            "",
-            &body.replace("{\"model\"", "{\"stream\":true,\"model\""),
-        ))
-        .expect("the port takes the bytes");
-    let mut first = [0; 1];
-    hanging.read_exact(&mut first).expect("the stream begins");
+    let _hanging = fleet.hang();
     fleet.good_answer().assert_refused(
         429,
         "overloaded",
