Check the operators' file whole, and keep the fold consistent

Cause: a file stopped at serde's first fault, references were not checked, and a publication checked against an older state could leave a team without its brand or move a budget to another team.

A budget never moves to another team, also after its removal; top-ups and releases neither change nor go. A gap in the records and a newer format stop the fold instead of being passed over.

--- a/crates/hibiscus-config/src/entry.rs
+++ b/crates/hibiscus-config/src/entry.rs
@@ -120,15 +120,90 @@
     Route(RouteEntry),
 }
 
+/// A section of the operators' file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigSection {
+    /// Brands.
+    Brands,
+    /// Teams.
+    Teams,
+    /// Budgets.
+    Budgets,
+    /// Top-ups.
+    TopUps,
+    /// Releases of held grants.
+    Releases,
+    /// Services.
+    Services,
+    /// Routed calls.
+    Routes,
+}
+
+impl ConfigSection {
+    /// All sections in the order of the file.
+    pub const ALL: [Self; 7] = [
+        Self::Brands,
+        Self::Teams,
+        Self::Budgets,
+        Self::TopUps,
+        Self::Releases,
+        Self::Services,
+        Self::Routes,
+    ];
+
+    /// The name in the file.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Brands => "brands",
+            Self::Teams => "teams",
+            Self::Budgets => "budgets",
+            Self::TopUps => "top_ups",
+            Self::Releases => "releases",
+            Self::Services => "services",
+            Self::Routes => "routes",
+        }
+    }
+
+    /// The section named `name` in the file.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|section| section.as_str() == name)
+    }
+
+    /// Whether entries of the section stay for good once accepted: what was
+    /// paid is not taken back, and a release cannot be undone.
+    pub const fn is_permanent(self) -> bool {
+        matches!(self, Self::TopUps | Self::Releases)
+    }
+}
+
+impl fmt::Display for ConfigSection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 /// What identifies an entry over its versions.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EntryKey {
     /// The section of the file.
-    pub section: String,
+    pub section: ConfigSection,
     /// The name within the section.
     pub name: String,
 }
 
+impl EntryKey {
+    /// The key of `name` in `section`.
+    pub fn new(section: ConfigSection, name: impl Into<String>) -> Self {
+        Self {
+            section,
+            name: name.into(),
+        }
+    }
+}
+
 impl fmt::Display for EntryKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} `{}`", self.section, self.name)
@@ -138,18 +213,81 @@
 impl ConfigEntry {
     /// What identifies the entry.
     pub fn key(&self) -> EntryKey {
-        let (section, name) = match self {
-            Self::Brand(brand) => ("brands", brand.name.clone()),
-            Self::Team(team) => ("teams", team.name.to_string()),
-            Self::Budget(budget) => ("budgets", budget.name.to_string()),
-            Self::TopUp(top_up) => ("top_ups", top_up.id.clone()),
-            Self::Release(release) => ("releases", release.grant.to_string()),
-            Self::Service(service) => ("services", service.name.to_string()),
-            Self::Route(route) => ("routes", route.path.clone()),
-        };
-        EntryKey {
-            section: section.to_owned(),
-            name,
+        match self {
+            Self::Brand(brand) => EntryKey::new(ConfigSection::Brands, &brand.name),
+            Self::Team(team) => EntryKey::new(ConfigSection::Teams, team.name.as_str()),
+            Self::Budget(budget) => EntryKey::new(ConfigSection::Budgets, budget.name.as_str()),
+            Self::TopUp(top_up) => EntryKey::new(ConfigSection::TopUps, &top_up.id),
+            Self::Release(release) => {
+                EntryKey::new(ConfigSection::Releases, release.grant.to_string())
+            }
+            Self::Service(service) => EntryKey::new(ConfigSection::Services, service.name.as_str()),
+            Self::Route(route) => EntryKey::new(ConfigSection::Routes, &route.path),
+        }
+    }
+
+    /// The entry that this one names and cannot do without, and the field
+    /// that names it.
+    pub fn reference(&self) -> Option<(&'static str, EntryKey)> {
+        match self {
+            Self::Team(team) => Some(("brand", EntryKey::new(ConfigSection::Brands, &team.brand))),
+            Self::Budget(budget) => Some((
+                "team",
+                EntryKey::new(ConfigSection::Teams, budget.team.as_str()),
+            )),
+            Self::TopUp(top_up) => Some((
+                "budget",
+                EntryKey::new(ConfigSection::Budgets, top_up.budget.as_str()),
+            )),
+            Self::Route(route) => Some((
+                "service",
+                EntryKey::new(ConfigSection::Services, route.service.as_str()),
+            )),
+            Self::Brand(_) | Self::Release(_) | Self::Service(_) => None,
+        }
+    }
+
+    /// What no other entry may hold too: API key hashes and models.
+    pub fn claims(&self) -> Vec<EntryClaim> {
+        match self {
+            Self::Team(team) => team
+                .api_key_sha256
+                .iter()
+                .map(|hash| EntryClaim::ApiKey(hash.clone()))
+                .collect(),
+            Self::Service(service) => service
+                .models
+                .iter()
+                .map(|model| EntryClaim::Model(model.clone()))
+                .collect(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Something that at most one entry may hold.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryClaim {
+    /// The hash of an API key.
+    ApiKey(String),
+    /// A model.
+    Model(String),
+}
+
+impl EntryClaim {
+    /// The field that makes the claim.
+    pub const fn field(&self) -> &'static str {
+        match self {
+            Self::ApiKey(_) => "api_key_sha256",
+            Self::Model(_) => "models",
+        }
+    }
+
+    /// The value claimed.
+    pub fn value(&self) -> &str {
+        match self {
+            Self::ApiKey(value) | Self::Model(value) => value,
         }
     }
 }
--- a/crates/hibiscus-router/src/config/mod.rs
+++ b/crates/hibiscus-router/src/config/mod.rs
@@ -8,12 +8,10 @@
 
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::fold::ConfigFold;
-use hibiscus_config::record::ConfigRecord;
 use hibiscus_config::snapshot::ConfigSnapshot;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_platform::log::LogService;
-use hibiscus_types::codec;
 
 use crate::context::SharedContext;
 
@@ -64,12 +62,10 @@
         };
         let before = fold.version();
         for record in &page.records {
-            match codec::decode::<ConfigRecord>(&record.data) {
-                Ok(publication) => fold.apply(record.offset, &publication),
-                Err(error) => {
-                    note_failure(context, &error.to_string());
-                    fold.skip(record.offset);
-                }
+            if let Err(error) = fold.take(record.offset, &record.data) {
+                note_failure(context, &error.to_string());
+                thread::sleep(RETRY_DELAY);
+                break;
             }
         }
         if fold.version() == before {
