Publish, diff, status and history for operators

Cause: only check existed. A file is the whole wanted state, so an operator with an older copy would have removed or reverted what others published after it.

A file now carries the version that it was edited from: what came into force later is never removed or replaced by it, the loser is told which entry, since when and by whom. A publication's id follows from its content, so a run after a kill or a lost reply finds it and says so.

--- a/crates/hibiscus-config/src/file.rs
+++ b/crates/hibiscus-config/src/file.rs
@@ -8,6 +8,7 @@
 use crate::fold::ConfigFold;
 use crate::fold::EntryConflict;
 use crate::fold::EntryState;
+use crate::reader;
 use crate::reader::FileReader;
 use crate::record::EntryChange;
 
@@ -84,6 +85,12 @@
         FileReader::new(text).read()
     }
 
+    /// `text` with `version` as the version that it was edited from. Only
+    /// the line of the version changes, or is added.
+    pub fn stamp(text: &str, version: u64) -> Option<String> {
+        reader::stamp(text, version)
+    }
+
     /// The changes that bring `fold` to this file, as if its author had seen
     /// all that is in force.
     pub fn changes(&self, fold: &ConfigFold) -> Vec<EntryChange> {
@@ -129,6 +136,21 @@
 }
 
 impl FilePlan {
+    /// The entries that would be removed.
+    pub fn removals(&self) -> Vec<EntryKey> {
+        let removals = self.changes.iter().filter(|change| change.entry.is_none());
+        removals.map(|change| change.key.clone()).collect()
+    }
+
+    /// Names who asked for the removals, since no line is left to say so.
+    pub fn name_removals(&mut self, asked_by: &str) {
+        for change in &mut self.changes {
+            if change.entry.is_none() {
+                asked_by.clone_into(&mut change.asked_by);
+            }
+        }
+    }
+
     /// Plans for an entry in force that has no line.
     fn leave_out(&mut self, key: &EntryKey, state: &EntryState, seen: u64) {
         if state.offset >= seen {
--- a/crates/hibiscus-config/src/load.rs
+++ b/crates/hibiscus-config/src/load.rs
@@ -2,6 +2,7 @@
 //! records after it. The caller brings the reads, so nothing here does I/O.
 
 use hibiscus_types::codec;
+use hibiscus_types::page::PageSource;
 
 use crate::CONFIG_STREAM;
 use crate::SNAPSHOT_STREAM;
@@ -13,27 +14,6 @@
 /// A read beyond the end of a stream, which answers only its bounds.
 const BEYOND_END: u64 = u64::MAX / 2;
 
-/// One page of a stream.
-#[derive(Clone, Debug, Default)]
-pub struct StreamPage {
-    /// The oldest retained offset.
-    pub first: u64,
-    /// The offset that the next append will take.
-    pub end: u64,
-    /// Records with their offsets, in order.
-    pub records: Vec<(u64, Vec<u8>)>,
-}
-
-/// Reads pages of streams without waiting.
-pub trait PageSource {
-    /// Why a page cannot be read.
-    type Error: std::error::Error + 'static;
-
-    /// The page of `stream` from offset `from`, with no records when they
-    /// have expired.
-    fn page(&self, stream: &str, from: u64) -> std::result::Result<StreamPage, Self::Error>;
-}
-
 /// Why the configuration cannot be loaded.
 #[derive(Debug, thiserror::Error)]
 pub enum LoadError<E: std::error::Error + 'static> {
--- a/crates/hibiscus-config/src/reader.rs
+++ b/crates/hibiscus-config/src/reader.rs
@@ -319,6 +319,30 @@
     std::iter::once(0).chain(newlines).collect()
 }
 
+/// `text` with its version set to `version`, `None` when it is no object.
+pub(crate) fn stamp(text: &str, version: u64) -> Option<String> {
+    let options = ParseOptions::default();
+    let parsed = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &options);
+    let Ok(Some(Value::Object(root))) = parsed.map(|result| result.value) else {
+        return None;
+    };
+    let held = root
+        .properties
+        .iter()
+        .find(|property| property.name.as_str() == VERSION_FIELD);
+    let (start, end, inserted) = match held {
+        Some(property) => {
+            let value = &property.value;
+            (value.start(), value.end(), version.to_string())
+        }
+        None => {
+            let at = root.start() + 1;
+            (at, at, format!("\n  \"{VERSION_FIELD}\": {version},"))
+        }
+    };
+    Some(format!("{}{inserted}{}", &text[..start], &text[end..]))
+}
+
 /// Names the closest of the known names, or all of them.
 fn hint_of<'a>(name: &str, known: impl Iterator<Item = &'a str> + Clone) -> String {
     match schema::closest(name, known.clone()) {
--- a/crates/hibiscus-config/src/record.rs
+++ b/crates/hibiscus-config/src/record.rs
@@ -1,9 +1,11 @@
 //! Records of the configuration stream.
 
-use std::collections::BTreeMap;
-
+use hibiscus_types::codec;
+use hibiscus_types::codec::Result;
 use serde::Deserialize;
 use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
 
 use crate::entry::ConfigEntry;
 use crate::entry::EntryKey;
@@ -30,5 +32,21 @@
     pub changes: Vec<EntryChange>,
 }
 
-/// The version of each entry in force.
-pub type EntryVersions = BTreeMap<EntryKey, u64>;
+impl ConfigRecord {
+    /// The proposal of `changes` by an author who has seen `version` in
+    /// force. The same changes over the same version are the same
+    /// publication, so that a repeat is recognised.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the changes cannot be encoded.
+    pub fn proposal(version: u64, changes: Vec<EntryChange>) -> Result<Self> {
+        let digest = Sha256::digest(codec::encode(&(version, &changes))?);
+        let mut publication = [0; 16];
+        publication.copy_from_slice(&digest[..16]);
+        Ok(Self {
+            publication: u128::from_be_bytes(publication),
+            changes,
+        })
+    }
+}
--- a/crates/hibiscus-config/tests/load.rs
+++ b/crates/hibiscus-config/tests/load.rs
@@ -9,13 +9,13 @@
 use hibiscus_config::entry::ConfigEntry;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::load;
-use hibiscus_config::load::PageSource;
-use hibiscus_config::load::StreamPage;
 use hibiscus_config::record::ConfigRecord;
 use hibiscus_config::record::EntryChange;
 use hibiscus_config::state;
 use hibiscus_config::state::StateAssembly;
 use hibiscus_types::codec;
+use hibiscus_types::page::PageSource;
+use hibiscus_types::page::StreamPage;
 
 /// Records of one page.
 const PAGE_RECORDS: usize = 7;
--- a/crates/hibiscus-platform/src/lib.rs
+++ b/crates/hibiscus-platform/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod log;
 
 mod http;
+mod page;
--- a/crates/hibiscus-types/src/lib.rs
+++ b/crates/hibiscus-types/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hash;
 pub mod id;
 pub mod outcome;
+pub mod page;
 pub mod time;
 
 pub use id::BudgetName;
--- a/crates/hibiscusctl/src/commands/mod.rs
+++ b/crates/hibiscusctl/src/commands/mod.rs
@@ -1,3 +1,8 @@
 //! One file a subcommand, each with its `cli` and its `exec`.
 
 pub mod check;
+pub mod diff;
+pub mod history;
+pub mod input;
+pub mod publish;
+pub mod status;
--- a/crates/hibiscusctl/src/lib.rs
+++ b/crates/hibiscusctl/src/lib.rs
@@ -1,6 +1,7 @@
 //! Operators' command line: check, publish and inspect.
 //!
 //! [`commands`] holds one file a subcommand, each a thin layer over the
-//! operations of the slices.
+//! operations in [`ops`].
 
 pub mod commands;
+pub mod ops;
--- /dev/null
+++ b/crates/hibiscusctl/src/ops/mod.rs
@@ -0,0 +1,6 @@
+//! Operations behind the subcommands, usable without a command line.
+
+pub mod history;
+pub mod lines;
+pub mod publish;
+pub mod status;
