--- a/crates/hibiscus-bench/src/caller.rs
+++ b/crates/hibiscus-bench/src/caller.rs
@@ -60,8 +60,13 @@
 impl FleetCaller {
     /// A caller that identifies itself by `api_key`.
     pub fn new(api_key: &str) -> Self {
+        Self::with_timeout(api_key, CALLER_TIMEOUT)
+    }
+
+    /// A caller that gives a call up after `timeout`.
+    pub fn with_timeout(api_key: &str, timeout: Duration) -> Self {
         let agent = Agent::config_builder()
-            .timeout_global(Some(CALLER_TIMEOUT))
+            .timeout_global(Some(timeout))
             .http_status_as_error(false)
             .proxy(None)
             .build()
--- a/crates/hibiscus-bench/src/commands/run.rs
+++ b/crates/hibiscus-bench/src/commands/run.rs
@@ -28,6 +28,8 @@
     pub pairs: bool,
     /// Lists the cases and runs none.
     pub list: bool,
+    /// Name of the deployment, when it is not the first.
+    pub deployment: Option<String>,
 }
 
 /// One experiment with its arguments.
@@ -51,11 +53,16 @@
         .optional();
     let pairs = long("pairs").help("Run pairs of cases at once").switch();
     let list = long("list").help("List the cases and run none").switch();
+    let deployment = long("deployment")
+        .help("Run on the deployment of this name")
+        .argument::<String>("NAME")
+        .optional();
     let options = construct!(ExperimentOptions {
         seed,
         case,
         pairs,
-        list
+        list,
+        deployment
     });
     let experiment = positional::<String>("EXPERIMENT")
         .help("config, faults, overhead, routing, sizing or slopes");
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -12,7 +12,6 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
-use hibiscus_membership::address::ADDRESS_LIFETIME;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -169,7 +168,8 @@
     /// callers may keep an address, finishes all requests, returns the
     /// allowance, and ends.
     pub fn stop(self) {
-        self.stop_within(ADDRESS_LIFETIME);
+        let lifetime = self.context.settings.address_lifetime();
+        self.stop_within(lifetime);
     }
 
     /// Stops as planned with `lifetime` for callers' addresses.
--- a/crates/hibiscus-router/src/settings.rs
+++ b/crates/hibiscus-router/src/settings.rs
@@ -87,6 +87,9 @@
     pub deadline_ms: u64,
     /// Milliseconds without a byte after which a server counts as failed.
     pub server_silence_ms: u64,
+    /// Milliseconds that callers may keep an address; a planned stop lasts
+    /// at least as long.
+    pub address_lifetime_ms: u64,
 }
 
 impl Default for LimitSettings {
@@ -98,6 +101,7 @@
             receive_ms: 10_000,
             deadline_ms: 120_000,
             server_silence_ms: 10_000,
+            address_lifetime_ms: 30_000,
         }
     }
 }
@@ -176,6 +180,11 @@
         Ok(())
     }
 
+    /// Time that callers may keep an address.
+    pub fn address_lifetime(&self) -> Duration {
+        Duration::from_millis(self.limits.address_lifetime_ms)
+    }
+
     /// Time that a request waits for allowance.
     pub fn allowance_wait(&self) -> Duration {
         Duration::from_millis(self.budgets.wait_ms)
--- a/crates/hibiscus-support/src/engine.rs
+++ b/crates/hibiscus-support/src/engine.rs
@@ -22,6 +22,7 @@
 use hibiscus_platform::engine::REQUEST_ID_HEADER;
 use hibiscus_platform::engine::RESUME_HEADER;
 use hibiscus_platform::engine::TokenUsage;
+use hibiscus_types::UnixMillis;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::channel::Channel;
@@ -84,6 +85,8 @@
 /// One run of a request, as the engine saw it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineRun {
+    /// Time of arrival.
+    pub started: UnixMillis,
     /// The request id received.
     pub request_id: String,
     /// The first word of the last message.
@@ -344,6 +347,7 @@
     let hang = last.split_whitespace().any(|word| word == "hang");
     let mut state = shared.state.lock().expect("the engine state is whole");
     state.runs.push(EngineRun {
+        started: UnixMillis::now(),
         request_id: id.clone(),
         marker: marker.clone(),
         resumed_from: start,
--- a/crates/hibiscus-support/src/plain.rs
+++ b/crates/hibiscus-support/src/plain.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hibiscus_platform::engine::REQUEST_ID_HEADER;
+use hibiscus_types::UnixMillis;
 use rouille::Request;
 use rouille::Response;
 
@@ -18,6 +19,8 @@
 /// One run of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlainRun {
+    /// Time of arrival.
+    pub started: UnixMillis,
     /// The request id received.
     pub request_id: String,
     /// The path called.
@@ -92,6 +95,7 @@
     let (count, faults) = {
         let mut state = state.lock().expect("the service state is whole");
         state.runs.push(PlainRun {
+            started: UnixMillis::now(),
             request_id: request_id.clone(),
             path: request.url(),
             body,
--- a/crates/hibiscus-support/src/process.rs
+++ b/crates/hibiscus-support/src/process.rs
@@ -100,6 +100,21 @@
         signal::kill(id, signal).expect("the process is there");
     }
 
+    /// Asks the process for its planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Pauses the process, which does not notice.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process is there");
