Serve metrics, health and readiness on the operators' port

Requests by outcome and reason, time to the first byte, charged tokens, numbered events, load, configuration version and ready instances, each labelled by instance; a test holds the page, the code and the output of a real process equal. Observed times are moved into buckets every second: before, nothing drained them. Addresses carry the settings' lifetime, and a test with three processes shows them spread, stable, and without a stopping instance.

Small changes elsewhere: the holder counts charges, the event recorder counts events, and hibiscus-support gains an example fleet of processes that three test modules share.

--- a/crates/hibiscus-events/src/lib.rs
+++ b/crates/hibiscus-events/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod recorder;
 
 pub use catalogue::EventCode;
+pub use recorder::EVENTS_METRIC;
 pub use recorder::EventFields;
 pub use recorder::EventRecord;
 pub use recorder::EventRecorder;
--- a/crates/hibiscus-events/src/recorder.rs
+++ b/crates/hibiscus-events/src/recorder.rs
@@ -14,6 +14,9 @@
 /// Events that a process keeps.
 pub const RING_CAPACITY: usize = 20_000;
 
+/// Metric that counts events by their number.
+pub const EVENTS_METRIC: &str = "hibiscus_events_total";
+
 /// What an event is about. Empty fields do not apply.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -108,6 +111,9 @@
             code.text(),
             describe(&fields)
         );
+        let instance = self.instance.clone();
+        metrics::counter!(EVENTS_METRIC, "instance" => instance, "code" => code.number())
+            .increment(1);
         let time = self.clock.new_timestamp();
         let elapsed = time.get_time().to_duration();
         let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -175,7 +175,8 @@
     let mut builder = Response::builder()
         .status(head.status)
         .header("content-type", &head.content_type)
-        .header(OUTCOME_HEADER, head.outcome.as_str());
+        .header(OUTCOME_HEADER, head.outcome.as_str())
+        .extension(head.outcome);
     if !head.key.is_empty() {
         builder = builder.header(KEY_HEADER, &head.key);
     }
@@ -194,6 +195,7 @@
     };
     let body = serde_json::to_vec(&failure.body()).unwrap_or_default();
     let mut response = respond(&head, AnswerBody::whole(body));
+    response.extensions_mut().insert(failure.reason);
     if let Some(wait_ms) = failure.retry_after_ms() {
         let seconds = HeaderValue::from(wait_ms.div_ceil(MILLIS_PER_SECOND));
         response.headers_mut().insert(RETRY_AFTER_HEADER, seconds);
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -40,6 +40,7 @@
 use crate::callers::stream::TimedStream;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
+use crate::operators::metrics;
 use crate::requests;
 use crate::requests::RequestPath;
 use crate::requests::chat::HeadSender;
@@ -167,18 +168,38 @@
     }
     let received = Instant::now();
     let (head, body) = request.into_parts();
-    let identity = match identify(&state, &head, received) {
-        Ok(identity) => identity,
-        Err(failure) => return Ok(answer::fail(&failure)),
+    let response = match identify(&state, &head, received) {
+        Ok(identity) => receive_and_run(&state, identity, body).await,
+        Err(failure) => answer::fail(&failure),
     };
+    count(&state.context, &response, received);
+    Ok(response)
+}
+
+/// Receives the body of an identified request and runs it.
+async fn receive_and_run(
+    state: &PortState,
+    identity: CallerIdentity,
+    body: Incoming,
+) -> Response<AnswerBody> {
     let key = identity.key.key.clone();
     let limits = &state.context.settings.limits;
     let mut response = match receive::receive(body, limits, &state.bodies).await {
-        Ok(body) => run(&state, identity, body).await,
+        Ok(body) => run(state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
     answer::stamp_key(&mut response, &key);
-    Ok(response)
+    response
+}
+
+/// Counts an answer by its outcome and reason.
+fn count(context: &SharedContext, response: &Response<AnswerBody>, received: Instant) {
+    let Some(outcome) = response.extensions().get::<RequestOutcome>() else {
+        return;
+    };
+    let reason = response.extensions().get::<RefusalReason>();
+    let reason = reason.map(|reason| reason.as_str());
+    metrics::count_request(context, *outcome, reason, received.elapsed());
 }
 
 /// Checks everything that can be checked before the body is received.
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -33,6 +33,7 @@
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
 use crate::ledger::client;
+use crate::operators::metrics;
 
 /// Time between looks at deadlines and stop flag.
 const TICK: Duration = Duration::from_millis(20);
@@ -155,7 +156,10 @@
             HolderMessage::Settle {
                 reservation,
                 charge,
-            } => self.held.settle(&reservation, charge),
+            } => {
+                self.held.settle(&reservation, charge);
+                metrics::count_charge(self.context, charge);
+            }
             HolderMessage::Granted { grant, reply } => self.granted(grant, reply),
             HolderMessage::GiveBack { done } => {
                 self.give_back();
--- a/crates/hibiscus-router/src/operators/mod.rs
+++ b/crates/hibiscus-router/src/operators/mod.rs
@@ -1,29 +1,27 @@
 //! Duty: serves the operators' port: metrics, status and events.
 
+pub mod metrics;
+pub mod status;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
-use hibiscus_membership::view::InstanceHeartbeat;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
 use rouille::Request;
 use rouille::Response;
 use rouille::Server;
-use serde::Serialize;
 
 use crate::context::SharedContext;
-use crate::membership;
 
 /// Threads that serve the port.
 const SERVER_THREADS: usize = 4;
 /// Time between looks at the stop flag.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The process's metrics; fleets inside one process share them.
-static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+/// Time between moves of observed times into their buckets.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why the port cannot be served.
 #[derive(Debug, thiserror::Error)]
@@ -36,20 +34,10 @@
 /// Result of opening the port.
 pub type Result<T> = std::result::Result<T, OperatorsError>;
 
-/// Status of an instance.
-#[derive(Clone, Debug, Serialize)]
-pub struct InstanceStatus {
-    /// What the instance says of itself.
-    #[serde(flatten)]
-    pub own: InstanceHeartbeat,
-    /// Whether it takes requests.
-    pub ready: bool,
-}
-
 /// Opens the port and serves it until the process ends.
 pub fn start(context: &SharedContext) -> Result<SocketAddr> {
     let address = context.settings.listen.operators;
-    METRICS.get_or_init(install_metrics);
+    metrics::install();
     let served = Arc::clone(context);
     let server = Server::new(address, move |request| serve(&served, request))
         .map_err(|error| OperatorsError {
@@ -60,30 +48,28 @@
     let bound = server.server_addr();
     let context = Arc::clone(context);
     thread::spawn(move || {
+        let mut kept = Instant::now();
         while !context.is_ended() {
             server.poll_timeout(POLL_INTERVAL);
+            if kept.elapsed() >= UPKEEP_INTERVAL {
+                metrics::upkeep();
+                kept = Instant::now();
+            }
         }
     });
     Ok(bound)
 }
 
-/// Installs the recorder of this process.
-fn install_metrics() -> PrometheusHandle {
-    let recorder = PrometheusBuilder::new().build_recorder();
-    let handle = recorder.handle();
-    // A recorder that an embedding program installed before stays.
-    let _installed = metrics::set_global_recorder(recorder);
-    handle
-}
-
 /// Serves one call.
 fn serve(context: &SharedContext, request: &Request) -> Response {
     match request.url().as_str() {
         "/metrics" => {
-            let text = METRICS.get().map(PrometheusHandle::render);
-            Response::from_data("text/plain; version=0.0.4", text.unwrap_or_default())
+            let text = metrics::render(context);
+            Response::from_data("text/plain; version=0.0.4", text)
         }
-        "/v1/status" => Response::json(&status(context)),
+        "/v1/health" => Response::text("serving\n"),
+        "/v1/ready" => ready(context),
+        "/v1/status" => Response::json(&status::status(context)),
         "/v1/events" => {
             let from = request.get_param("from").and_then(|text| text.parse().ok());
             Response::json(&context.events.page(from.unwrap_or(0)))
@@ -92,11 +78,13 @@
     }
 }
 
-/// The status of this instance.
-fn status(context: &SharedContext) -> InstanceStatus {
-    let own = membership::own_heartbeat(context);
-    InstanceStatus {
-        ready: own.config_version > 0 && !own.stopping,
-        own,
+/// Whether this instance takes requests, with a line a reason when not.
+fn ready(context: &SharedContext) -> Response {
+    let reasons = status::unready_reasons(context);
+    if reasons.is_empty() {
+        return Response::text("ready\n");
     }
+    let mut text = reasons.join("\n");
+    text.push('\n');
+    Response::text(text).with_status_code(503)
 }
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -5,9 +5,11 @@
 //! port, keeps a record of what it was asked to do, and takes its faults
 //! through a handle: [`LogStandin`], [`ListStandin`], [`EngineStandin`] and
 //! [`PlainStandin`]. [`keys`] makes the certificates of a fleet, and
-//! [`fleet`] starts router instances inside one process.
+//! [`fleet`] starts router instances inside one process, and [`example`] a small
+//! fleet of processes.
 
 pub mod engine;
+pub mod example;
 pub mod fleet;
 pub mod keys;
 pub mod list;
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -7,24 +7,15 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_config::CONFIG_STREAM;
-use hibiscus_config::file::OperatorFile;
-use hibiscus_config::fold::ConfigFold;
-use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_router::callers::answer;
 use hibiscus_router::settings::LimitSettings;
-use hibiscus_support::EngineStandin;
-use hibiscus_support::engine::EngineBehaviour;
-use hibiscus_support::fleet::StandinPlatform;
-use hibiscus_support::process::RouterProcess;
+use hibiscus_support::example::API_KEY;
+use hibiscus_support::example::CHAT_BODY;
+use hibiscus_support::example::ExampleFleet;
 use hibiscus_types::RefusalReason;
-use hibiscus_types::codec;
 use serde_json::Value;
 
 /// The page that documents the port.
@@ -35,19 +26,11 @@
 const READ_LIMIT: Duration = Duration::from_secs(20);
 /// Memory that a router may take, in KiB: the users' bound for a daemon.
 const MEMORY_LIMIT_KIB: u64 = 64 * 1024;
-/// API key of one team of the example.
-const API_KEY: &str = "regina-example-key";
 /// Beginning of an answer with a result.
 const STATUS_LINE: &[u8; 12] = b"HTTP/1.1 200";
-/// A request that every check accepts.
-const GOOD_BODY: &str =
-    r#"{"model":"stylist","max_tokens":8,"messages":[{"role":"user","content":"fit len=4"}]}"#;
-
-/// Three processes with an engine; callers use the first.
+/// The example, of which callers use the first instance.
 struct CallerFleet {
-    routers: Vec<RouterProcess>,
-    engine: EngineStandin,
-    _platform: StandinPlatform,
+    example: ExampleFleet,
 }
 
 /// An answer as it stood on the wire.
@@ -58,44 +41,16 @@
 }
 
 impl CallerFleet {
-    /// Starts a fleet whose processes have `limits` and waits for an answer.
+    /// Starts a fleet whose processes have `limits`.
     fn start(limits: &LimitSettings) -> Self {
-        let platform = StandinPlatform::start(Duration::ZERO);
-        let engine = EngineStandin::start(EngineBehaviour::default());
-        platform.list_server("engine-1", "stylist-llm", "regina", engine.address());
-        let file = OperatorFile::parse(include_str!("../../examples/prairie-seam.jsonc"))
-            .expect("the example is correct");
-        let record = ConfigRecord {
-            publication: 1,
-            changes: file.changes(&ConfigFold::default()),
-        };
-        let log = HttpLog::new(&platform.log.url(), Duration::from_secs(2));
-        log.append(CONFIG_STREAM, &codec::encode(&record).expect("it encodes"))
-            .expect("the log takes it");
-        let mut routers = Vec::new();
-        for name in ["router-1", "router-2", "router-3"] {
-            let mut settings = platform.settings(name, "regina", "prairie");
-            settings.limits = limits.clone();
-            let router = RouterProcess::start(&settings);
-            platform.list_process(name, "regina", "prairie", &router);
-            routers.push(router);
-        }
-        let fleet = Self {
-            routers,
-            engine,
-            _platform: platform,
-        };
-        let deadline = Instant::now() + READY_LIMIT;
-        while fleet.good_answer().status != 200 {
-            assert!(Instant::now() < deadline, "the fleet is not ready");
-            thread::sleep(Duration::from_millis(20));
+        Self {
+            example: ExampleFleet::start(limits),
         }
-        fleet
     }
 
     /// Address of the first process.
     fn address(&self) -> SocketAddr {
-        self.routers[0].addresses.callers
+        self.example.routers[0].addresses.callers
     }
 
     /// Sends `bytes` and reads until the connection is closed.
@@ -115,13 +70,13 @@
 
     /// The answer to a request that every check accepts.
     fn good_answer(&self) -> RawAnswer {
-        self.exchange(&chat_request("", GOOD_BODY))
+        self.exchange(&chat_request("", CHAT_BODY))
     }
 
     /// Begins a stream that does not end. The place of the request before is
     /// free soon after its answer, not at once: tries until one begins.
     fn hang(&self) -> TcpStream {
-        let body = GOOD_BODY
+        let body = CHAT_BODY
             .replace("len=4", "hang")
             .replace("{\"model\"", "{\"stream\":true,\"model\"");
         let deadline = Instant::now() + READY_LIMIT;
@@ -150,7 +105,7 @@
     }
 
     fn status_field(&self, name: &str) -> u64 {
-        let path = format!("/proc/{}/status", self.routers[0].id());
+        let path = format!("/proc/{}/status", self.example.routers[0].id());
         let status = fs::read_to_string(path).expect("the process is there");
         status
             .lines()
@@ -267,7 +222,7 @@
 #[test]
 fn each_bad_header_is_refused_with_its_name_and_what_is_allowed() {
     let fleet = CallerFleet::start(&LimitSettings::default());
-    let runs = fleet.engine.runs().len();
+    let runs = fleet.example.engine.runs().len();
     let long_key = format!("idempotency-key: {}\r\n", "k".repeat(129));
     let key_message = "failed to read header `idempotency-key`: \
         it must be 1 to 128 printable ASCII characters without spaces";
@@ -300,25 +255,29 @@
         ),
     ];
     for (headers, message) in cases {
-        let answer = fleet.exchange(&chat_request(headers, GOOD_BODY));
+        let answer = fleet.exchange(&chat_request(headers, CHAT_BODY));
         answer.assert_refused(400, "bad_request", message);
     }
     let large = format!("x-large: {}\r\n", "x".repeat(17 * 1024));
-    let answer = fleet.exchange(&chat_request(&large, GOOD_BODY));
+    let answer = fleet.exchange(&chat_request(&large, CHAT_BODY));
     answer.assert_refused(
         431,
         "headers_too_large",
         "failed to read the headers: they are larger than 16384 bytes",
     );
-    assert_eq!(fleet.engine.runs().len(), runs, "a refused request ran");
-    let named = chat_request("x-hibiscus-budget: regina-tokens\r\n", GOOD_BODY);
+    assert_eq!(
+        fleet.example.engine.runs().len(),
+        runs,
+        "a refused request ran"
+    );
+    let named = chat_request("x-hibiscus-budget: regina-tokens\r\n", CHAT_BODY);
     assert_eq!(fleet.exchange(&named).status, 200);
 }
 
 #[test]
 fn each_bad_body_is_refused_with_its_field_and_what_is_allowed() {
     let fleet = CallerFleet::start(&LimitSettings::default());
-    let runs = fleet.engine.runs().len();
+    let runs = fleet.example.engine.runs().len();
     let tokens_message =
         "failed to read field `max_tokens`: it must be a whole number from 1 to 1000000";
     let cases = [
@@ -366,7 +325,11 @@
         let answer = fleet.exchange(&chat_request("", body));
         answer.assert_refused(400, "bad_request", message);
     }
-    assert_eq!(fleet.engine.runs().len(), runs, "a refused request ran");
+    assert_eq!(
+        fleet.example.engine.runs().len(),
+        runs,
+        "a refused request ran"
+    );
 }
 
 #[test]
@@ -375,7 +338,7 @@
     let body = r#"{"model":"stylist","max_completion_tokens":3,"messages":[{"role":"user","content":"fit len=40"}]}"#;
     let answer = fleet.exchange(&chat_request("idempotency-key: bounded\r\n", body));
     assert_eq!(answer.status, 200, "{} {}", answer.head, answer.body);
-    let runs = fleet.engine.runs();
+    let runs = fleet.example.engine.runs();
     let run = runs.iter().find(|run| run.request_id == "bounded");
     assert_eq!(run.map(|run| run.sent), Some(3));
 }
@@ -427,12 +390,16 @@
 #[test]
 fn two_lengths_of_one_body_are_refused() {
     let fleet = CallerFleet::start(&LimitSettings::default());
-    let runs = fleet.engine.runs().len();
+    let runs = fleet.example.engine.runs().len();
     let smuggled = "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\n\
         authorization: Bearer regina-example-key\r\n\
         content-length: 5\r\ncontent-length: 6\r\n\r\nabcde";
     assert_eq!(fleet.exchange(smuggled.as_bytes()).status, 400);
-    assert_eq!(fleet.engine.runs().len(), runs, "a refused request ran");
+    assert_eq!(
+        fleet.example.engine.runs().len(),
+        runs,
+        "a refused request ran"
+    );
 }
 
 #[test]
@@ -506,7 +473,7 @@
         ..LimitSettings::default()
     };
     let fleet = CallerFleet::start(&limits);
-    let mut request = chat_request("idempotency-key: slow\r\n", GOOD_BODY);
+    let mut request = chat_request("idempotency-key: slow\r\n", CHAT_BODY);
     request.truncate(request.len() - 10);
     let answer = fleet.exchange(&request);
     answer.assert_refused(
@@ -526,7 +493,7 @@
     closed.shutdown(Shutdown::Write).expect("it half closes");
     let answer = read_answer(&mut closed);
     assert_ne!(answer.status, 200, "{} {}", answer.head, answer.body);
-    let runs = fleet.engine.runs();
+    let runs = fleet.example.engine.runs();
     assert!(!runs.iter().any(|run| run.request_id == "slow"));
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,8 @@
 //! Integration tests, a module a topic.
 
+mod addressing;
 mod callers;
 mod events;
+mod operators;
 mod settings;
 mod whole_path;
