--- a/crates/hibiscus-bench/src/commands/faults/check.rs
+++ b/crates/hibiscus-bench/src/commands/faults/check.rs
@@ -1,6 +1,7 @@
 //! Compares the records of a case; a pure function.
 
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 
 use crate::commands::faults::records::AnswerRecord;
 use crate::commands::faults::records::AttemptEnd;
@@ -83,10 +84,7 @@
             .map_or(&[][..], Vec::as_slice);
         let mut fault = |count: &mut u64, what: &str| {
             *count += 1;
-            note(format!(
-                "{what}: key {} {call:?} runs {runs:?} charges {charged:?}",
-                call.key
-            ));
+            note(format!("{what}: {}", describe(call, runs, charged)));
         };
         if let Some(answer) = &call.answer {
             counts.answered += 1;
@@ -134,6 +132,37 @@
     counts
 }
 
+/// One call with what servers and ledger have of it, on one line.
+fn describe(call: &CallRecord, runs: &[&ServerRun], charged: &[u64]) -> String {
+    let mut text = format!("{:?} {} of {}", call.kind, call.key, call.budget);
+    for attempt in &call.attempts {
+        let AttemptRecord {
+            instance,
+            started,
+            ended,
+            end,
+        } = attempt;
+        let _infallible = write!(
+            text,
+            "; instance {instance} from {} to {}: {end:?}",
+            started.get(),
+            ended.get()
+        );
+    }
+    for run in runs {
+        let _infallible = write!(
+            text,
+            "; {} ran it at {}, {} tokens",
+            run.server,
+            run.started.get(),
+            run.tokens
+        );
+    }
+    let billed = call.answer.as_ref().map(|answer| answer.billed);
+    let _infallible = write!(text, "; answer billed {billed:?}, charged {charged:?}");
+    text
+}
+
 /// What an answer taken as whole holds.
 enum AnswerContent {
     /// The call's own whole answer.
--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -39,6 +39,8 @@
     InstanceStarted = "HS1001", Info, "instance started";
     InstanceStopping = "HS1002", Info, "instance is stopping";
     InstanceStopped = "HS1003", Info, "instance stopped, its incarnation has ended";
+    InstanceSilent = "HS1004", Warn, "instance is silent";
+    InstanceHeard = "HS1005", Info, "instance is heard again";
     ConfigInForce = "HS2001", Info, "configuration version is in force";
     ConfigUnreadable = "HS2002", Warn, "configuration stream cannot be read";
     GrantObtained = "HS3001", Info, "allowance granted";
@@ -52,4 +54,6 @@
     RequestSettled = "HS4004", Debug, "settlement acknowledged";
     RequestRefused = "HS4005", Info, "request refused, not run";
     RequestFailed = "HS4006", Warn, "request failed after it was sent";
+    OpenWitnessed = "HS4101", Debug, "open acknowledged as witness";
+    SettlementWitnessed = "HS4102", Debug, "settlement acknowledged as witness";
 }
--- a/crates/hibiscus-events/src/recorder.rs
+++ b/crates/hibiscus-events/src/recorder.rs
@@ -38,7 +38,11 @@
 /// One event as it is served and saved.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EventRecord {
-    /// Hybrid logical time, in nanoseconds since the Unix epoch.
+    /// Hybrid logical time, which orders events: an effect's is above its
+    /// cause's. Seconds since the Unix epoch in the upper 32 bits, their
+    /// fraction in the lower.
+    pub stamp: u64,
+    /// The same time in nanoseconds since the Unix epoch, for display.
     pub time_ns: u64,
     /// Number of the event in its process, from 0.
     pub sequence: u64,
@@ -108,10 +112,12 @@
             code.text(),
             describe(&fields)
         );
+        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
+        // Under the lock, so that numbers and times have the same order.
         let time = self.clock.new_timestamp();
         let elapsed = time.get_time().to_duration();
-        let mut ring = self.ring.lock().unwrap_or_else(PoisonError::into_inner);
         let record = EventRecord {
+            stamp: time.get_time().as_u64(),
             time_ns: u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX),
             sequence: ring.next,
             instance: self.instance.clone(),
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -7,6 +7,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use hibiscus_events::EventRecorder;
 use quinn::Endpoint;
 use quinn::Incoming;
 use quinn::RecvStream;
@@ -24,6 +25,8 @@
 const RING_CAPACITY: usize = 8_192;
 /// Time that the link waits for its last packets to leave.
 const CLOSE_LIMIT: Duration = Duration::from_millis(300);
+/// Bytes of the hybrid logical time in front of each message.
+const STAMP_BYTES: usize = 8;
 
 /// Why the link failed.
 #[derive(Debug, thiserror::Error)]
@@ -51,12 +54,14 @@
 pub type Result<T> = std::result::Result<T, LinkError>;
 
 /// What a link needs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy)]
 pub struct LinkOptions<'a> {
     /// Address to listen on.
     pub listen: SocketAddr,
     /// Keys of this instance.
     pub keys: LinkKeys<'a>,
+    /// Gives and observes the hybrid logical time of each message.
+    pub events: &'a Arc<EventRecorder>,
 }
 
 /// A call received from a peer.
@@ -103,6 +108,7 @@
 pub struct PeerLink {
     address: SocketAddr,
     outgoing: mpsc::Sender<OutgoingCall>,
+    events: Arc<EventRecorder>,
     thread: Arc<LinkThread>,
 }
 
@@ -123,6 +129,7 @@
         let server = tls::server_config(&options.keys)?;
         let client = tls::client_config(&options.keys)?;
         let listen = options.listen;
+        let events = Arc::clone(options.events);
         let (outgoing, calls) = mpsc::channel(RING_CAPACITY);
         let (stop, stopped) = mpsc::channel(1);
         let (ready, started) = std_mpsc::sync_channel(1);
@@ -145,7 +152,7 @@
                     };
                     endpoint.set_default_client_config(client);
                     let _gone = ready.send(endpoint.local_addr());
-                    run(endpoint, calls, stopped, inbox).await;
+                    run(endpoint, events, calls, stopped, inbox).await;
                 });
                 runtime.shutdown_background();
             })
@@ -163,6 +170,7 @@
         Ok(Self {
             address,
             outgoing,
+            events: Arc::clone(options.events),
             thread: Arc::new(LinkThread {
                 stop,
                 handle: std::sync::Mutex::new(Some(handle)),
@@ -190,7 +198,7 @@
         let (reply, pending) = std_mpsc::sync_channel(1);
         let call = OutgoingCall {
             peer,
-            body,
+            body: add_stamp(&self.events, &body),
             timeout,
             reply,
         };
@@ -219,6 +227,7 @@
 /// Serves calls in both directions until the link is closed.
 async fn run(
     endpoint: Endpoint,
+    events: Arc<EventRecorder>,
     mut calls: mpsc::Receiver<OutgoingCall>,
     mut stopped: mpsc::Receiver<()>,
     inbox: std_mpsc::SyncSender<PeerCall>,
@@ -230,13 +239,13 @@
                 let Some(call) = call else {
                     break;
                 };
-                tokio::spawn(send_call(Arc::clone(&cache), call));
+                tokio::spawn(send_call(Arc::clone(&cache), Arc::clone(&events), call));
             }
             incoming = endpoint.accept() => {
                 let Some(incoming) = incoming else {
                     break;
                 };
-                tokio::spawn(serve_connection(incoming, inbox.clone()));
+                tokio::spawn(serve_connection(incoming, Arc::clone(&events), inbox.clone()));
             }
             _stop = stopped.recv() => break,
         }
@@ -246,19 +255,32 @@
 }
 
 /// Makes one call and hands its reply over.
-async fn send_call(cache: Arc<ConnectionCache>, call: OutgoingCall) {
+async fn send_call(cache: Arc<ConnectionCache>, events: Arc<EventRecorder>, call: OutgoingCall) {
     let exchange = cache.exchange(call.peer, &call.body);
     let reply = tokio::time::timeout(call.timeout, exchange).await;
-    let _gone = call.reply.try_send(reply.ok().flatten());
+    let body = reply
+        .ok()
+        .flatten()
+        .and_then(|message| take_stamp(&events, message));
+    let _gone = call.reply.try_send(body);
 }
 
 /// Receives the calls of one connection.
-async fn serve_connection(incoming: Incoming, inbox: std_mpsc::SyncSender<PeerCall>) {
+async fn serve_connection(
+    incoming: Incoming,
+    events: Arc<EventRecorder>,
+    inbox: std_mpsc::SyncSender<PeerCall>,
+) {
     let Ok(connection) = incoming.await else {
         return;
     };
     while let Ok((send, receive)) = connection.accept_bi().await {
-        tokio::spawn(serve_call(send, receive, inbox.clone()));
+        tokio::spawn(serve_call(
+            send,
+            receive,
+            Arc::clone(&events),
+            inbox.clone(),
+        ));
     }
 }
 
@@ -266,9 +288,13 @@
 async fn serve_call(
     mut send: SendStream,
     mut receive: RecvStream,
+    events: Arc<EventRecorder>,
     inbox: std_mpsc::SyncSender<PeerCall>,
 ) {
-    let Ok(body) = receive.read_to_end(MESSAGE_LIMIT).await else {
+    let Ok(message) = receive.read_to_end(MESSAGE_LIMIT).await else {
+        return;
+    };
+    let Some(body) = take_stamp(&events, message) else {
         return;
     };
     let (reply, answered) = oneshot::channel();
@@ -278,7 +304,25 @@
     let Ok(body) = answered.await else {
         return;
     };
-    if send.write_all(&body).await.is_ok() {
+    let message = add_stamp(&events, &body);
+    if send.write_all(&message).await.is_ok() {
         let _closed = send.finish();
     }
 }
+
+/// Puts the present time in front of `body`.
+fn add_stamp(events: &EventRecorder, body: &[u8]) -> Vec<u8> {
+    let mut message = Vec::with_capacity(STAMP_BYTES + body.len());
+    message.extend_from_slice(&events.stamp().to_le_bytes());
+    message.extend_from_slice(body);
+    message
+}
+
+/// Observes a message's time and returns its body; `None` when the message
+/// is too short to have one.
+fn take_stamp(events: &EventRecorder, mut message: Vec<u8>) -> Option<Vec<u8>> {
+    let (stamp, _body) = message.split_first_chunk::<STAMP_BYTES>()?;
+    events.observe(u64::from_le_bytes(*stamp));
+    message.drain(..STAMP_BYTES);
+    Some(message)
+}
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -22,7 +22,7 @@
     /// This life of the process.
     pub incarnation: IncarnationId,
     /// The event ring.
-    pub events: EventRecorder,
+    pub events: Arc<EventRecorder>,
     /// The configuration in force.
     pub config: ConfigCell,
     /// The fleet as seen from here.
@@ -44,8 +44,12 @@
 
 impl RouterContext {
     /// Joins the parts of a process that starts.
-    pub fn new(settings: RouterSettings, link: PeerLink, log: HttpLog) -> Self {
-        let events = EventRecorder::new(settings.instance.name.as_str());
+    pub fn new(
+        settings: RouterSettings,
+        events: Arc<EventRecorder>,
+        link: PeerLink,
+        log: HttpLog,
+    ) -> Self {
         Self {
             settings,
             incarnation: IncarnationId::generate(),
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Duty: follows the instance list and exchanges heartbeats.
 
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -7,12 +8,15 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
 use hibiscus_membership::view::FleetInstance;
 use hibiscus_membership::view::FleetView;
 use hibiscus_membership::view::InstanceHeartbeat;
 use hibiscus_platform::list::InstanceList;
 use hibiscus_platform::list::ListClient;
 use hibiscus_platform::list::ListedState;
+use hibiscus_types::InstanceName;
 use hibiscus_types::UnixMillis;
 
 use crate::context::SharedContext;
@@ -30,6 +34,12 @@
 /// Time that a heartbeat may take.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Heartbeats without an answer after which an instance counts as silent.
+const SILENT_BEATS: u32 = 3;
+
+/// Heartbeats in a row that each instance left without an answer.
+type MissedBeats = BTreeMap<InstanceName, u32>;
+
 /// The fleet as this process sees it.
 #[derive(Default)]
 pub struct FleetCell {
@@ -89,12 +99,39 @@
     context.servers.set_listed(&list.servers);
 }
 
+/// Records when an instance falls silent and when it is heard again.
+fn note_beat(
+    context: &SharedContext,
+    missed: &mut MissedBeats,
+    name: InstanceName,
+    answered: bool,
+) {
+    let fields = EventFields {
+        detail: name.to_string(),
+        ..EventFields::default()
+    };
+    if answered {
+        let count = missed.remove(&name).unwrap_or(0);
+        if count >= SILENT_BEATS {
+            context.events.record(EventCode::InstanceHeard, fields);
+        }
+        return;
+    }
+    let count = missed.entry(name).or_default();
+    *count += 1;
+    if *count == SILENT_BEATS {
+        context.events.record(EventCode::InstanceSilent, fields);
+    }
+}
+
 /// Sends heartbeats until the process ends.
 pub fn beat(context: &SharedContext) {
+    let mut missed = MissedBeats::new();
     while !context.is_ended() {
         let own = own_heartbeat(context);
         context.fleet.lock().hear(own.clone(), UnixMillis::now());
         let instances = context.fleet.lock().instances().to_vec();
+        missed.retain(|name, _count| instances.iter().any(|listed| listed.name == *name));
         let mut pending = Vec::with_capacity(instances.len());
         for instance in &instances {
             if instance.name == own.name {
@@ -104,10 +141,12 @@
             let Ok(call) = request.start(context, instance.peers, BEAT_TIMEOUT) else {
                 continue;
             };
-            pending.push(call);
+            pending.push((instance.name.clone(), call));
         }
-        for call in pending {
-            let Ok(PeerReply::Heartbeat(beat)) = PeerReply::receive(call) else {
+        for (name, call) in pending {
+            let reply = PeerReply::receive(call);
+            note_beat(context, &mut missed, name, reply.is_ok());
+            let Ok(PeerReply::Heartbeat(beat)) = reply else {
                 continue;
             };
             context.fleet.lock().hear(beat, UnixMillis::now());
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -12,6 +12,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
+use hibiscus_events::EventRecorder;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -99,9 +100,11 @@
 /// Fails when a port cannot be opened or a key cannot be read.
 pub fn start(settings: RouterSettings) -> Result<RunningRouter> {
     let (inbox, calls) = mpsc::sync_channel(RING_CAPACITY);
-    let link = open_link(&settings, inbox)?;
+    let name = settings.instance.name.as_str();
+    let events = Arc::new(EventRecorder::new(name));
+    let link = open_link(&settings, &events, inbox)?;
     let log = HttpLog::new(&settings.platform.log, APPEND_TIMEOUT);
-    let context = Arc::new(RouterContext::new(settings, link, log));
+    let context = Arc::new(RouterContext::new(settings, events, link, log));
     let operators = operators::start(&context)?;
     let (callers_port, runtime) = open_callers(&context)?;
     let (appends, appenders) = start_appenders(&context);
@@ -205,6 +208,7 @@
 /// Opens the peer link.
 fn open_link(
     settings: &RouterSettings,
+    events: &Arc<EventRecorder>,
     inbox: SyncSender<hibiscus_peer::PeerCall>,
 ) -> Result<PeerLink> {
     let options = LinkOptions {
@@ -214,6 +218,7 @@
             certificate: &settings.fleet.certificate,
             key: &settings.fleet.key,
         },
+        events,
     };
     Ok(PeerLink::start(&options, inbox)?)
 }
--- a/crates/hibiscus-router/src/witness/mod.rs
+++ b/crates/hibiscus-router/src/witness/mod.rs
@@ -4,6 +4,8 @@
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::shard_of;
@@ -96,6 +98,37 @@
         for record in buffer.take(HAND_OVER) {
             appends.push(shard, record);
         }
+        if answer == WitnessAnswer::Acknowledged {
+            note(context, &message.request);
+        }
         PeerReply::Witness(WitnessReply { answer }).send(message.call);
     }
 }
+
+/// Records what was acknowledged, so that a request's life can be read off
+/// here when its router is gone.
+fn note(context: &SharedContext, request: &WitnessRequest) {
+    let (code, key, grant, server) = match request {
+        WitnessRequest::Open { open, .. } => (
+            EventCode::OpenWitnessed,
+            &open.key,
+            open.grant,
+            open.server.as_str(),
+        ),
+        WitnessRequest::Settle { settlement, .. } => (
+            EventCode::SettlementWitnessed,
+            &settlement.key,
+            settlement.grant,
+            "",
+        ),
+        WitnessRequest::Seal { .. } => return,
+    };
+    let fields = EventFields {
+        request: key.to_string(),
+        team: key.team.to_string(),
+        server: server.to_owned(),
+        detail: format!("grant {grant}"),
+        ..EventFields::default()
+    };
+    context.events.record(code, fields);
+}
--- a/crates/hibiscus-support/src/fleet.rs
+++ b/crates/hibiscus-support/src/fleet.rs
@@ -5,9 +5,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_config::CONFIG_STREAM;
+use hibiscus_config::file::OperatorFile;
+use hibiscus_config::fold::ConfigFold;
+use hibiscus_config::record::ConfigRecord;
 use hibiscus_platform::list::ListedInstance;
 use hibiscus_platform::list::ListedServer;
 use hibiscus_platform::list::ListedState;
+use hibiscus_platform::log::HttpLog;
+use hibiscus_platform::log::LogService;
 use hibiscus_router::ops;
 use hibiscus_router::ops::BoundAddresses;
 use hibiscus_router::ops::RunningRouter;
@@ -22,6 +28,7 @@
 use hibiscus_types::InstanceName;
 use hibiscus_types::ServerName;
 use hibiscus_types::ServiceName;
+use hibiscus_types::codec;
 
 use crate::keys::FleetAuthority;
 use crate::list::ListStandin;
@@ -31,6 +38,9 @@
 /// Time between looks at a fleet that starts.
 const READY_POLL: Duration = Duration::from_millis(10);
 
+/// Time that an append may take.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The platform's stand-ins and the keys of one fleet.
 pub struct StandinPlatform {
     /// The log service.
@@ -51,6 +61,23 @@
         }
     }
 
+    /// Publishes an operators' file as the first publication.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the file is faulty or the log does not take it.
+    pub fn publish(&self, text: &str) {
+        let file = OperatorFile::parse(text).expect("the file is correct");
+        let record = ConfigRecord {
+            publication: 1,
+            changes: file.changes(&ConfigFold::default()),
+        };
+        let data = codec::encode(&record).expect("a publication encodes");
+        HttpLog::new(&self.log.url(), APPEND_TIMEOUT)
+            .append(CONFIG_STREAM, &data)
+            .expect("the log takes the publication");
+    }
+
     /// Settings of the instance `name` in `data_centre`, on free ports.
     pub fn settings(&self, name: &str, data_centre: &str, region: &str) -> RouterSettings {
         let keys = self.authority.issue();
