--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests, a module a topic.
 
+mod callers;
 mod events;
+mod settings;
 mod timeline;
 mod whole_path;
