--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 mod events;
 mod operators;
 mod settings;
+mod timeline;
 mod whole_path;
