--- a/crates/hibiscus-platform/src/engine.rs
+++ b/crates/hibiscus-platform/src/engine.rs
@@ -33,6 +33,8 @@
 const EVENT_LINE_LIMIT: u64 = 1024 * 1024;
 /// Largest answer of a plain service, in bytes.
 const PLAIN_BODY_LIMIT: u64 = 8 * 1024 * 1024;
+/// Bytes of a call's buffer in each direction; a server's headers must fit.
+const BUFFER_BYTES: usize = 16 * 1024;
 /// Time to connect before another server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -160,6 +162,8 @@
             .http_status_as_error(false)
             .proxy(None)
             .max_idle_connections(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .build()
             .into();
         Self { agent }
