--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -33,6 +33,7 @@
     /// Routed calls by path.
     pub routes: BTreeMap<String, RouteEntry>,
     team_keys: BTreeMap<String, TeamName>,
+    service_versions: BTreeMap<ServiceName, u64>,
 }
 
 impl ConfigSnapshot {
@@ -43,6 +44,12 @@
             ..Self::default()
         };
         for state in fold.entries().values() {
+            if let ConfigEntry::Service(service) = &state.entry {
+                let version = state.offset + 1;
+                snapshot
+                    .service_versions
+                    .insert(service.name.clone(), version);
+            }
             snapshot.insert(state.entry.clone());
         }
         snapshot
@@ -81,6 +88,12 @@
         equal.then_some(team)
     }
 
+    /// One past the offset of the publication that set `service`, 0 when it
+    /// is not there.
+    pub fn service_version(&self, service: &ServiceName) -> u64 {
+        self.service_versions.get(service).copied().unwrap_or(0)
+    }
+
     /// The first budget of `team` by name.
     pub fn budget_of(&self, team: &TeamName) -> Option<&BudgetEntry> {
         self.budgets.values().find(|budget| budget.team == *team)
--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -52,4 +52,5 @@
     RequestSettled = "HS4004", Debug, "settlement acknowledged";
     RequestRefused = "HS4005", Info, "request refused, not run";
     RequestFailed = "HS4006", Warn, "request failed after it was sent";
+    ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
 }
--- a/crates/hibiscus-platform/src/engine.rs
+++ b/crates/hibiscus-platform/src/engine.rs
@@ -145,19 +145,38 @@
     pub body: Vec<u8>,
 }
 
-/// Client of the backend servers.
+/// Client of the backend servers, made anew for each call.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
     agent: Agent,
 }
 
+/// Ends a call from another thread.
+#[derive(Clone, Debug)]
+pub struct CallAbort {
+    agent: Agent,
+}
+
+impl CallAbort {
+    /// Closes the call's connection: its reader fails at once, and the server
+    /// sees its caller leave.
+    pub fn abort(self) {
+        self.agent.shutdown();
+    }
+}
+
 impl EngineClient {
-    /// A client that gives up a stream after `silence` without a byte.
+    /// A client that waits `silence` for the head of an answer. The silence
+    /// between later bytes is the caller's to watch, through
+    /// [`Self::abort_handle`].
     pub fn new(silence: Duration) -> Self {
+        // A redirect would send the call a second time.
         let agent = Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .timeout_recv_response(Some(silence))
             .http_status_as_error(false)
+            .max_redirects(0)
+            .max_redirects_will_error(false)
             .proxy(None)
             .max_idle_connections(0)
             .build()
@@ -165,6 +184,13 @@
         Self { agent }
     }
 
+    /// What ends the call that this client makes.
+    pub fn abort_handle(&self) -> CallAbort {
+        CallAbort {
+            agent: self.agent.clone(),
+        }
+    }
+
     /// Starts a streamed chat completion at `server`.
     pub fn start_chat(
         &self,
@@ -194,6 +220,7 @@
     ) -> Result<PlainAnswer> {
         let mut response = self.send(server, path, body, headers)?;
         check_id(&response, headers.request_id)?;
+        check_framing(&response)?;
         let status = response.status().as_u16();
         let content_type = header(&response, "content-type").to_owned();
         let body = response
@@ -254,6 +281,17 @@
     }
 }
 
+/// Checks that the end of the body can be told from a closed connection.
+fn check_framing(response: &Response<Body>) -> Result<()> {
+    let framed = !header(response, "content-length").is_empty()
+        || !header(response, "transfer-encoding").is_empty();
+    if framed || response.status().as_u16() == 204 {
+        Ok(())
+    } else {
+        Err(EngineError::Truncated)
+    }
+}
+
 /// A header's text, empty when it is missing.
 fn header<'a>(response: &'a Response<Body>, name: &str) -> &'a str {
     response
--- a/crates/hibiscus-request/src/lib.rs
+++ b/crates/hibiscus-request/src/lib.rs
@@ -3,5 +3,10 @@
 //! A request moves `Admitted -> Opened -> Dispatched -> Settled`
 //! ([`life`]). Only the states before [`life::DispatchedRequest`] can be
 //! turned into [`life::NotRunProof`], which the answer "not run" needs.
+//! [`window`] refuses keys that the ledger may have forgotten, [`retry`]
+//! bounds the attempts, and [`quarantine`] finds requests that stop servers.
 
 pub mod life;
+pub mod quarantine;
+pub mod retry;
+pub mod window;
--- a/crates/hibiscus-request/src/life.rs
+++ b/crates/hibiscus-request/src/life.rs
@@ -27,7 +27,55 @@
     server: ServerName,
 }
 
-/// Proof that no server received any byte of the request.
+/// A request that a server may have run and that has no whole answer.
+#[derive(Debug)]
+pub struct FailedRequest {
+    opened: OpenedRequest,
+}
+
+impl FailedRequest {
+    /// Sends an idempotent request to another server.
+    pub fn dispatch_again(self, server: ServerName) -> DispatchedRequest {
+        self.opened.dispatch(server)
+    }
+}
+
+/// Status by which an engine refuses a request that it has not begun: too
+/// many requests.
+const STATUS_TOO_MANY: u16 = 429;
+/// Status by which an engine refuses a request that it has not begun: not
+/// available.
+const STATUS_UNAVAILABLE: u16 = 503;
+
+/// Evidence that an attempt ran nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotBegunEvidence {
+    status: Option<u16>,
+}
+
+impl NotBegunEvidence {
+    /// The server refused the connection, or none was made in time: it
+    /// received no byte.
+    pub fn connection_refused() -> Self {
+        Self { status: None }
+    }
+
+    /// A model engine answered `status`. Only the statuses by which an engine
+    /// refuses before it begins are evidence.
+    pub fn engine_refused(status: u16) -> Option<Self> {
+        let refused = matches!(status, STATUS_TOO_MANY | STATUS_UNAVAILABLE);
+        refused.then_some(Self {
+            status: Some(status),
+        })
+    }
+
+    /// The status by which the engine refused, if it was reached.
+    pub fn status(self) -> Option<u16> {
+        self.status
+    }
+}
+
+/// Proof that no server ran any part of the request.
 #[derive(Debug)]
 pub struct NotRunProof {
     key: RequestKey,
@@ -106,11 +154,18 @@
         &self.server
     }
 
-    /// The connection was refused: the server received nothing, and the
-    /// request may be sent to another.
-    pub fn not_connected(self) -> OpenedRequest {
+    /// The attempt ran nothing: the request is as it was before it.
+    pub fn not_begun(self, _evidence: NotBegunEvidence) -> OpenedRequest {
         self.opened
     }
+
+    /// The attempt failed after the server may have begun. The request can be
+    /// sent again, if it is idempotent, but it can no longer end as not run.
+    pub fn failed(self) -> FailedRequest {
+        FailedRequest {
+            opened: self.opened,
+        }
+    }
 }
 
 impl NotRunProof {
--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hibiscus_request::life::NotRunProof;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hyper::Response;
@@ -43,11 +44,12 @@
     pub addresses: Vec<SocketAddr>,
 }
 
-/// A failed request: everything that its answer needs.
+/// A failed request: everything that its answer needs. What is known of its
+/// execution is private, so that "not run" needs a proof once the request is
+/// admitted.
 #[derive(Clone, Debug)]
 pub struct RequestFailure {
-    /// What is known of its execution.
-    pub outcome: RequestOutcome,
+    outcome: RequestOutcome,
     /// Why it failed.
     pub reason: RefusalReason,
     /// What went wrong, as a sentence.
@@ -59,10 +61,18 @@
 }
 
 impl RequestFailure {
-    /// A request that no server received.
-    pub fn not_run(reason: RefusalReason, message: impl Into<String>) -> Self {
+    /// A request refused before it was admitted: it did not run.
+    pub fn unadmitted(reason: RefusalReason, message: impl Into<String>) -> Self {
         Self {
             outcome: RequestOutcome::NotRun,
+            ..Self::unknown(reason, message)
+        }
+    }
+
+    /// A request of which it is not known whether it ran.
+    pub fn unknown(reason: RefusalReason, message: impl Into<String>) -> Self {
+        Self {
+            outcome: RequestOutcome::Unknown,
             reason,
             message: message.into(),
             evidence: None,
@@ -70,6 +80,27 @@
         }
     }
 
+    /// It is proved that no server ran the request.
+    pub fn proved_not_run(self, _proof: &NotRunProof) -> Self {
+        Self {
+            outcome: RequestOutcome::NotRun,
+            ..self
+        }
+    }
+
+    /// It is proved that a server ran the request.
+    pub fn proved_ran(self) -> Self {
+        Self {
+            outcome: RequestOutcome::Ran,
+            ..self
+        }
+    }
+
+    /// What is known of the request's execution.
+    pub fn outcome(&self) -> RequestOutcome {
+        self.outcome
+    }
+
     /// The HTTP status.
     pub fn status(&self) -> u16 {
         match self.reason {
@@ -92,8 +123,10 @@
 
     /// Whether the same request may be sent again.
     fn retry(&self) -> bool {
-        let temporary = matches!(self.status(), 429 | 502 | 503 | 504);
-        temporary && self.outcome != RequestOutcome::Unknown
+        let temporary = matches!(self.status(), 429 | 502 | 503 | 504)
+            && self.reason != RefusalReason::AnswerBroken;
+        let waits = self.reason == RefusalReason::InProgress;
+        waits || (temporary && self.outcome != RequestOutcome::Unknown)
     }
 
     /// The kind of error, as OpenAI-compatible clients expect it.
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -36,7 +36,7 @@
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
 use crate::requests;
-use crate::requests::CallerRequest;
+use crate::requests::AdmittedCall;
 use crate::requests::RequestPath;
 
 /// Bytes of a request's headers at most.
@@ -116,7 +116,7 @@
         return Ok(address_answer(&state.context, peer));
     }
     let answered = match receive(&state, request, path).await {
-        Ok(request) => run(&state, request).await,
+        Ok(call) => run(&state, call).await,
         Err(failure) => answer::fail(&failure),
     };
     Ok(answered)
@@ -127,7 +127,7 @@
     state: &PortState,
     request: Request<Incoming>,
     path: String,
-) -> Result<CallerRequest, RequestFailure> {
+) -> Result<AdmittedCall, RequestFailure> {
     let context = &state.context;
     if context.is_draining() {
         return Err(stopping(context));
@@ -144,11 +144,17 @@
                 "failed to receive the body: it is broken or larger than {} bytes",
                 limits.body_bytes
             );
-            return Err(RequestFailure::not_run(RefusalReason::BadRequest, message));
+            return Err(RequestFailure::unadmitted(
+                RefusalReason::BadRequest,
+                message,
+            ));
         }
         Err(_) => {
             let message = format!("failed to receive the body within {} ms", limits.receive_ms);
-            return Err(RequestFailure::not_run(RefusalReason::BadRequest, message));
+            return Err(RequestFailure::unadmitted(
+                RefusalReason::BadRequest,
+                message,
+            ));
         }
     };
     requests::admit(context, &head, path, body, received)
@@ -156,10 +162,8 @@
 
 /// Refuses with the addresses of the instances that stay.
 fn stopping(context: &SharedContext) -> RequestFailure {
-    let mut failure = RequestFailure::not_run(
-        RefusalReason::Stopping,
-        "failed to take the request: this instance is stopping",
-    );
+    let message = "failed to take the request: this instance is stopping";
+    let mut failure = RequestFailure::unadmitted(RefusalReason::Stopping, message);
     let ready = context.fleet.lock().ready(UnixMillis::now());
     for instance in ready {
         if instance.name != context.settings.instance.name {
@@ -170,41 +174,48 @@
 }
 
 /// Runs an admitted request in a thread of its own.
-async fn run(state: &PortState, request: CallerRequest) -> Response<AnswerBody> {
+async fn run(state: &PortState, call: AdmittedCall) -> Response<AnswerBody> {
     let context = Arc::clone(&state.context);
     let limit = context.settings.limits.requests;
     let running = context.in_progress.fetch_add(1, Ordering::Relaxed);
     if running >= limit {
         context.in_progress.fetch_sub(1, Ordering::Relaxed);
         let message = format!("failed to take the request: {limit} requests are in progress");
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&RequestFailure::unadmitted(
+            RefusalReason::Overloaded,
+            message,
+        ));
     }
     let holder = state.holder.clone();
+    let presence = call.request.presence.clone();
+    let mut waiting = presence.hold();
     let (head, answered) = oneshot::channel();
     let spawned = thread::Builder::new()
         .name("request".to_owned())
         .stack_size(REQUEST_STACK)
         .spawn(move || {
-            match request.path {
-                RequestPath::Chat { .. } => requests::chat::run(&context, &holder, request, head),
-                RequestPath::Plain { .. } => requests::plain::run(&context, &holder, request, head),
+            match call.request.path {
+                RequestPath::Chat { .. } => requests::chat::run(&context, &holder, call, head),
+                RequestPath::Plain { .. } => requests::plain::run(&context, &holder, call, head),
             }
             context.in_progress.fetch_sub(1, Ordering::Relaxed);
         });
     if spawned.is_err() {
         state.context.in_progress.fetch_sub(1, Ordering::Relaxed);
         let message = "failed to take the request: no thread can be started";
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&RequestFailure::unadmitted(
+            RefusalReason::Overloaded,
+            message,
+        ));
     }
-    match answered.await {
+    let answered = answered.await;
+    waiting.end();
+    match answered {
         Ok(response) => response,
-        Err(_) => answer::fail(&RequestFailure {
-            outcome: RequestOutcome::Unknown,
-            ..RequestFailure::not_run(
-                RefusalReason::ServerFailed,
-                "failed to answer: the request's thread ended",
-            )
-        }),
+        Err(_) => answer::fail(&RequestFailure::unknown(
+            RefusalReason::ServerFailed,
+            "failed to answer: the request's thread ended",
+        )),
     }
 }
 
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -13,6 +13,8 @@
 use crate::config::ConfigCell;
 use crate::membership::FleetCell;
 use crate::servers::ServerTable;
+use crate::servers::suspects::SuspectCell;
+use crate::servers::watch::CallWatch;
 use crate::settings::RouterSettings;
 
 /// Views and handles that every duty may use.
@@ -29,12 +31,18 @@
     pub fleet: FleetCell,
     /// The backend servers as seen from here.
     pub servers: ServerTable,
+    /// The calls to servers in progress.
+    pub watch: CallWatch,
+    /// Requests that stopped a server.
+    pub suspects: SuspectCell,
     /// The link to the other instances.
     pub link: PeerLink,
     /// The log service.
     pub log: HttpLog,
     /// Requests in progress.
     pub in_progress: AtomicU32,
+    /// Number of the next attempt at a non-idempotent call.
+    pub next_attempt: AtomicU32,
     draining: AtomicBool,
     ended: AtomicBool,
 }
@@ -53,9 +61,12 @@
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             servers: ServerTable::default(),
+            watch: CallWatch::default(),
+            suspects: SuspectCell::default(),
             link,
             log,
             in_progress: AtomicU32::new(0),
+            next_attempt: AtomicU32::new(1),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         }
--- a/crates/hibiscus-router/src/lib.rs
+++ b/crates/hibiscus-router/src/lib.rs
@@ -15,8 +15,7 @@
 //! - [`peer`] receives the calls of other instances and passes them on.
 //! - [`operators`] serves metrics, status and events.
 //!
-//! [`ops::start`] starts them in order and [`ops::RunningRouter::stop`] ends
-//! them; `main` and the in-process fleets of the tests use the same two.
+//! [`ops::start`] starts them in order and [`stop`] ends them; `main` and the in-process fleets of the tests use the same two.
 
 pub mod callers;
 pub mod cli;
@@ -31,4 +30,5 @@
 pub mod requests;
 pub mod servers;
 pub mod settings;
+pub mod stop;
 pub mod witness;
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -2,17 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::SyncSender;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
-use hibiscus_membership::address::ADDRESS_LIFETIME;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -35,6 +32,7 @@
 use crate::operators::OperatorsError;
 use crate::peer;
 use crate::peer::DutyRings;
+use crate::servers;
 use crate::settings::RouterSettings;
 use crate::witness;
 
@@ -44,10 +42,6 @@
 const GRANT_THREADS: usize = 2;
 /// Time after which an append counts as unanswered.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time between looks at the requests in progress during a stop.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Time that the last appends may take during a stop.
-const LAST_APPENDS: Duration = Duration::from_secs(5);
 
 /// Why a process cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -88,9 +82,9 @@
     pub addresses: BoundAddresses,
     /// What its duties share.
     pub context: SharedContext,
-    holder: SyncSender<HolderMessage>,
-    appends: AppendRings,
-    appenders: Vec<JoinHandle<()>>,
+    pub(crate) holder: SyncSender<HolderMessage>,
+    pub(crate) appends: AppendRings,
+    pub(crate) appenders: Vec<JoinHandle<()>>,
 }
 
 /// Starts all duties of a process.
@@ -114,6 +108,7 @@
     spawn(&context, "config", config::follow);
     spawn(&context, "instance-list", membership::follow_list);
     spawn(&context, "heartbeat", membership::beat);
+    spawn(&context, "call-watch", servers::watch::run);
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
@@ -164,44 +159,6 @@
     })
 }
 
-impl RunningRouter {
-    /// Stops as planned: leaves the address answers, serves for as long as
-    /// callers may keep an address, finishes all requests, returns the
-    /// allowance, and ends.
-    pub fn stop(self) {
-        self.stop_within(ADDRESS_LIFETIME);
-    }
-
-    /// Stops as planned with `lifetime` for callers' addresses.
-    pub fn stop_within(self, lifetime: Duration) {
-        let events = &self.context.events;
-        events.record(EventCode::InstanceStopping, EventFields::default());
-        self.context.drain();
-        let refused_until = Instant::now() + lifetime;
-        while self.context.in_progress.load(Ordering::Relaxed) > 0 || Instant::now() < refused_until
-        {
-            thread::sleep(DRAIN_POLL);
-        }
-        let (done, returned) = mpsc::sync_channel(1);
-        if self.holder.send(HolderMessage::GiveBack { done }).is_ok() {
-            let _late = returned.recv_timeout(LAST_APPENDS);
-        }
-        events.record(EventCode::InstanceStopped, EventFields::default());
-        self.context.end();
-        drop(self.appends);
-        for appender in self.appenders {
-            let _ended = appender.join();
-        }
-        self.context.link.close();
-    }
-
-    /// Ends at once, as a killed process does.
-    pub fn kill(self) {
-        self.context.end();
-        self.context.link.close();
-    }
-}
-
 /// Opens the peer link.
 fn open_link(
     settings: &RouterSettings,
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -10,6 +10,7 @@
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
+use hibiscus_request::quarantine::ServerDeath;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
@@ -51,6 +52,8 @@
     Witness(WitnessRequest),
     /// Asks a broker.
     Broker(BrokerRequest),
+    /// Tells of a server that stopped while it ran a request.
+    ServerDeath(ServerDeath),
 }
 
 /// What an instance answers.
@@ -62,6 +65,8 @@
     Witness(WitnessReply),
     /// A broker's answer.
     Broker(BrokerReply),
+    /// The death is known.
+    ServerDeath,
     /// The duty's ring is full.
     Busy,
 }
@@ -132,6 +137,10 @@
             context.fleet.lock().hear(beat, UnixMillis::now());
             PeerReply::Heartbeat(membership::own_heartbeat(context)).send(call);
         }
+        PeerRequest::ServerDeath(death) => {
+            context.suspects.record(&death);
+            PeerReply::ServerDeath.send(call);
+        }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
             let _full = rings.witness.try_send(WitnessMessage { request, call });
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -36,7 +36,8 @@
 /// Time that a broker may take to hand a record to the log.
 const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Result of a step.
+/// Result of a step. Whoever holds the proof that nothing ran adds it to the
+/// failure.
 pub type Result<T> = std::result::Result<T, RequestFailure>;
 
 /// Sets the request's maximum cost aside.
@@ -55,24 +56,25 @@
         reply,
     };
     if holder.try_send(HolderMessage::Reserve(call)).is_err() {
-        return Err(RequestFailure::not_run(
+        return Err(RequestFailure::unknown(
             RefusalReason::Overloaded,
             "failed to take the request: too many wait for allowance",
         ));
     }
     match answered.recv() {
         Ok(Ok(reservation)) => Ok(reservation),
-        Ok(Err(ReserveRefusal::Exhausted { offset })) => Err(RequestFailure {
-            evidence: Some(format!("ledger offset {offset}")),
-            ..RequestFailure::not_run(
+        Ok(Err(ReserveRefusal::Exhausted { offset })) => {
+            let mut failure = RequestFailure::unknown(
                 RefusalReason::BudgetExhausted,
                 format!(
                     "failed to reserve {} tokens: budget `{}` does not cover them",
                     request.cost, request.budget
                 ),
-            )
-        }),
-        Ok(Err(ReserveRefusal::Unconfirmed)) | Err(_) => Err(RequestFailure::not_run(
+            );
+            failure.evidence = Some(format!("ledger offset {offset}"));
+            Err(failure)
+        }
+        Ok(Err(ReserveRefusal::Unconfirmed)) | Err(_) => Err(RequestFailure::unknown(
             RefusalReason::BudgetUnconfirmed,
             format!(
                 "failed to reserve {} tokens of budget `{}` in time",
@@ -107,7 +109,7 @@
     };
     let answers = ask_witnesses(context, &reservation.witnesses, ask);
     if answers.contains(&WitnessAnswer::Sealed) {
-        return Err(RequestFailure::not_run(
+        return Err(RequestFailure::unknown(
             RefusalReason::NotRecorded,
             "failed to record the request: its grant is sealed",
         ));
@@ -115,7 +117,7 @@
     if answers.contains(&WitnessAnswer::Acknowledged) {
         return Ok(());
     }
-    Err(RequestFailure::not_run(
+    Err(RequestFailure::unknown(
         RefusalReason::NotRecorded,
         "failed to record the request: no witness answered",
     ))
--- a/crates/hibiscus-router/src/requests/plain.rs
+++ b/crates/hibiscus-router/src/requests/plain.rs
@@ -1,8 +1,7 @@
-//! Calls of plain services. A non-idempotent call is sent only after its
-//! open was read back from the log as the first of its key.
+//! Calls of plain services that may run again: sent to another server when
+//! one fails. Calls that may not are in [`super::exclusive`].
 
 use std::sync::mpsc::SyncSender;
-use std::time::Duration;
 
 use hibiscus_config::entry::RouteEntry;
 use hibiscus_events::EventCode;
@@ -11,12 +10,9 @@
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::record::SettledEnd;
-use hibiscus_ledger::shard_of;
-use hibiscus_platform::engine::CallHeaders;
-use hibiscus_platform::engine::EngineClient;
-use hibiscus_platform::engine::EngineError;
 use hibiscus_platform::engine::PlainAnswer;
-use hibiscus_routing::load::ServerLoad;
+use hibiscus_request::life::AdmittedRequest;
+use hibiscus_request::life::OpenedRequest;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::TokenCount;
@@ -29,236 +25,295 @@
 use crate::callers::body::AnswerBody;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
-use crate::ledger::broker::BrokerReply;
-use crate::ledger::broker::BrokerRequest;
-use crate::ledger::broker::KeyStatus;
-use crate::ledger::client;
+use crate::requests::AdmittedCall;
 use crate::requests::CallerRequest;
 use crate::requests::RequestPath;
-use crate::requests::chat::HeadSender;
+use crate::requests::attempt;
+use crate::requests::attempt::AttemptStop;
+use crate::requests::attempt::ChosenServer;
+use crate::requests::attempt::ReadyRequest;
+use crate::requests::attempt::RequestAttempts;
+use crate::requests::exclusive;
 use crate::requests::open;
+use crate::requests::progress::HeadSender;
 
-/// Time that a broker may take to read an open back.
-const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
-/// Largest answer that a settlement keeps, in bytes.
-const RECORDED_LIMIT: usize = 4 * 1024;
+/// Status from which on an answer says that the server failed.
+const SERVER_ERROR: u16 = 500;
 
-/// What to do with a call after its open.
-enum OpenEnd {
-    /// Send it to the server.
-    Send,
-    /// Answer what an earlier run recorded.
-    Recorded(RecordedAnswer),
-    /// Answer a failure.
-    Fail(RequestFailure),
+/// What the calls of plain services share.
+pub(super) struct PlainCall<'a> {
+    pub(super) context: &'a SharedContext,
+    pub(super) holder: &'a SyncSender<HolderMessage>,
+    pub(super) request: &'a CallerRequest,
+    pub(super) route: &'a RouteEntry,
 }
 
 /// Runs one call.
 pub fn run(
     context: &SharedContext,
     holder: &SyncSender<HolderMessage>,
-    request: CallerRequest,
+    call: AdmittedCall,
     head: HeadSender,
 ) {
+    let AdmittedCall { request, admitted } = call;
     let RequestPath::Plain { route } = &request.path else {
         return;
     };
-    let response = match open::reserve(context, holder, &request) {
-        Ok(reservation) => run_reserved(context, holder, &request, route, reservation),
-        Err(failure) => answer::fail(&failure),
+    let plain = PlainCall {
+        context,
+        holder,
+        request: &request,
+        route,
+    };
+    let reservation = match open::reserve(context, holder, &request) {
+        Ok(reservation) => reservation,
+        Err(failure) => {
+            open::note(context, EventCode::RequestRefused, &request, "");
+            let failure = failure.proved_not_run(&admitted.refuse());
+            let _left = head.send(answer::fail(&failure));
+            return;
+        }
     };
+    if !route.idempotent {
+        exclusive::run(&plain, reservation, admitted, head);
+        return;
+    }
+    let response = plain.run_repeatable(reservation, admitted);
     let _left = head.send(response);
 }
 
-/// Opens, sends and settles a call whose cost is set aside.
-fn run_reserved(
-    context: &SharedContext,
-    holder: &SyncSender<HolderMessage>,
-    request: &CallerRequest,
-    route: &RouteEntry,
-    reservation: TokenReservation,
-) -> Response<AnswerBody> {
-    let Some(server) = context.servers.choose(&route.service, &[]) else {
-        open::end_reservation(holder, reservation, TokenCount::ZERO);
-        let message = format!("failed to find a server of service `{}`", route.service);
-        return answer::fail(&RequestFailure::not_run(RefusalReason::NoServer, message));
-    };
-    let response = match open_call(context, request, route, &reservation, &server) {
-        OpenEnd::Send => send(context, holder, request, reservation, &server),
-        OpenEnd::Recorded(recorded) => {
-            open::end_reservation(holder, reservation, TokenCount::ZERO);
-            recorded_response(&request.key.key, recorded)
-        }
-        OpenEnd::Fail(failure) => {
-            open::end_reservation(holder, reservation, TokenCount::ZERO);
-            answer::fail(&failure)
-        }
-    };
-    context.servers.release(&server.name);
-    response
+/// How the attempts of a repeatable call ended.
+enum RepeatEnd {
+    /// A server answered.
+    Answered(PlainAnswer),
+    /// No server ran the call.
+    NotRun(RequestFailure),
+    /// Servers may have run the call.
+    Failed(RequestFailure),
 }
 
-/// Has the open recorded as the call's kind needs it.
-fn open_call(
-    context: &SharedContext,
-    request: &CallerRequest,
-    route: &RouteEntry,
-    reservation: &TokenReservation,
-    server: &ServerLoad,
-) -> OpenEnd {
-    let record = RequestOpen {
-        key: request.key.clone(),
-        grant: reservation.grant,
-        reserved: reservation.tokens,
-        server: server.name.clone(),
-        exclusive: !route.idempotent,
-        attempt: 0,
-        opened: UnixMillis::now(),
-    };
-    if route.idempotent {
-        return match open::acknowledge_open(context, reservation, &record) {
-            Ok(()) => OpenEnd::Send,
-            Err(failure) => OpenEnd::Fail(failure),
+impl PlainCall<'_> {
+    /// Opens, sends and settles a call that may run again.
+    fn run_repeatable(
+        &self,
+        reservation: TokenReservation,
+        admitted: AdmittedRequest,
+    ) -> Response<AnswerBody> {
+        match self.attempt_all(&reservation, admitted) {
+            RepeatEnd::Answered(answered) => self.settle_ran(reservation, 0, answered, None),
+            RepeatEnd::NotRun(failure) => {
+                open::note(self.context, EventCode::RequestRefused, self.request, "");
+                self.settle_not_run(reservation, 0);
+                answer::fail(&failure)
+            }
+            RepeatEnd::Failed(failure) => {
+                open::note(self.context, EventCode::RequestFailed, self.request, "");
+                self.settle_not_charged(reservation);
+                answer::fail(&failure)
+            }
+        }
+    }
+
+    /// Sends the call to servers until one answers.
+    fn attempt_all(&self, reservation: &TokenReservation, admitted: AdmittedRequest) -> RepeatEnd {
+        let mut attempts = self.attempts();
+        let first = match attempts.next_server() {
+            Ok(first) => first,
+            Err(stop) => return RepeatEnd::NotRun(refuse(&attempts, stop, admitted)),
         };
+        let opened = match self.open(reservation, &first, admitted) {
+            Ok(opened) => opened,
+            Err(failure) => {
+                attempts.give_back(&first);
+                return RepeatEnd::NotRun(failure);
+            }
+        };
+        let mut ready = ReadyRequest::Opened(opened);
+        let mut next = Ok(first);
+        let mut last_answer = None;
+        loop {
+            let chosen = match next {
+                Ok(chosen) => chosen,
+                Err(stop) => return end_repeat(&attempts, stop, ready, last_answer),
+            };
+            let dispatched = ready.dispatch(chosen.load.name.clone());
+            let error = match self.call(&chosen) {
+                Ok(answered) if answered.status < SERVER_ERROR => {
+                    attempts.answered(&chosen);
+                    return RepeatEnd::Answered(answered);
+                }
+                Ok(answered) => {
+                    let status = answered.status;
+                    last_answer = Some(answered);
+                    hibiscus_platform::engine::EngineError::Refused { status }
+                }
+                Err(error) => error,
+            };
+            ready = attempts.failed(&chosen, dispatched, &error);
+            next = attempts.next_server();
+        }
     }
-    let shard = shard_of(&request.key.team, context.settings.budgets.shards);
-    let call = BrokerRequest::OpenFirst { open: record };
-    let reply = client::call(context, shard, &call, OPEN_TIMEOUT);
-    let Some(BrokerReply::OpenFirst { first, status }) = reply else {
-        return OpenEnd::Fail(RequestFailure::not_run(
-            RefusalReason::NotRecorded,
-            "failed to record the request in the log",
-        ));
-    };
-    if first {
-        return OpenEnd::Send;
+
+    /// The attempts of this call.
+    pub(super) fn attempts(&self) -> RequestAttempts<'_> {
+        RequestAttempts::new(
+            self.context,
+            self.request,
+            &self.route.service,
+            &self.route.path,
+        )
     }
-    match status {
-        KeyStatus::Settled(RequestSettlement {
-            answer: Some(recorded),
-            ..
-        }) => OpenEnd::Recorded(recorded),
-        KeyStatus::Settled(_) | KeyStatus::Open(_) | KeyStatus::Unseen => {
-            OpenEnd::Fail(RequestFailure {
-                outcome: RequestOutcome::Unknown,
-                ..RequestFailure::not_run(
-                    RefusalReason::InProgress,
-                    "failed to run the request: its key was used before and its end is not known",
-                )
-            })
+
+    /// The open of this call's attempt `attempt`.
+    pub(super) fn open_record(
+        &self,
+        reservation: &TokenReservation,
+        chosen: &ChosenServer,
+        attempt: u32,
+    ) -> RequestOpen {
+        RequestOpen {
+            key: self.request.key.clone(),
+            grant: reservation.grant,
+            reserved: reservation.tokens,
+            server: chosen.load.name.clone(),
+            exclusive: !self.route.idempotent,
+            attempt,
+            opened: UnixMillis::now(),
         }
     }
-}
 
-/// Sends the call to `server` and settles it.
-fn send(
-    context: &SharedContext,
-    holder: &SyncSender<HolderMessage>,
-    request: &CallerRequest,
-    reservation: TokenReservation,
-    server: &ServerLoad,
-) -> Response<AnswerBody> {
-    let silence = Duration::from_millis(context.settings.limits.server_silence_ms);
-    let fencing = format!("{:032x}", reservation.grant.as_u128());
-    let headers = CallHeaders {
-        request_id: &request.key.key,
-        fencing: &fencing,
-        priority: request.priority,
-        remaining: request.remaining(),
-        resume_from: 0,
-    };
-    open::note(
-        context,
-        EventCode::RequestDispatched,
-        request,
-        server.name.as_str(),
-    );
-    let RequestPath::Plain { route } = &request.path else {
-        return answer::fail(&unknown_end());
-    };
-    let client = EngineClient::new(silence);
-    let result = client.call_plain(server.address, &route.path, &request.body, &headers);
-    match result {
-        Ok(answered) => settle(context, holder, request, reservation, answered),
-        Err(EngineError::NotConnected(_)) => {
-            let settlement = settlement_of(request, &reservation, SettledEnd::NotRun, None);
-            let settled = open::acknowledge_settlement(context, &reservation, &settlement);
-            if settled {
-                open::end_reservation(holder, reservation, TokenCount::ZERO);
-            }
-            let message = format!("failed to connect to server `{}`", server.name);
-            answer::fail(&RequestFailure::not_run(RefusalReason::NoServer, message))
+    /// Has the open acknowledged by the witnesses.
+    fn open(
+        &self,
+        reservation: &TokenReservation,
+        chosen: &ChosenServer,
+        admitted: AdmittedRequest,
+    ) -> open::Result<OpenedRequest> {
+        let record = self.open_record(reservation, chosen, 0);
+        match open::acknowledge_open(self.context, reservation, &record) {
+            Ok(()) => Ok(admitted.opened(reservation.grant, reservation.tokens, 0)),
+            Err(failure) => Err(failure.proved_not_run(&admitted.refuse())),
         }
-        Err(_) => {
-            open::note(
-                context,
-                EventCode::RequestFailed,
-                request,
-                server.name.as_str(),
+    }
+
+    /// Sends the call to the chosen server.
+    pub(super) fn call(
+        &self,
+        chosen: &ChosenServer,
+    ) -> hibiscus_platform::engine::Result<PlainAnswer> {
+        open::note(
+            self.context,
+            EventCode::RequestDispatched,
+            self.request,
+            chosen.load.name.as_str(),
+        );
+        let (client, _watched) = attempt::watched_client(self.context, self.request);
+        let fencing = attempt::fencing_number(self.context, &self.route.service);
+        let headers = attempt::headers(self.request, &fencing, 0);
+        let body = &self.request.body;
+        client.call_plain(chosen.load.address, &self.route.path, body, &headers)
+    }
+
+    /// Records that the call ran, then passes its answer on.
+    pub(super) fn settle_ran(
+        &self,
+        reservation: TokenReservation,
+        attempt: u32,
+        answered: PlainAnswer,
+        kept: Option<RecordedAnswer>,
+    ) -> Response<AnswerBody> {
+        let charge = reservation.tokens;
+        let settlement = RequestSettlement {
+            answer: kept,
+            ..self.settlement(&reservation, attempt, SettledEnd::Ran, charge)
+        };
+        if !open::acknowledge_settlement(self.context, &reservation, &settlement) {
+            let failure = RequestFailure::unknown(
+                RefusalReason::NotRecorded,
+                "failed to record the end of the request",
             );
-            answer::fail(&unknown_end())
+            return answer::fail(&failure.proved_ran());
         }
+        open::note(self.context, EventCode::RequestSettled, self.request, "");
+        open::end_reservation(self.holder, reservation, charge);
+        let answered = RecordedAnswer {
+            status: answered.status,
+            content_type: answered.content_type,
+            body: answered.body,
+        };
+        respond(&self.request.key.key, answered)
     }
-}
 
-/// Records the answer and passes it on.
-fn settle(
-    context: &SharedContext,
-    holder: &SyncSender<HolderMessage>,
-    request: &CallerRequest,
-    reservation: TokenReservation,
-    answered: PlainAnswer,
-) -> Response<AnswerBody> {
-    let recorded = RecordedAnswer {
-        status: answered.status,
-        content_type: answered.content_type,
-        body: answered.body,
-    };
-    let kept = (recorded.body.len() <= RECORDED_LIMIT).then(|| recorded.clone());
-    let settlement = settlement_of(request, &reservation, SettledEnd::Ran, kept);
-    if !open::acknowledge_settlement(context, &reservation, &settlement) {
-        return answer::fail(&unknown_end());
+    /// Records that the call did not run.
+    pub(super) fn settle_not_run(&self, reservation: TokenReservation, attempt: u32) {
+        let settlement =
+            self.settlement(&reservation, attempt, SettledEnd::NotRun, TokenCount::ZERO);
+        if open::acknowledge_settlement(self.context, &reservation, &settlement) {
+            open::end_reservation(self.holder, reservation, TokenCount::ZERO);
+        }
+    }
+
+    /// Ends a repeatable call that brought no answer: it costs nothing.
+    fn settle_not_charged(&self, reservation: TokenReservation) {
+        let settlement = self.settlement(&reservation, 0, SettledEnd::Ran, TokenCount::ZERO);
+        if open::acknowledge_settlement(self.context, &reservation, &settlement) {
+            open::end_reservation(self.holder, reservation, TokenCount::ZERO);
+        }
+    }
+
+    fn settlement(
+        &self,
+        reservation: &TokenReservation,
+        attempt: u32,
+        end: SettledEnd,
+        charge: TokenCount,
+    ) -> RequestSettlement {
+        RequestSettlement {
+            key: self.request.key.clone(),
+            grant: reservation.grant,
+            attempt,
+            reserved: reservation.tokens,
+            charge,
+            end,
+            answer: None,
+        }
     }
-    open::note(context, EventCode::RequestSettled, request, "");
-    open::end_reservation(holder, reservation, settlement.charge);
-    recorded_response(&request.key.key, recorded)
 }
 
-/// The settlement of a call, which costs its whole reservation or nothing.
-fn settlement_of(
-    request: &CallerRequest,
-    reservation: &TokenReservation,
-    end: SettledEnd,
-    answer: Option<RecordedAnswer>,
-) -> RequestSettlement {
-    let charge = match end {
-        SettledEnd::Ran => reservation.tokens,
-        SettledEnd::NotRun => TokenCount::ZERO,
-    };
-    RequestSettlement {
-        key: request.key.clone(),
-        grant: reservation.grant,
-        attempt: 0,
-        reserved: reservation.tokens,
-        charge,
-        end,
-        answer,
+/// The failure of a call that has no server before its open.
+pub(super) fn refuse(
+    attempts: &RequestAttempts<'_>,
+    stop: AttemptStop,
+    admitted: AdmittedRequest,
+) -> RequestFailure {
+    let failure = attempts.failure(stop, None);
+    if stop == AttemptStop::Quarantined {
+        return failure;
     }
+    failure.proved_not_run(&admitted.refuse())
 }
 
-/// A failure after which nobody knows whether the call ran.
-fn unknown_end() -> RequestFailure {
-    RequestFailure {
-        outcome: RequestOutcome::Unknown,
-        ..RequestFailure::not_run(
-            RefusalReason::ServerFailed,
-            "failed to learn the end of the request from its server",
-        )
+/// The end of a repeatable call that no further server gets.
+fn end_repeat(
+    attempts: &RequestAttempts<'_>,
+    stop: AttemptStop,
+    ready: ReadyRequest,
+    last_answer: Option<PlainAnswer>,
+) -> RepeatEnd {
+    if let Some(answered) = last_answer {
+        return RepeatEnd::Answered(answered);
+    }
+    let ran = matches!(ready, ReadyRequest::Failed(_));
+    let failure = attempts.failure(stop, Some(ready));
+    if ran {
+        RepeatEnd::Failed(failure)
+    } else {
+        RepeatEnd::NotRun(failure)
     }
 }
 
 /// The answer that a server gave.
-fn recorded_response(key: &str, recorded: RecordedAnswer) -> Response<AnswerBody> {
+pub(super) fn respond(key: &str, recorded: RecordedAnswer) -> Response<AnswerBody> {
     let head = AnswerHead {
         status: recorded.status,
         content_type: recorded.content_type,
