--- a/crates/hibiscus-support/src/engine.rs
+++ b/crates/hibiscus-support/src/engine.rs
@@ -45,6 +45,9 @@
 /// Events that wait for a slow reader.
 const EVENT_BUFFER: usize = 16;
 
+/// Time between looks at the reader of a stream that hangs.
+const HANG_POLL: Duration = Duration::from_millis(10);
+
 /// Body of an answer.
 type AnswerBody = BoxBody<Bytes, Infallible>;
 
@@ -285,6 +288,10 @@
     }
     let plan = start_run(&shared, chat, id, resume, behaviour);
     if plan.behaviour.hanging {
+        let _cancelled = HangingRun {
+            shared: &shared,
+            index: plan.index,
+        };
         std::future::pending::<()>().await;
     }
     let shown = if plan.behaviour.crossed {
@@ -302,6 +309,28 @@
     Ok(response)
 }
 
+/// A run that never answers. Dropping it means that its caller left.
+struct HangingRun<'a> {
+    shared: &'a EngineShared,
+    index: usize,
+}
+
+impl Drop for HangingRun<'_> {
+    fn drop(&mut self) {
+        let mut state = self.shared.state.lock().expect("the engine state is whole");
+        state.running -= 1;
+        state.runs[self.index].cancelled = true;
+    }
+}
+
+/// Waits until the reader closes the connection.
+async fn wait_closed(sender: &mut Sender<Bytes, Infallible>) {
+    // An empty piece sends nothing and fails once the reader has left.
+    while sender.send_data(Bytes::new()).await.is_ok() {
+        tokio::time::sleep(HANG_POLL).await;
+    }
+}
+
 /// Compares the fencing number when this engine checks it.
 fn accept_fencing(shared: &EngineShared, model: &str, fencing: u128) -> bool {
     let mut state = shared.state.lock().expect("the engine state is whole");
@@ -398,7 +427,8 @@
             tokio::time::sleep(plan.behaviour.token_interval).await;
         }
         if plan.hang && index > plan.start {
-            std::future::pending::<()>().await;
+            wait_closed(sender).await;
+            return false;
         }
         let text = format!("{}.{index} ", plan.marker);
         if sender
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plain;
 pub mod process;
 pub mod proxy;
+pub mod requests;
 
 mod http;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests, a module a topic.
 
 mod events;
+mod requests;
 mod whole_path;
