Keep deaths of servers in a log stream for instances that start later

A broadcast reaches the instances that run; one that starts later, or was cut off, refused a quarantined request only after it had lost a server too. Deaths are appended to the stream `deaths` and read every 5 s. Conclusion: requests::an_instance_that_starts_later_refuses_a_quarantined_request_too.

--- a/crates/hibiscus-router/src/servers/suspects.rs
+++ b/crates/hibiscus-router/src/servers/suspects.rs
@@ -1,24 +1,29 @@
 //! Requests that stopped a server, shared with all instances.
 //!
 //! A death is told to every instance before the request is tried or answered
-//! again, so that its caller finds it known wherever it sends it next; the
-//! ledger's first shard keeps it for instances that start later.
+//! again, so that its caller finds it known wherever it sends it next. It is
+//! appended to a log stream too, for instances that start later or did not
+//! hear of it.
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_platform::engine::EngineError;
+use hibiscus_platform::log::LogService;
 use hibiscus_request::quarantine::BodyFingerprint;
 use hibiscus_request::quarantine::RequestSuspicion;
 use hibiscus_request::quarantine::ServerDeath;
 use hibiscus_request::quarantine::SuspectTable;
 use hibiscus_types::UnixMillis;
+use hibiscus_types::codec;
 
 use crate::context::SharedContext;
 use crate::peer::PeerReply;
@@ -29,10 +34,20 @@
 /// Time that an instance may take to hear of a death.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// The stream that keeps the deaths.
+pub const DEATHS_STREAM: &str = "deaths";
+/// Time between looks at deaths to append and at the stop flag.
+const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between reads of the stream.
+const READ_INTERVAL: Duration = Duration::from_secs(5);
+/// Deaths that wait for the log at most.
+const PENDING_LIMIT: usize = 1_000;
+
 /// The suspects, shared by the duties.
 #[derive(Default)]
 pub struct SuspectCell {
     table: Mutex<SuspectTable>,
+    pending: Mutex<Vec<ServerDeath>>,
 }
 
 impl SuspectCell {
@@ -54,6 +69,10 @@
     fn lock(&self) -> MutexGuard<'_, SuspectTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn pending(&self) -> MutexGuard<'_, Vec<ServerDeath>> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Whether the server at `address` has stopped: its answer broke off, and it
@@ -68,6 +87,12 @@
 /// Tells every instance of a death.
 pub fn report(context: &SharedContext, death: &ServerDeath) {
     context.suspects.record(death);
+    {
+        let mut pending = context.suspects.pending();
+        if pending.len() < PENDING_LIMIT {
+            pending.push(death.clone());
+        }
+    }
     let fields = EventFields {
         server: death.server.to_string(),
         detail: format!("fingerprint {:016x}", death.fingerprint.get()),
@@ -87,7 +112,50 @@
         pending.push(call);
     }
     for call in pending {
-        // An instance that does not hear of it now has it from the ledger.
+        // An instance that does not hear of it now reads it from the stream.
         let _heard = PeerReply::receive(call);
     }
 }
+
+/// Appends deaths to the stream and reads those of others until the process
+/// ends.
+pub fn follow(context: &SharedContext) {
+    let mut next = 0;
+    let mut last_read: Option<Instant> = None;
+    while !context.is_ended() {
+        append_pending(context);
+        if last_read.is_none_or(|last| last.elapsed() >= READ_INTERVAL) {
+            last_read = Some(Instant::now());
+            next = read_from(context, next);
+        }
+        thread::sleep(APPEND_INTERVAL);
+    }
+}
+
+/// Appends the deaths that wait; those that fail stay.
+fn append_pending(context: &SharedContext) {
+    let waiting = std::mem::take(&mut *context.suspects.pending());
+    for death in waiting {
+        let Ok(data) = codec::encode(&death) else {
+            continue;
+        };
+        if context.log.append(DEATHS_STREAM, &data).is_err() {
+            context.suspects.pending().push(death);
+        }
+    }
+}
+
+/// Takes the deaths from offset `next` over; the offset to read next.
+fn read_from(context: &SharedContext, next: u64) -> u64 {
+    let Ok(page) = context.log.read(DEATHS_STREAM, next, Duration::ZERO) else {
+        return next;
+    };
+    let mut next = next;
+    for record in page.records {
+        next = next.max(record.offset + 1);
+        if let Ok(death) = codec::decode::<ServerDeath>(&record.data) {
+            context.suspects.record(&death);
+        }
+    }
+    next
+}
--- a/crates/hibiscus-support/src/requests.rs
+++ b/crates/hibiscus-support/src/requests.rs
@@ -110,6 +110,19 @@
         Self { platform, routers }
     }
 
+    /// Starts a further process and lists it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process does not start.
+    pub fn add_router(&mut self, name: &str, data_centre: &str) {
+        let settings = self.platform.settings(name, data_centre, "prairie");
+        let router = RouterProcess::start(&settings);
+        self.platform
+            .list_process(name, data_centre, "prairie", &router);
+        self.routers.push(router);
+    }
+
     /// The callers' port of the process `index`.
     pub fn address(&self, index: usize) -> SocketAddr {
         self.routers[index].addresses.callers
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -494,8 +494,8 @@
         assert!(!reply.has_end(), "{reply:?}");
         assert_ne!(reply.outcome, "not-run", "{reply:?}");
         if index > 0 {
+            assert_eq!(reply.code(), "quarantined", "{reply:?}");
             assert_eq!((reply.status, reply.outcome.as_str()), (422, "ran"));
-            assert_eq!(reply.code(), "quarantined");
         }
     }
     for caller in beside {
@@ -505,6 +505,24 @@
     assert_eq!(lost, 2);
 }
 
+#[test]
+fn an_instance_that_starts_later_refuses_a_quarantined_request_too() {
+    let engines = [
+        EngineStandin::start(EngineBehaviour::default()),
+        EngineStandin::start(EngineBehaviour::default()),
+        EngineStandin::start(EngineBehaviour::default()),
+    ];
+    let (mut fleet, _service) = chat_fleet(3, &engines);
+    requests::stream_chat(fleet.address(0), "crash-before", "boom crash len=9");
+    fleet.add_router("router-late", "regina");
+    fleet.wait_ready();
+    let last = fleet.address(3);
+    let reply = requests::stream_chat(last, "crash-after", "boom crash len=9");
+    assert_eq!(reply.code(), "quarantined", "{reply:?}");
+    let lost = engines.iter().filter(|engine| engine.is_stopped()).count();
+    assert_eq!(lost, 2);
+}
+
 #[test]
 fn a_leaving_server_gets_nothing_new_once_the_list_shows_it() {
     let engines = [
