Have a server's death in the log before its request is answered

A late instance read the stream of deaths before the death was appended, and again only 5 s later, so a third server was lost. A request now waits up to 500 ms for its death to be in the log, and a new process reads the stream every 200 ms in its first 5 s.

--- a/crates/hibiscus-router/src/servers/suspects.rs
+++ b/crates/hibiscus-router/src/servers/suspects.rs
@@ -37,9 +37,14 @@
 /// The stream that keeps the deaths.
 pub const DEATHS_STREAM: &str = "deaths";
 /// Time between looks at deaths to append and at the stop flag.
-const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+const APPEND_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time that a request waits for its death to be in the log.
+const APPEND_WAIT: Duration = Duration::from_millis(500);
 /// Time between reads of the stream.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between reads in the first [`READ_INTERVAL`] of a process, while not
+/// all instances may know it yet.
+const FIRST_READ_INTERVAL: Duration = Duration::from_millis(200);
 /// Deaths that wait for the log at most.
 const PENDING_LIMIT: usize = 1_000;
 
@@ -115,16 +120,32 @@
         // An instance that does not hear of it now reads it from the stream.
         let _heard = PeerReply::receive(call);
     }
+    wait_appended(context, death);
+}
+
+/// Waits until the death is in the log, so that an instance that starts now
+/// reads it.
+fn wait_appended(context: &SharedContext, death: &ServerDeath) {
+    let deadline = Instant::now() + APPEND_WAIT;
+    while Instant::now() < deadline && context.suspects.pending().contains(death) {
+        thread::sleep(APPEND_INTERVAL);
+    }
 }
 
 /// Appends deaths to the stream and reads those of others until the process
 /// ends.
 pub fn follow(context: &SharedContext) {
     let mut next = 0;
+    let started = Instant::now();
     let mut last_read: Option<Instant> = None;
     while !context.is_ended() {
         append_pending(context);
-        if last_read.is_none_or(|last| last.elapsed() >= READ_INTERVAL) {
+        let interval = if started.elapsed() < READ_INTERVAL {
+            FIRST_READ_INTERVAL
+        } else {
+            READ_INTERVAL
+        };
+        if last_read.is_none_or(|last| last.elapsed() >= interval) {
             last_read = Some(Instant::now());
             next = read_from(context, next);
         }
@@ -134,13 +155,13 @@
 
 /// Appends the deaths that wait; those that fail stay.
 fn append_pending(context: &SharedContext) {
-    let waiting = std::mem::take(&mut *context.suspects.pending());
+    let waiting = context.suspects.pending().clone();
     for death in waiting {
         let Ok(data) = codec::encode(&death) else {
             continue;
         };
-        if context.log.append(DEATHS_STREAM, &data).is_err() {
-            context.suspects.pending().push(death);
+        if context.log.append(DEATHS_STREAM, &data).is_ok() {
+            context.suspects.pending().retain(|held| *held != death);
         }
     }
 }
