--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -162,6 +162,9 @@
         if self.stream {
             let closing = self.closing();
             let _left = self.send(closing);
+            if let Some(pieces) = self.pieces {
+                pieces.finish();
+            }
             return;
         }
         let whole = self.whole();
--- a/crates/hibiscus-router/src/stop.rs
+++ b/crates/hibiscus-router/src/stop.rs
@@ -1,8 +1,8 @@
 //! Planned stop of a router process.
 //!
-//! The order matters: callers may hold the address of this instance for
-//! [`ADDRESS_LIFETIME`], so its port answers them with other addresses until
-//! that time has passed; requests in progress end and settle before the
+//! The order matters: callers may hold the address of this instance for the
+//! lifetime of an address answer, so its port answers them with other
+//! addresses until that time has passed; requests in progress end and settle before the
 //! allowance goes back; and the last appends end before the process does.
 
 use std::sync::atomic::Ordering;
@@ -13,7 +13,6 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
-use hibiscus_membership::address::ADDRESS_LIFETIME;
 
 use crate::holder::HolderMessage;
 use crate::ops::RunningRouter;
@@ -28,7 +27,8 @@
     /// callers may keep an address, finishes all requests, returns the
     /// allowance, and ends.
     pub fn stop(self) {
-        self.stop_within(ADDRESS_LIFETIME);
+        let lifetime = self.context.settings.address_lifetime();
+        self.stop_within(lifetime);
     }
 
     /// Stops as planned with `lifetime` for callers' addresses.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests, a module a topic.
 
+mod callers;
 mod events;
 mod requests;
+mod settings;
 mod whole_path;
