Test planned stops with real processes

SIGTERM with 50 streams open and callers that keep the address: no stream is cut, new requests are refused with other addresses and "not run", exit 0; a second signal exits 4 at once.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod events;
+mod planned_stop;
 mod requests;
 mod settings;
 mod whole_path;
