--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -9,7 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
+use hibiscus_types::BudgetName;
 use hibiscus_types::RefusalReason;
+use hibiscus_types::RequestKey;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::UnixMillis;
 use hyper::Method;
@@ -38,12 +42,14 @@
 use crate::callers::receive::BodyMemory;
 use crate::callers::receive::ReceivedBody;
 use crate::callers::stream::TimedStream;
+use crate::context::RouterContext;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
 use crate::operators::metrics;
 use crate::requests;
+use crate::requests::AdmittedCall;
 use crate::requests::RequestPath;
-use crate::requests::chat::HeadSender;
+use crate::requests::progress::HeadSender;
 
 /// Bytes of a request's headers at most.
 const HEADER_LIMIT: usize = 16 * 1024;
@@ -182,16 +188,33 @@
     identity: CallerIdentity,
     body: Incoming,
 ) -> Response<AnswerBody> {
-    let key = identity.key.key.clone();
-    let limits = &state.context.settings.limits;
+    let context = &state.context;
+    let key = identity.key.clone();
+    let budget = identity.budget.clone();
+    let limits = &context.settings.limits;
     let mut response = match receive::receive(body, limits, &state.bodies).await {
         Ok(body) => run(state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
-    answer::stamp_key(&mut response, &key);
+    answer::stamp_key(&mut response, &key.key);
+    if response.extensions().get() == Some(&RequestOutcome::Ran) {
+        note(context, EventCode::AnswerBegun, &key, &budget);
+    }
     response
 }
 
+/// Records an event of a request that no server has received yet, or whose
+/// server is known from an earlier one.
+fn note(context: &RouterContext, code: EventCode, key: &RequestKey, budget: &BudgetName) {
+    let fields = EventFields {
+        request: key.to_string(),
+        team: key.team.to_string(),
+        budget: budget.to_string(),
+        ..EventFields::default()
+    };
+    context.events.record(code, fields);
+}
+
 /// Counts an answer by its outcome and reason.
 fn count(context: &SharedContext, response: &Response<AnswerBody>, received: Instant) {
     let Some(outcome) = response.extensions().get::<RequestOutcome>() else {
@@ -232,18 +255,18 @@
     }
     let message = format!("failed to read the headers: they are larger than {HEADER_LIMIT} bytes");
     let reason = RefusalReason::HeadersTooLarge;
-    Err(RequestFailure::not_run(reason, message))
+    Err(RequestFailure::unadmitted(reason, message))
 }
 
 /// Refuses because `limit` requests are in progress.
 fn overloaded(limit: u32) -> RequestFailure {
     let message = format!("failed to take the request: {limit} requests are in progress");
-    RequestFailure::not_run(RefusalReason::Overloaded, message)
+    RequestFailure::unadmitted(RefusalReason::Overloaded, message)
 }
 
 /// Refuses with the addresses of the instances that stay.
 fn stopping(context: &SharedContext) -> RequestFailure {
-    let mut failure = RequestFailure::not_run(
+    let mut failure = RequestFailure::unadmitted(
         RefusalReason::Stopping,
         "failed to take the request: this instance is stopping",
     );
@@ -270,6 +293,7 @@
         return answer::fail(&overloaded(limit));
     }
     let holder = state.holder.clone();
+    let mut waiting = identity.presence.hold();
     let (head, answered) = oneshot::channel();
     let spawned = thread::Builder::new()
         .name("request".to_owned())
@@ -281,17 +305,19 @@
     if spawned.is_err() {
         state.context.in_progress.fetch_sub(1, Ordering::Relaxed);
         let message = "failed to take the request: no thread can be started";
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&RequestFailure::unadmitted(
+            RefusalReason::Overloaded,
+            message,
+        ));
     }
-    match answered.await {
+    let answered = answered.await;
+    waiting.end();
+    match answered {
         Ok(response) => response,
-        Err(_) => answer::fail(&RequestFailure {
-            outcome: RequestOutcome::Unknown,
-            ..RequestFailure::not_run(
-                RefusalReason::ServerFailed,
-                "failed to answer: the request's thread ended",
-            )
-        }),
+        Err(_) => answer::fail(&RequestFailure::unknown(
+            RefusalReason::ServerFailed,
+            "failed to answer: the request's thread ended",
+        )),
     }
 }
 
@@ -311,9 +337,12 @@
             return;
         }
     };
-    match request.path {
-        RequestPath::Chat { .. } => requests::chat::run(context, holder, request, head),
-        RequestPath::Plain { .. } => requests::plain::run(context, holder, request, head),
+    let code = EventCode::RequestAdmitted;
+    note(context, code, &request.key, &request.budget);
+    let call = AdmittedCall::new(request);
+    match call.request.path {
+        RequestPath::Chat { .. } => requests::chat::run(context, holder, call, head),
+        RequestPath::Plain { .. } => requests::plain::run(context, holder, call, head),
     }
     drop(body.memory);
 }
