Follow the configuration from the log and from peers, and bound heartbeats

Cause: every instance followed the log alone, so one that started during an outage had no configuration, and expired records left it without for good. Heartbeats were a full mesh each 500 ms, which grows with the square of the fleet.

Two instances a data centre follow the log; the others fetch records from the peer with the highest version. A record of a newer format stops the instance from taking requests. Heartbeats go to a bounded number of neighbours (all of them in a small fleet) with news of the others; silence needs the own exchange or two reports.

--- a/crates/hibiscus-membership/src/address.rs
+++ b/crates/hibiscus-membership/src/address.rs
@@ -12,6 +12,8 @@
 
 /// Time that a caller may keep an answer.
 pub const ADDRESS_LIFETIME: Duration = Duration::from_secs(30);
+/// Requests in progress that no instance is passed over for.
+const LOAD_SLACK: u64 = 16;
 
 /// Ranked addresses, best first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,10 +27,47 @@
 /// Ranks `ready` for `caller`: its own data centre first, and within it by
 /// rendezvous hashing, so that callers spread and keep their address.
 pub fn answer(caller: &str, nearby: &DataCentre, ready: &[FleetInstance]) -> AddressAnswer {
+    answer_by_load(caller, nearby, ready, |_instance| 0)
+}
+
+/// As [`answer`], but an instance whose load is well above the average of
+/// its data centre comes after the others there. Below that bound an answer
+/// depends on the membership alone, so callers keep their address.
+pub fn answer_by_load<F>(
+    caller: &str,
+    nearby: &DataCentre,
+    ready: &[FleetInstance],
+    load_of: F,
+) -> AddressAnswer
+where
+    F: Fn(&FleetInstance) -> u32,
+{
+    let near = ready
+        .iter()
+        .filter(|instance| instance.data_centre == *nearby);
+    let bound = load_bound(near.map(&load_of));
     let mut ranked = ranking::rank(caller.as_bytes(), ready);
-    ranked.sort_by_key(|instance| instance.data_centre != *nearby);
+    ranked.sort_by_key(|instance| {
+        let far = instance.data_centre != *nearby;
+        (far, !far && u64::from(load_of(instance)) > bound)
+    });
     AddressAnswer {
         addresses: ranked.iter().map(|instance| instance.callers).collect(),
         lifetime_s: ADDRESS_LIFETIME.as_secs(),
     }
 }
+
+/// The load above which an instance is passed over: a quarter above the
+/// average and some slack.
+fn load_bound(loads: impl Iterator<Item = u32>) -> u64 {
+    let mut sum = 0;
+    let mut count = 0;
+    for load in loads {
+        sum += u64::from(load);
+        count += 1;
+    }
+    if count == 0 {
+        return 0;
+    }
+    sum * 5 / (count * 4) + LOAD_SLACK
+}
--- a/crates/hibiscus-membership/src/lib.rs
+++ b/crates/hibiscus-membership/src/lib.rs
@@ -3,10 +3,13 @@
 //! The platform's instance list lags, and heartbeats get lost, so two
 //! processes may see different fleets at the same time. Nothing here decides
 //! what must be agreed: a wrong view costs an extra hop, and the ledger's
-//! fold decides. [`view`] merges the list with the heartbeats, [`ranking`]
-//! orders instances for a shard or a caller, and [`address`] makes the
-//! answers that callers get.
+//! fold decides. [`view`] merges the list with the heartbeats, [`neighbours`]
+//! chooses with whom an instance exchanges them and [`gossip`] what they tell
+//! each other, [`ranking`] orders instances for a shard or a caller, and
+//! [`address`] makes the answers that callers get.
 
 pub mod address;
+pub mod gossip;
+pub mod neighbours;
 pub mod ranking;
 pub mod view;
--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -1,6 +1,8 @@
 //! The fleet as one process sees it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,8 +14,17 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Time without a heartbeat after which an instance counts as silent.
-pub const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+use crate::gossip::GossipItem;
+use crate::gossip::GossipMessage;
+use crate::gossip::NEWS_LIMIT;
+use crate::gossip::NEWS_REPEATS;
+use crate::gossip::REPAIR_ITEMS;
+use crate::gossip::SILENCE_REPORTS;
+use crate::gossip::SilenceReport;
+use crate::neighbours;
+
+/// Time without a heartbeat after which a neighbour counts as silent.
+pub const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,14 +33,33 @@
     pub name: InstanceName,
     /// Its present incarnation.
     pub incarnation: IncarnationId,
+    /// Grows with every heartbeat of the incarnation.
+    pub tick: u64,
     /// Whether it is stopping.
     pub stopping: bool,
+    /// Whether it has a configuration that it may decide by.
+    pub ready: bool,
     /// Requests in progress.
     pub load: u32,
     /// The configuration version in force there.
     pub config_version: u64,
 }
 
+impl InstanceHeartbeat {
+    /// Whether this was said after `other`. Incarnations are ordered by the
+    /// time of their start.
+    fn is_after(&self, other: &Self) -> bool {
+        (self.incarnation, self.tick) > (other.incarnation, other.tick)
+    }
+
+    /// Whether others must learn of this soon.
+    fn is_news(&self, other: &Self) -> bool {
+        self.incarnation != other.incarnation
+            || self.stopping != other.stopping
+            || self.ready != other.ready
+    }
+}
+
 /// An instance that the platform lists.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetInstance {
@@ -49,40 +79,256 @@
     pub leaving: bool,
 }
 
-/// The last heartbeat and its time of arrival.
+/// What is known of one instance.
 #[derive(Clone, Debug)]
-struct HeardBeat {
+struct KnownInstance {
     beat: InstanceHeartbeat,
-    at: UnixMillis,
+    /// Time of the last message from itself, or of the first news of it.
+    heard_at: UnixMillis,
+    /// Whether it ever sent a message itself.
+    direct: bool,
+    /// Others that call it silent, and the tick that they know.
+    reports: BTreeMap<InstanceName, u64>,
+}
+
+/// News to pass on.
+#[derive(Clone, Debug)]
+struct PendingNews {
+    item: GossipItem,
+    repeats: u8,
 }
 
 /// The listed instances and what was heard of them.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
+    own: InstanceName,
     instances: Vec<FleetInstance>,
-    beats: BTreeMap<InstanceName, HeardBeat>,
+    positions: BTreeMap<InstanceName, usize>,
+    neighbours: BTreeSet<InstanceName>,
+    known: BTreeMap<InstanceName, KnownInstance>,
+    incarnations: BTreeMap<IncarnationId, InstanceName>,
+    news: VecDeque<PendingNews>,
+    reported: BTreeMap<InstanceName, IncarnationId>,
+    repair_from: Option<InstanceName>,
 }
 
 impl FleetView {
+    /// Names the instance whose view this is.
+    pub fn set_own(&mut self, own: &InstanceName) {
+        self.own = own.clone();
+        self.choose_neighbours();
+    }
+
     /// Replaces the listed instances.
     pub fn set_instances(&mut self, instances: Vec<FleetInstance>) {
         self.instances = instances;
-        let listed = &self.instances;
-        self.beats
-            .retain(|name, _beat| listed.iter().any(|instance| instance.name == *name));
+        self.positions.clear();
+        for (position, instance) in self.instances.iter().enumerate() {
+            self.positions.insert(instance.name.clone(), position);
+        }
+        let positions = &self.positions;
+        self.known
+            .retain(|name, _known| positions.contains_key(name));
+        self.incarnations
+            .retain(|_incarnation, name| positions.contains_key(name));
+        self.reported
+            .retain(|name, _incarnation| positions.contains_key(name));
+        self.choose_neighbours();
+    }
+
+    fn choose_neighbours(&mut self) {
+        let chosen = neighbours::choose(&self.own, &self.instances);
+        self.neighbours = chosen.into_iter().collect();
+    }
+
+    /// The instances to exchange heartbeats with.
+    pub fn neighbours(&self) -> impl Iterator<Item = &FleetInstance> {
+        self.neighbours
+            .iter()
+            .filter_map(|name| self.instance(name))
+    }
+
+    /// Whether a neighbour was never heard of.
+    pub fn awaits_neighbours(&self) -> bool {
+        let mut names = self.neighbours.iter();
+        names.any(|name| !self.known.contains_key(name))
     }
 
-    /// Takes a heartbeat that arrived at `now`.
+    /// Takes a heartbeat that its own instance sent and that arrived at
+    /// `now`.
     pub fn hear(&mut self, beat: InstanceHeartbeat, now: UnixMillis) {
-        let older = self
-            .beats
-            .get(&beat.name)
-            .is_some_and(|heard| heard.beat.incarnation > beat.incarnation);
-        if older {
+        let name = beat.name.clone();
+        let incarnation = beat.incarnation;
+        self.learn(beat, now);
+        let Some(known) = self.known.get_mut(&name) else {
             return;
+        };
+        if known.beat.incarnation == incarnation {
+            known.heard_at = now;
+            known.direct = true;
+            self.reported.remove(&name);
+        }
+    }
+
+    /// Takes a heartbeat from its instance or passed on by another one.
+    fn learn(&mut self, beat: InstanceHeartbeat, now: UnixMillis) {
+        let Some(known) = self.known.get_mut(&beat.name) else {
+            self.pass_on(GossipItem::Beat(beat.clone()));
+            self.incarnations
+                .insert(beat.incarnation, beat.name.clone());
+            let known = KnownInstance {
+                beat: beat.clone(),
+                heard_at: now,
+                direct: false,
+                reports: BTreeMap::new(),
+            };
+            self.known.insert(beat.name, known);
+            return;
+        };
+        if !beat.is_after(&known.beat) {
+            return;
+        }
+        let mut news = beat.is_news(&known.beat);
+        if beat.incarnation != known.beat.incarnation {
+            known.reports.clear();
+            known.heard_at = now;
+            self.incarnations.remove(&known.beat.incarnation);
+            self.incarnations
+                .insert(beat.incarnation, beat.name.clone());
+        }
+        let reports = known.reports.len();
+        known.reports.retain(|_reporter, tick| *tick >= beat.tick);
+        news |= known.reports.len() < reports;
+        known.beat = beat.clone();
+        if news {
+            self.pass_on(GossipItem::Beat(beat));
+        }
+    }
+
+    /// Takes another instance's word that one is silent.
+    fn learn_silence(&mut self, report: SilenceReport) {
+        let Some(known) = self.known.get_mut(&report.name) else {
+            return;
+        };
+        let stale = known.beat.incarnation != report.incarnation || known.beat.tick > report.tick;
+        if stale || report.name == self.own {
+            // The own heartbeat in every message refutes it; so does the
+            // newer one that is known here.
+            let beat = known.beat.clone();
+            if known.beat.incarnation == report.incarnation {
+                self.pass_on(GossipItem::Beat(beat));
+            }
+            return;
+        }
+        let before = known.reports.insert(report.reporter.clone(), report.tick);
+        if before.is_none_or(|tick| tick < report.tick) {
+            self.pass_on(GossipItem::Silence(report));
+        }
+    }
+
+    /// Queues news, unless the same is queued already.
+    fn pass_on(&mut self, item: GossipItem) {
+        let name = item_name(&item);
+        if *name == self.own && !matches!(item, GossipItem::Beat(_)) {
+            return;
+        }
+        let beat = matches!(item, GossipItem::Beat(_));
+        self.news.retain(|pending| {
+            let same = item_name(&pending.item) == name;
+            let replaced = beat && matches!(pending.item, GossipItem::Beat(_));
+            !(same && (replaced || pending.item == item))
+        });
+        self.news.push_back(PendingNews {
+            item,
+            repeats: NEWS_REPEATS,
+        });
+    }
+
+    /// The next message to a neighbour, or the reply to one that is
+    /// `joining`.
+    pub fn message(&mut self, beat: InstanceHeartbeat, joining: bool) -> GossipMessage {
+        let mut items = Vec::new();
+        if joining {
+            let all = self.known.values();
+            items.extend(all.map(|known| GossipItem::Beat(known.beat.clone())));
+        } else {
+            self.take_news(&mut items);
+            self.take_repairs(&mut items);
+        }
+        GossipMessage {
+            joining: !self.knows_most(),
+            beat,
+            items,
+        }
+    }
+
+    fn take_news(&mut self, items: &mut Vec<GossipItem>) {
+        for _item in 0..self.news.len().min(NEWS_LIMIT) {
+            let Some(mut pending) = self.news.pop_front() else {
+                return;
+            };
+            items.push(pending.item.clone());
+            pending.repeats -= 1;
+            if pending.repeats > 0 {
+                self.news.push_back(pending);
+            }
+        }
+    }
+
+    /// Adds the next heartbeats in turn. Where all are neighbours, nothing
+    /// needs repair.
+    fn take_repairs(&mut self, items: &mut Vec<GossipItem>) {
+        if self.instances.len() <= neighbours::FULL_MESH_LIMIT + 1 {
+            return;
+        }
+        for _item in 0..REPAIR_ITEMS {
+            let after = self.repair_from.take();
+            let next = self.known.iter().find(|(name, _known)| {
+                after.as_ref().is_none_or(|after| *name > after) && **name != self.own
+            });
+            let Some((name, known)) = next else {
+                return;
+            };
+            items.push(GossipItem::Beat(known.beat.clone()));
+            self.repair_from = Some(name.clone());
+        }
+    }
+
+    /// Takes a message that arrived at `now`.
+    pub fn take_message(&mut self, message: GossipMessage, now: UnixMillis) {
+        self.hear(message.beat, now);
+        for item in message.items {
+            match item {
+                GossipItem::Beat(beat) if beat.name != self.own => self.learn(beat, now),
+                GossipItem::Beat(_) => {}
+                GossipItem::Silence(report) => self.learn_silence(report),
+            }
+        }
+    }
+
+    /// Reports neighbours that have fallen silent.
+    pub fn note_silence(&mut self, now: UnixMillis) {
+        let mut silent = Vec::new();
+        for name in &self.neighbours {
+            let Some(known) = self.known.get(name) else {
+                continue;
+            };
+            let incarnation = known.beat.incarnation;
+            let told = self.reported.get(name) == Some(&incarnation);
+            if !told && now.since(known.heard_at) > SILENCE_LIMIT {
+                silent.push(SilenceReport {
+                    name: name.clone(),
+                    incarnation,
+                    tick: known.beat.tick,
+                    reporter: self.own.clone(),
+                });
+            }
+        }
+        for report in silent {
+            self.reported
+                .insert(report.name.clone(), report.incarnation);
+            self.pass_on(GossipItem::Silence(report));
         }
-        self.beats
-            .insert(beat.name.clone(), HeardBeat { beat, at: now });
     }
 
     /// All listed instances.
@@ -92,38 +338,81 @@
 
     /// The listed instance `name`.
     pub fn instance(&self, name: &InstanceName) -> Option<&FleetInstance> {
-        self.instances.iter().find(|held| held.name == *name)
+        self.instances.get(*self.positions.get(name)?)
     }
 
     /// The instance whose last heartbeat came from `incarnation`.
     pub fn instance_of(&self, incarnation: IncarnationId) -> Option<&FleetInstance> {
-        let (name, _heard) = self
-            .beats
-            .iter()
-            .find(|(_name, heard)| heard.beat.incarnation == incarnation)?;
-        self.instance(name)
+        self.instance(self.incarnations.get(&incarnation)?)
     }
 
     /// The last heartbeat of `name`.
     pub fn beat_of(&self, name: &InstanceName) -> Option<&InstanceHeartbeat> {
-        self.beats.get(name).map(|heard| &heard.beat)
+        self.known.get(name).map(|known| &known.beat)
+    }
+
+    /// Whether most of the listed instances were heard of.
+    pub fn knows_most(&self) -> bool {
+        self.known.len() * 2 > self.instances.len()
+    }
+
+    /// The instance other than the own one that lately told the highest
+    /// configuration version in force, and that version.
+    pub fn newest_config(&self, now: UnixMillis) -> Option<(&FleetInstance, u64)> {
+        let mut newest = None;
+        for (name, known) in &self.known {
+            let recent = known.direct && now.since(known.heard_at) <= SILENCE_LIMIT;
+            if *name == self.own || !recent {
+                continue;
+            }
+            let version = known.beat.config_version;
+            if newest.is_none_or(|(_name, highest)| version > highest) {
+                newest = Some((name, version));
+            }
+        }
+        let (name, version) = newest?;
+        Some((self.instance(name)?, version))
+    }
+
+    /// Whether nothing was heard of `name` lately, as far as this view can
+    /// tell.
+    fn is_silent(&self, name: &InstanceName, known: &KnownInstance, now: UnixMillis) -> bool {
+        if self.neighbours.contains(name) {
+            return now.since(known.heard_at) > SILENCE_LIMIT;
+        }
+        *name != self.own && known.reports.len() >= SILENCE_REPORTS
     }
 
-    /// Instances that are listed as live, heard of lately and not stopping.
+    /// Instances that are listed as live, not silent, not stopping and have
+    /// a configuration.
     pub fn ready(&self, now: UnixMillis) -> Vec<FleetInstance> {
         let mut ready = Vec::new();
         for instance in &self.instances {
             if instance.leaving {
                 continue;
             }
-            let Some(heard) = self.beats.get(&instance.name) else {
+            let Some(known) = self.known.get(&instance.name) else {
                 continue;
             };
-            if heard.beat.stopping || now.since(heard.at) > SILENCE_LIMIT {
+            let beat = &known.beat;
+            if beat.stopping || !beat.ready || self.is_silent(&instance.name, known, now) {
                 continue;
             }
             ready.push(instance.clone());
         }
         ready
     }
+
+    /// Requests in progress at `name`, as last heard.
+    pub fn load_of(&self, name: &InstanceName) -> u32 {
+        self.beat_of(name).map_or(0, |beat| beat.load)
+    }
+}
+
+/// The instance that `item` is about.
+fn item_name(item: &GossipItem) -> &InstanceName {
+    match item {
+        GossipItem::Beat(beat) => &beat.name,
+        GossipItem::Silence(report) => &report.name,
+    }
 }
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -1,12 +1,16 @@
 //! Duty: follows the instance list and exchanges heartbeats.
 
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
+use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_membership::view::FleetInstance;
 use hibiscus_membership::view::FleetView;
 use hibiscus_membership::view::InstanceHeartbeat;
@@ -25,15 +29,22 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay before a failed read is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
-/// Time between heartbeats.
-const BEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time that a heartbeat may take.
-const BEAT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Threads that exchange heartbeats, each with its share of the neighbours.
+pub const BEAT_THREADS: usize = 3;
+/// Time between two exchanges of one thread.
+const BEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// The same while neighbours are new or the own state has changed.
+const HURRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time that a hurry lasts, so that a dead neighbour does not keep it up.
+const HURRY_TIME: Duration = Duration::from_secs(3);
+/// Time that an exchange may take.
+const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The fleet as this process sees it.
 #[derive(Default)]
 pub struct FleetCell {
     view: Mutex<FleetView>,
+    ticks: AtomicU64,
 }
 
 impl FleetCell {
@@ -45,12 +56,15 @@
 
 /// What this process says of itself.
 pub fn own_heartbeat(context: &SharedContext) -> InstanceHeartbeat {
+    let config_version = context.config.get().version;
     InstanceHeartbeat {
+        tick: context.fleet.ticks.fetch_add(1, Ordering::Relaxed) + 1,
+        ready: config_version > 0 && !context.config.is_outdated(),
         name: context.settings.instance.name.clone(),
         incarnation: context.incarnation,
         stopping: context.is_draining(),
         load: context.in_progress.load(Ordering::Relaxed),
-        config_version: context.config.get().version,
+        config_version,
     }
 }
 
@@ -89,29 +103,79 @@
     context.servers.set_listed(&list.servers);
 }
 
-/// Sends heartbeats until the process ends.
-pub fn beat(context: &SharedContext) {
+/// Exchanges heartbeats with the share `thread` of the neighbours until the
+/// process ends.
+pub fn beat(context: &SharedContext, thread: usize) {
+    let own = &context.settings.instance.name;
+    context.fleet.lock().set_own(own);
+    let mut hurry = HurryState::default();
+    let mut turn = 0;
     while !context.is_ended() {
-        let own = own_heartbeat(context);
-        context.fleet.lock().hear(own.clone(), UnixMillis::now());
-        let instances = context.fleet.lock().instances().to_vec();
-        let mut pending = Vec::with_capacity(instances.len());
-        for instance in &instances {
-            if instance.name == own.name {
-                continue;
-            }
-            let request = PeerRequest::Heartbeat(own.clone());
-            let Ok(call) = request.start(context, instance.peers, BEAT_TIMEOUT) else {
-                continue;
-            };
-            pending.push(call);
+        let started = Instant::now();
+        let beat = own_heartbeat(context);
+        let interval = hurry.interval(context, &beat);
+        if let Some(peer) = next_neighbour(context, thread, turn) {
+            exchange(context, beat, peer);
         }
-        for call in pending {
-            let Ok(PeerReply::Heartbeat(beat)) = PeerReply::receive(call) else {
-                continue;
-            };
-            context.fleet.lock().hear(beat, UnixMillis::now());
+        turn += 1;
+        thread::sleep(interval.saturating_sub(started.elapsed()));
+    }
+}
+
+/// When to exchange faster.
+#[derive(Default)]
+struct HurryState {
+    last: Option<(bool, bool, usize)>,
+    since: Option<Instant>,
+}
+
+impl HurryState {
+    /// The time until the next exchange. The own state and the number of
+    /// listed instances start a hurry when they change.
+    fn interval(&mut self, context: &SharedContext, beat: &InstanceHeartbeat) -> Duration {
+        let listed = context.fleet.lock().instances().len();
+        let state = (beat.stopping, beat.ready, listed);
+        if self.last != Some(state) {
+            self.last = Some(state);
+            self.since = Some(Instant::now());
+        }
+        let since = self.since.map_or(HURRY_TIME, |since| since.elapsed());
+        if since < HURRY_TIME {
+            HURRY_INTERVAL
+        } else {
+            BEAT_INTERVAL
         }
-        thread::sleep(BEAT_INTERVAL);
     }
 }
+
+/// The neighbour whose turn it is.
+fn next_neighbour(context: &SharedContext, thread: usize, turn: usize) -> Option<SocketAddr> {
+    let now = UnixMillis::now();
+    let mut fleet = context.fleet.lock();
+    fleet.hear(own_heartbeat(context), now);
+    fleet.note_silence(now);
+    let all = fleet.neighbours().skip(thread).step_by(BEAT_THREADS);
+    let share: Vec<SocketAddr> = all.map(|instance| instance.peers).collect();
+    if share.is_empty() {
+        return None;
+    }
+    Some(share[turn % share.len()])
+}
+
+/// One exchange with `peer`.
+fn exchange(context: &SharedContext, beat: InstanceHeartbeat, peer: SocketAddr) {
+    let message = context.fleet.lock().message(beat, false);
+    let request = PeerRequest::Heartbeat(message);
+    if let Ok(PeerReply::Heartbeat(reply)) = request.call(context, peer, BEAT_TIMEOUT) {
+        context.fleet.lock().take_message(reply, UnixMillis::now());
+    }
+}
+
+/// Takes a peer's message and answers it.
+pub fn answer(context: &SharedContext, message: GossipMessage) -> GossipMessage {
+    let beat = own_heartbeat(context);
+    let joining = message.joining;
+    let mut fleet = context.fleet.lock();
+    fleet.take_message(message, UnixMillis::now());
+    fleet.message(beat, joining)
+}
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -111,9 +111,15 @@
     let (broker, broker_calls) = mpsc::sync_channel(RING_CAPACITY);
     let (witness, witness_calls) = mpsc::sync_channel(RING_CAPACITY);
 
-    spawn(&context, "config", config::follow);
+    spawn(&context, "config", config::follow::follow);
+    spawn(&context, "config-peers", config::peers::fetch);
+    spawn(&context, "config-snapshots", config::snapshots::run);
     spawn(&context, "instance-list", membership::follow_list);
-    spawn(&context, "heartbeat", membership::beat);
+    for thread in 0..membership::BEAT_THREADS {
+        spawn(&context, "heartbeat", move |context| {
+            membership::beat(context, thread);
+        });
+    }
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -6,16 +6,18 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
-use hibiscus_membership::view::InstanceHeartbeat;
+use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
-use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::peers;
+use crate::config::peers::ConfigReply;
+use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
@@ -45,23 +47,27 @@
 /// What one instance asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Says that the sender lives.
-    Heartbeat(InstanceHeartbeat),
+    /// Says that the sender lives, and what it knows of others.
+    Heartbeat(GossipMessage),
     /// Asks a witness.
     Witness(WitnessRequest),
     /// Asks a broker.
     Broker(BrokerRequest),
+    /// Asks for configuration.
+    Config(ConfigRequest),
 }
 
 /// What an instance answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// Says that the receiver lives.
-    Heartbeat(InstanceHeartbeat),
+    /// Says that the receiver lives, and what it knows of others.
+    Heartbeat(GossipMessage),
     /// A witness's answer.
     Witness(WitnessReply),
     /// A broker's answer.
     Broker(BrokerReply),
+    /// Configuration.
+    Config(ConfigReply),
     /// The duty's ring is full.
     Busy,
 }
@@ -128,9 +134,11 @@
 /// Passes one call on.
 fn pass_on(context: &SharedContext, request: PeerRequest, call: PeerCall, rings: &DutyRings) {
     match request {
-        PeerRequest::Heartbeat(beat) => {
-            context.fleet.lock().hear(beat, UnixMillis::now());
-            PeerReply::Heartbeat(membership::own_heartbeat(context)).send(call);
+        PeerRequest::Heartbeat(message) => {
+            PeerReply::Heartbeat(membership::answer(context, message)).send(call);
+        }
+        PeerRequest::Config(request) => {
+            PeerReply::Config(peers::answer(context, &request)).send(call);
         }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
