--- a/crates/hibiscus-router/src/settings/mod.rs
+++ b/crates/hibiscus-router/src/settings/mod.rs
@@ -183,11 +183,6 @@
         Duration::from_millis(self.limits.address_lifetime_ms)
     }
 
-    /// Time that callers may keep an address.
-    pub fn address_lifetime(&self) -> Duration {
-        Duration::from_millis(self.limits.address_lifetime_ms)
-    }
-
     /// Time that a request waits for allowance.
     pub fn allowance_wait(&self) -> Duration {
         Duration::from_millis(self.budgets.wait_ms)
