Test views of a fleet whose members join, pause, flap and part

Cause: a silence report that named a beat counter was refuted by beats sent before the silence, so some views kept a paused instance.

Heartbeats carry the uptime in place of a counter, and a report stands until a longer uptime is heard. Fleets of 1 to 200 members inside one process: joining, leaving, paused, flapping, one broken path, a partition, lists that differ, a new incarnation at the same address.

--- a/crates/hibiscus-membership/src/gossip.rs
+++ b/crates/hibiscus-membership/src/gossip.rs
@@ -25,9 +25,10 @@
     pub name: InstanceName,
     /// Its incarnation.
     pub incarnation: IncarnationId,
-    /// The tick of its last heartbeat that the reporter received; a later
-    /// one refutes the report.
-    pub tick: u64,
+    /// Its uptime in milliseconds when the report was made: the last one
+    /// that the reporter received and the silence after it. A heartbeat with
+    /// a longer uptime refutes the report.
+    pub uptime_ms: u64,
     /// Who says so.
     pub reporter: InstanceName,
 }
--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -33,8 +33,8 @@
     pub name: InstanceName,
     /// Its present incarnation.
     pub incarnation: IncarnationId,
-    /// Grows with every heartbeat of the incarnation.
-    pub tick: u64,
+    /// Milliseconds since the incarnation started.
+    pub uptime_ms: u64,
     /// Whether it is stopping.
     pub stopping: bool,
     /// Whether it has a configuration that it may decide by.
@@ -49,7 +49,7 @@
     /// Whether this was said after `other`. Incarnations are ordered by the
     /// time of their start.
     fn is_after(&self, other: &Self) -> bool {
-        (self.incarnation, self.tick) > (other.incarnation, other.tick)
+        (self.incarnation, self.uptime_ms) > (other.incarnation, other.uptime_ms)
     }
 
     /// Whether others must learn of this soon.
@@ -87,7 +87,7 @@
     heard_at: UnixMillis,
     /// Whether it ever sent a message itself.
     direct: bool,
-    /// Others that call it silent, and the tick that they know.
+    /// Others that call it silent, and up to which uptime.
     reports: BTreeMap<InstanceName, u64>,
 }
 
@@ -197,7 +197,8 @@
                 .insert(beat.incarnation, beat.name.clone());
         }
         let reports = known.reports.len();
-        known.reports.retain(|_reporter, tick| *tick >= beat.tick);
+        let uptime = beat.uptime_ms;
+        known.reports.retain(|_reporter, silent| *silent >= uptime);
         news |= known.reports.len() < reports;
         known.beat = beat.clone();
         if news {
@@ -210,7 +211,8 @@
         let Some(known) = self.known.get_mut(&report.name) else {
             return;
         };
-        let stale = known.beat.incarnation != report.incarnation || known.beat.tick > report.tick;
+        let stale =
+            known.beat.incarnation != report.incarnation || known.beat.uptime_ms > report.uptime_ms;
         if stale || report.name == self.own {
             // The own heartbeat in every message refutes it; so does the
             // newer one that is known here.
@@ -220,8 +222,10 @@
             }
             return;
         }
-        let before = known.reports.insert(report.reporter.clone(), report.tick);
-        if before.is_none_or(|tick| tick < report.tick) {
+        let before = known
+            .reports
+            .insert(report.reporter.clone(), report.uptime_ms);
+        if before.is_none_or(|uptime| uptime < report.uptime_ms) {
             self.pass_on(GossipItem::Silence(report));
         }
     }
@@ -308,6 +312,7 @@
 
     /// Reports neighbours that have fallen silent.
     pub fn note_silence(&mut self, now: UnixMillis) {
+        let silence_ms = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
         let mut silent = Vec::new();
         for name in &self.neighbours {
             let Some(known) = self.known.get(name) else {
@@ -319,7 +324,7 @@
                 silent.push(SilenceReport {
                     name: name.clone(),
                     incarnation,
-                    tick: known.beat.tick,
+                    uptime_ms: known.beat.uptime_ms + silence_ms,
                     reporter: self.own.clone(),
                 });
             }
--- /dev/null
+++ b/crates/hibiscus-membership/tests/view.rs
@@ -0,0 +1,208 @@
+//! Views of a fleet whose members join, leave, pause and part.
+
+use hibiscus_membership::address;
+use hibiscus_membership::view::FleetInstance;
+use hibiscus_support::gossip;
+use hibiscus_support::gossip::GossipFleet;
+use hibiscus_support::gossip::GossipMember;
+
+/// Rounds after which every view must have settled.
+const SETTLE_ROUNDS: usize = 30;
+
+/// A fleet whose views have settled.
+fn settled(count: usize, data_centres: usize) -> GossipFleet {
+    let mut fleet = GossipFleet::new(count, data_centres);
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    assert_eq!(fleet.ready_range(), (count, count));
+    fleet
+}
+
+/// Advances by `count` rounds without faults.
+fn rounds(fleet: &mut GossipFleet, count: usize) {
+    for _round in 0..count {
+        fleet.round(|_from, _to| true);
+    }
+}
+
+#[test]
+fn all_members_of_small_and_large_fleets_learn_of_all() {
+    for (count, data_centres) in [(1, 1), (2, 2), (7, 3), (10, 4), (60, 4), (200, 11)] {
+        settled(count, data_centres);
+    }
+}
+
+#[test]
+fn a_member_that_joins_is_known_and_knows_all() {
+    let mut fleet = settled(40, 4);
+    let mut listed: Vec<FleetInstance> = fleet.members[0].view.instances().to_vec();
+    let newcomer = gossip::instance(40, 4);
+    listed.push(newcomer.clone());
+    for member in &mut fleet.members {
+        member.view.set_instances(listed.clone());
+    }
+    fleet.members.push(GossipMember::new(&newcomer, &listed));
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    assert_eq!(fleet.ready_range(), (41, 41));
+}
+
+#[test]
+fn a_member_that_leaves_the_list_is_forgotten() {
+    let mut fleet = settled(7, 3);
+    let listed: Vec<FleetInstance> = fleet.members[0].view.instances()[..6].to_vec();
+    let gone = fleet.members.pop().expect("there are seven");
+    for member in &mut fleet.members {
+        member.view.set_instances(listed.clone());
+    }
+    rounds(&mut fleet, 2);
+    assert_eq!(fleet.ready_range(), (6, 6));
+    for member in &fleet.members {
+        assert!(member.view.instance_of(gone.beat.incarnation).is_none());
+    }
+}
+
+#[test]
+fn a_paused_member_is_silent_until_it_speaks_again() {
+    for (count, data_centres) in [(7, 3), (60, 4)] {
+        let mut fleet = settled(count, data_centres);
+        fleet.members[3].running = false;
+        rounds(&mut fleet, SETTLE_ROUNDS);
+        assert_eq!(fleet.ready_range(), (count - 1, count - 1));
+        fleet.members[3].running = true;
+        rounds(&mut fleet, SETTLE_ROUNDS);
+        assert_eq!(fleet.ready_range(), (count, count));
+    }
+}
+
+#[test]
+fn a_stopping_member_leaves_all_answers() {
+    for (count, data_centres) in [(7, 3), (60, 4)] {
+        let mut fleet = settled(count, data_centres);
+        fleet.members[1].beat.stopping = true;
+        rounds(&mut fleet, SETTLE_ROUNDS);
+        assert_eq!(fleet.ready_range(), (count - 1, count - 1));
+    }
+}
+
+#[test]
+fn a_new_incarnation_at_the_same_address_replaces_the_old_one() {
+    for (count, data_centres) in [(7, 3), (60, 4)] {
+        let mut fleet = settled(count, data_centres);
+        let old = fleet.members[2].beat.clone();
+        let listed = fleet.members[0].view.instances().to_vec();
+        fleet.members[2] = GossipMember::new(&listed[2], &listed);
+        let new = fleet.members[2].beat.incarnation;
+        rounds(&mut fleet, SETTLE_ROUNDS);
+        for member in &mut fleet.members {
+            let held = member.view.instance_of(new).expect("it is known");
+            assert_eq!(held.name, old.name);
+            assert!(member.view.instance_of(old.incarnation).is_none());
+            // A late message of the old incarnation changes nothing.
+            member.view.hear(old.clone(), fleet.now);
+            assert!(member.view.instance_of(old.incarnation).is_none());
+        }
+    }
+}
+
+#[test]
+fn a_flapping_member_ends_up_as_it_last_was() {
+    let mut fleet = settled(60, 4);
+    for turn in 0..6 {
+        fleet.members[5].running = turn % 2 == 1;
+        rounds(&mut fleet, 5);
+    }
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    assert_eq!(fleet.ready_range(), (60, 60));
+}
+
+#[test]
+fn one_broken_path_does_not_make_a_member_silent_for_others() {
+    let mut fleet = settled(60, 4);
+    let neighbour = fleet.members[0]
+        .view
+        .neighbours()
+        .next()
+        .expect("it has neighbours")
+        .name
+        .clone();
+    let cut = (0..60)
+        .find(|number| fleet.members[*number].beat.name == neighbour)
+        .expect("it is a member");
+    let broken = |from, to| (from, to) != (0, cut) && (from, to) != (cut, 0);
+    for _round in 0..SETTLE_ROUNDS {
+        fleet.round(broken);
+    }
+    let seen_by = |number: usize| fleet.members[number].view.ready(fleet.now).len();
+    let others: Vec<usize> = (1..60).map(seen_by).collect();
+    assert!(others.iter().all(|count| *count == 60), "{others:?}");
+}
+
+#[test]
+fn two_sides_of_a_partition_see_their_own_side_and_join_again() {
+    let mut fleet = settled(7, 2);
+    for _round in 0..SETTLE_ROUNDS {
+        fleet.round(|from, to| from % 2 == to % 2);
+    }
+    assert_eq!(fleet.ready_range(), (3, 4));
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    assert_eq!(fleet.ready_range(), (7, 7));
+}
+
+#[test]
+fn views_of_different_lists_still_exchange_news() {
+    let mut fleet = settled(60, 4);
+    let all = fleet.members[0].view.instances().to_vec();
+    for (number, member) in fleet.members.iter_mut().enumerate() {
+        // The list lags: every member misses another instance.
+        let missing = (number + 7) % 60;
+        let mut seen = all.clone();
+        seen.remove(missing);
+        member.view.set_instances(seen);
+    }
+    fleet.members[9].beat.stopping = true;
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    for (number, member) in fleet.members.iter().enumerate() {
+        let known = member.view.beat_of(&all[9].name);
+        if (number + 7) % 60 == 9 {
+            assert_eq!(member.view.ready(fleet.now).len(), 59);
+            continue;
+        }
+        assert!(known.is_some_and(|beat| beat.stopping), "member {number}");
+    }
+}
+
+#[test]
+fn contacts_and_news_in_a_message_are_bounded() {
+    let mut fleet = settled(200, 11);
+    for member in &fleet.members {
+        assert!(member.view.neighbours().count() <= 8);
+    }
+    for member in &mut fleet.members[..100] {
+        member.beat.stopping = true;
+    }
+    let (bytes, messages) = (fleet.bytes, fleet.messages);
+    fleet.round(|_from, _to| true);
+    let mean = (fleet.bytes - bytes) / (fleet.messages - messages);
+    assert!(mean <= 2_000, "{mean} bytes a message");
+}
+
+#[test]
+fn address_answers_are_stable_and_pass_over_a_loaded_instance() {
+    let ready: Vec<FleetInstance> = (0..9).map(|number| gossip::instance(number, 3)).collect();
+    let here = ready[0].data_centre.clone();
+    let idle = address::answer_by_load("caller", &here, &ready, |_instance| 0);
+    let first = idle.addresses[0];
+    let steady = |held: &FleetInstance| u32::from(held.callers == first) * 10;
+    let busy = |held: &FleetInstance| u32::from(held.callers == first) * 1_000;
+    let same = address::answer_by_load("caller", &here, &ready, steady);
+    assert_eq!(same, idle);
+    let other = address::answer_by_load("caller", &here, &ready, busy);
+    assert_ne!(other.addresses[0], first);
+    let near: Vec<_> = ready
+        .iter()
+        .filter(|held| held.data_centre == here)
+        .map(|held| held.callers)
+        .collect();
+    assert!(near.contains(&other.addresses[0]));
+    assert_eq!(other.addresses[2], first);
+    assert_eq!(other.addresses.len(), 9);
+}
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -41,13 +40,26 @@
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// The fleet as this process sees it.
-#[derive(Default)]
 pub struct FleetCell {
     view: Mutex<FleetView>,
-    ticks: AtomicU64,
+    started: Instant,
+}
+
+impl Default for FleetCell {
+    fn default() -> Self {
+        Self {
+            view: Mutex::default(),
+            started: Instant::now(),
+        }
+    }
 }
 
 impl FleetCell {
+    /// Milliseconds since the process started.
+    fn uptime_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// The view, locked for a short look or change.
     pub fn lock(&self) -> MutexGuard<'_, FleetView> {
         self.view.lock().unwrap_or_else(PoisonError::into_inner)
@@ -58,7 +70,7 @@
 pub fn own_heartbeat(context: &SharedContext) -> InstanceHeartbeat {
     let config_version = context.config.get().version;
     InstanceHeartbeat {
-        tick: context.fleet.ticks.fetch_add(1, Ordering::Relaxed) + 1,
+        uptime_ms: context.fleet.uptime_ms(),
         ready: config_version > 0 && !context.config.is_outdated(),
         name: context.settings.instance.name.clone(),
         incarnation: context.incarnation,
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod engine;
 pub mod fleet;
+pub mod gossip;
 pub mod keys;
 pub mod list;
 pub mod log;
