--- a/crates/hibiscus-router/src/callers/admission.rs
+++ b/crates/hibiscus-router/src/callers/admission.rs
@@ -75,6 +75,12 @@
             "failed to take the request: this instance has no configuration yet",
         ));
     }
+    if context.config.is_outdated() {
+        return Err(RequestFailure::not_run(
+            RefusalReason::NotReady,
+            "failed to take the request: a newer release changed the configuration",
+        ));
+    }
     let team = identify_team(&config, &head.headers)?;
     check_target(&config, head)?;
     let budget = choose_budget(&config, team, &head.headers)?;
--- a/crates/hibiscus-router/src/operators/mod.rs
+++ b/crates/hibiscus-router/src/operators/mod.rs
@@ -36,14 +36,12 @@
 /// Result of opening the port.
 pub type Result<T> = std::result::Result<T, OperatorsError>;
 
-/// Status of an instance.
+/// Status of an instance; `ready` says whether it takes requests.
 #[derive(Clone, Debug, Serialize)]
 pub struct InstanceStatus {
     /// What the instance says of itself.
     #[serde(flatten)]
     pub own: InstanceHeartbeat,
-    /// Whether it takes requests.
-    pub ready: bool,
 }
 
 /// Opens the port and serves it until the process ends.
@@ -94,9 +92,7 @@
 
 /// The status of this instance.
 fn status(context: &SharedContext) -> InstanceStatus {
-    let own = membership::own_heartbeat(context);
-    InstanceStatus {
-        ready: own.config_version > 0 && !own.stopping,
-        own,
-    }
+    let mut own = membership::own_heartbeat(context);
+    own.ready &= !own.stopping;
+    InstanceStatus { own }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, a module a topic.
 
 mod callers;
+mod configuration;
 mod events;
 mod settings;
 mod whole_path;
