--- a/crates/hibiscus-config/src/lib.rs
+++ b/crates/hibiscus-config/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod record;
 pub mod schema;
+pub mod shared_map;
 pub mod snapshot;
 pub mod state;
 
--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -1,7 +1,5 @@
 //! The configuration in the form that the duties read.
 
-use std::collections::BTreeMap;
-
 use hibiscus_types::BudgetName;
 use hibiscus_types::ServiceName;
 use hibiscus_types::TeamName;
@@ -11,28 +9,33 @@
 
 use crate::entry::BudgetEntry;
 use crate::entry::ConfigEntry;
+use crate::entry::ConfigSection;
+use crate::entry::EntryKey;
 use crate::entry::RouteEntry;
 use crate::entry::ServiceEntry;
 use crate::entry::TeamEntry;
 use crate::entry::TopUpEntry;
 use crate::fold::ConfigFold;
+use crate::record::EntryChange;
+use crate::shared_map::SharedMap;
 
-/// The configuration at one version. Later versions replace it whole.
-#[derive(Clone, Debug, Default)]
+/// The configuration at one version. Copies share what they have in common.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigSnapshot {
     /// The version, 0 before the first publication.
     pub version: u64,
     /// Teams by name.
-    pub teams: BTreeMap<TeamName, TeamEntry>,
+    pub teams: SharedMap<TeamName, TeamEntry>,
     /// Budgets by name.
-    pub budgets: BTreeMap<BudgetName, BudgetEntry>,
+    pub budgets: SharedMap<BudgetName, BudgetEntry>,
     /// Top-ups by id.
-    pub top_ups: BTreeMap<String, TopUpEntry>,
+    pub top_ups: SharedMap<String, TopUpEntry>,
     /// Services by name.
-    pub services: BTreeMap<ServiceName, ServiceEntry>,
+    pub services: SharedMap<ServiceName, ServiceEntry>,
     /// Routed calls by path.
-    pub routes: BTreeMap<String, RouteEntry>,
-    team_keys: BTreeMap<String, TeamName>,
+    pub routes: SharedMap<String, RouteEntry>,
+    team_keys: SharedMap<String, TeamName>,
+    team_budgets: SharedMap<TeamName, Vec<BudgetName>>,
 }
 
 impl ConfigSnapshot {
@@ -43,35 +46,91 @@
             ..Self::default()
         };
         for state in fold.entries().values() {
-            snapshot.insert(state.entry.clone());
+            snapshot.insert(&state.entry);
         }
         snapshot
     }
 
-    fn insert(&mut self, entry: ConfigEntry) {
+    /// Puts the accepted `changes` in force, which brings `version`.
+    pub fn apply(&mut self, version: u64, changes: &[EntryChange]) {
+        for change in changes {
+            self.remove(&change.key);
+        }
+        for change in changes {
+            if let Some(entry) = &change.entry {
+                self.insert(entry);
+            }
+        }
+        self.version = version;
+    }
+
+    fn insert(&mut self, entry: &ConfigEntry) {
         match entry {
             ConfigEntry::Team(team) => {
                 for hash in &team.api_key_sha256 {
                     self.team_keys.insert(hash.clone(), team.name.clone());
                 }
-                self.teams.insert(team.name.clone(), team);
+                self.teams.insert(team.name.clone(), team.clone());
             }
             ConfigEntry::Budget(budget) => {
-                self.budgets.insert(budget.name.clone(), budget);
+                let held = self.team_budgets.get(&budget.team);
+                let mut names = held.cloned().unwrap_or_default();
+                if let Err(place) = names.binary_search(&budget.name) {
+                    names.insert(place, budget.name.clone());
+                }
+                self.team_budgets.insert(budget.team.clone(), names);
+                self.budgets.insert(budget.name.clone(), budget.clone());
             }
             ConfigEntry::TopUp(top_up) => {
-                self.top_ups.insert(top_up.id.clone(), top_up);
+                self.top_ups.insert(top_up.id.clone(), top_up.clone());
             }
             ConfigEntry::Service(service) => {
-                self.services.insert(service.name.clone(), service);
+                self.services.insert(service.name.clone(), service.clone());
             }
             ConfigEntry::Route(route) => {
-                self.routes.insert(route.path.clone(), route);
+                self.routes.insert(route.path.clone(), route.clone());
             }
             ConfigEntry::Brand(_) | ConfigEntry::Release(_) => {}
         }
     }
 
+    fn remove(&mut self, key: &EntryKey) {
+        let name = key.name.as_str();
+        match key.section {
+            ConfigSection::Teams => {
+                let former = self.teams.remove(&TeamName::from(name));
+                for hash in former.into_iter().flat_map(|team| team.api_key_sha256) {
+                    self.team_keys.remove(&hash);
+                }
+            }
+            ConfigSection::Budgets => self.remove_budget(&BudgetName::from(name)),
+            ConfigSection::TopUps => {
+                self.top_ups.remove(&key.name);
+            }
+            ConfigSection::Services => {
+                self.services.remove(&ServiceName::from(name));
+            }
+            ConfigSection::Routes => {
+                self.routes.remove(&key.name);
+            }
+            ConfigSection::Brands | ConfigSection::Releases => {}
+        }
+    }
+
+    fn remove_budget(&mut self, name: &BudgetName) {
+        let Some(former) = self.budgets.remove(name) else {
+            return;
+        };
+        let held = self.team_budgets.get(&former.team);
+        let mut names = held.cloned().unwrap_or_default();
+        names.retain(|held| held != name);
+        if names.is_empty() {
+            self.team_budgets.remove(&former.team);
+        } else {
+            self.team_budgets.insert(former.team, names);
+        }
+    }
+
     /// The team that `api_key` identifies. The stored hash is found by the
     /// hash of the key, then compared in constant time.
     pub fn team_of_key(&self, api_key: &str) -> Option<&TeamName> {
@@ -83,7 +142,8 @@
 
     /// The first budget of `team` by name.
     pub fn budget_of(&self, team: &TeamName) -> Option<&BudgetEntry> {
-        self.budgets.values().find(|budget| budget.team == *team)
+        let names = self.team_budgets.get(team)?;
+        self.budgets.get(names.first()?)
     }
 
     /// The service that answers for `model`.
--- a/crates/hibiscus-config/tests/fold.rs
+++ b/crates/hibiscus-config/tests/fold.rs
@@ -13,6 +13,7 @@
 use hibiscus_config::fold::VERDICT_LIMIT;
 use hibiscus_config::record::ConfigRecord;
 use hibiscus_config::record::EntryChange;
+use hibiscus_config::snapshot::ConfigSnapshot;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 
@@ -209,6 +210,51 @@
     assert_eq!(fold.next_offset(), 2);
 }
 
+#[test]
+fn a_snapshot_changed_step_by_step_is_that_of_the_fold() {
+    let mut fold = ConfigFold::default();
+    let mut snapshot = ConfigSnapshot::default();
+    let key = "0".repeat(64);
+    let with_key = |name: &str| {
+        ConfigEntry::Team(TeamEntry {
+            name: name.into(),
+            brand: "north".to_owned(),
+            api_key_sha256: vec![key.clone()],
+        })
+    };
+    let steps = vec![
+        vec![set(brand("north"), None), set(with_key("lab"), None)],
+        vec![
+            set(budget("gold", "lab"), None),
+            set(budget("amber", "lab"), None),
+        ],
+        vec![set(top_up("t-1", "gold", 100), None)],
+        // The API key moves to another team in one publication.
+        vec![
+            set(team("lab", "north"), Some(0)),
+            set(with_key("art"), None),
+        ],
+        vec![remove(ConfigSection::Budgets, "amber", 1)],
+    ];
+    for changes in steps {
+        let verdict = publish(&mut fold, changes.clone());
+        assert!(
+            matches!(verdict, PublicationVerdict::Accepted(_)),
+            "{verdict:?}"
+        );
+        snapshot.apply(fold.version(), &changes);
+        assert_eq!(snapshot, ConfigSnapshot::from_fold(&fold));
+    }
+    let held = snapshot
+        .budget_of(&"lab".into())
+        .map(|budget| budget.name.as_str());
+    assert_eq!(held, Some("gold"));
+    let copy = snapshot.clone();
+    snapshot.apply(9, &[remove(ConfigSection::Budgets, "gold", 1)]);
+    assert!(snapshot.budget_of(&"lab".into()).is_none());
+    assert!(copy.budget_of(&"lab".into()).is_some());
+}
+
 #[test]
 fn verdicts_are_bounded() {
     let mut fold = ConfigFold::default();
--- a/crates/hibiscus-router/src/config/cell.rs
+++ b/crates/hibiscus-router/src/config/cell.rs
@@ -113,7 +113,11 @@
             }
         }
         if !accepted.is_empty() {
-            self.put_in_force(&held.fold);
+            let mut snapshot = ConfigSnapshot::clone(&self.get());
+            for publication in &accepted {
+                snapshot.apply(publication.version, &publication.record.changes);
+            }
+            self.put_in_force(snapshot);
         }
         outcome.map(|()| accepted)
     }
@@ -127,13 +131,12 @@
         held.recent.clear();
         held.recent_bytes = 0;
         held.fold = fold;
-        self.put_in_force(&held.fold);
+        self.put_in_force(ConfigSnapshot::from_fold(&held.fold));
         true
     }
 
-    /// Puts the version of `fold` in force unless a later one is.
-    fn put_in_force(&self, fold: &ConfigFold) {
-        let snapshot = ConfigSnapshot::from_fold(fold);
+    /// Puts `snapshot` in force unless a later version is.
+    fn put_in_force(&self, snapshot: ConfigSnapshot) {
         let mut held = self
             .snapshot
             .write()
