--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, a module a topic.
 
 mod callers;
+mod contracts;
 mod events;
 mod settings;
 mod timeline;
