--- a/crates/hibiscus-bench/src/commands/faults/deployment.rs
+++ b/crates/hibiscus-bench/src/commands/faults/deployment.rs
@@ -320,6 +320,13 @@
         self.links.values()
     }
 
+    /// Replaces speed and faults of every engine.
+    pub fn set_engine_behaviour(&self, behaviour: &EngineBehaviour) {
+        for named in &self.engines {
+            named.engine.set_behaviour(behaviour.clone());
+        }
+    }
+
     /// Marks the engine `number` as leaving; returns its name.
     pub fn mark_leaving(&self, number: usize) -> String {
         let name = self.engines[number].name.clone();
--- a/crates/hibiscus-support/src/proxy/udp.rs
+++ b/crates/hibiscus-support/src/proxy/udp.rs
@@ -7,6 +7,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -27,6 +28,7 @@
     address: SocketAddr,
     target: Arc<Mutex<SocketAddr>>,
     faults: FaultCell,
+    bytes: Arc<AtomicU64>,
     stopping: Arc<AtomicBool>,
 }
 
@@ -44,12 +46,17 @@
             address,
             target: Arc::new(Mutex::new(target)),
             faults: FaultCell::default(),
+            bytes: Arc::default(),
             stopping: Arc::new(AtomicBool::new(false)),
         };
         let target = Arc::clone(&proxy.target);
-        let faults = proxy.faults.clone();
-        let stopping = Arc::clone(&proxy.stopping);
-        thread::spawn(move || forward_all(&socket, &target, &faults, &stopping, seed));
+        let parts = ProxyParts {
+            faults: proxy.faults.clone(),
+            bytes: Arc::clone(&proxy.bytes),
+            stopping: Arc::clone(&proxy.stopping),
+            seed,
+        };
+        thread::spawn(move || forward_all(&socket, &target, &parts));
         proxy
     }
 
@@ -58,6 +65,11 @@
         self.address
     }
 
+    /// Bytes received from both sides, without headers.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     /// Leads datagrams to `target`.
     pub fn set_target(&self, target: SocketAddr) {
         *self.target.lock().unwrap_or_else(PoisonError::into_inner) = target;
@@ -86,27 +98,31 @@
     }
 }
 
-/// Passes datagrams of all clients to the target.
-fn forward_all(
-    socket: &UdpSocket,
-    target: &Arc<Mutex<SocketAddr>>,
-    faults: &FaultCell,
-    stopping: &Arc<AtomicBool>,
+/// What the threads of a proxy share.
+#[derive(Clone)]
+struct ProxyParts {
+    faults: FaultCell,
+    bytes: Arc<AtomicU64>,
+    stopping: Arc<AtomicBool>,
     seed: u64,
-) {
+}
+
+/// Passes datagrams of all clients to the target.
+fn forward_all(socket: &UdpSocket, target: &Arc<Mutex<SocketAddr>>, parts: &ProxyParts) {
     let _unsupported = socket.set_read_timeout(Some(IDLE_WAIT));
     let mut upstreams: HashMap<SocketAddr, UdpSocket> = HashMap::new();
-    let mut line = DatagramLine::new(faults.clone(), LinkDirection::Forward, seed);
+    let mut line = DatagramLine::new(parts.faults.clone(), LinkDirection::Forward, parts.seed);
     let mut buffer = vec![0; DATAGRAM_LIMIT];
-    while !stopping.load(Ordering::Relaxed) {
+    while !parts.stopping.load(Ordering::Relaxed) {
         let Ok((size, client)) = socket.recv_from(&mut buffer) else {
             continue;
         };
+        parts.bytes.fetch_add(size as u64, Ordering::Relaxed);
         let known = upstreams
             .get(&client)
             .and_then(|held| held.try_clone().ok());
         let Some(upstream) = known.or_else(|| {
-            let upstream = start_back(socket, client, faults, stopping, seed)?;
+            let upstream = start_back(socket, client, parts)?;
             let held = upstream.try_clone().ok()?;
             upstreams.insert(client, upstream);
             Some(held)
@@ -119,25 +135,21 @@
 }
 
 /// Opens a socket towards the target and passes its datagrams back.
-fn start_back(
-    socket: &UdpSocket,
-    client: SocketAddr,
-    faults: &FaultCell,
-    stopping: &Arc<AtomicBool>,
-    seed: u64,
-) -> Option<UdpSocket> {
+fn start_back(socket: &UdpSocket, client: SocketAddr, parts: &ProxyParts) -> Option<UdpSocket> {
     let upstream = UdpSocket::bind("127.0.0.1:0").ok()?;
     upstream.set_read_timeout(Some(IDLE_WAIT)).ok()?;
     let receive = upstream.try_clone().ok()?;
     let back = socket.try_clone().ok()?;
-    let stopping = Arc::clone(stopping);
-    let mut line = DatagramLine::new(faults.clone(), LinkDirection::Back, seed.wrapping_add(1));
+    let parts = parts.clone();
+    let seed = parts.seed.wrapping_add(1);
+    let mut line = DatagramLine::new(parts.faults.clone(), LinkDirection::Back, seed);
     thread::spawn(move || {
         let mut buffer = vec![0; DATAGRAM_LIMIT];
-        while !stopping.load(Ordering::Relaxed) {
+        while !parts.stopping.load(Ordering::Relaxed) {
             let Ok((size, _target)) = receive.recv_from(&mut buffer) else {
                 continue;
             };
+            parts.bytes.fetch_add(size as u64, Ordering::Relaxed);
             line.pass(buffer[..size].to_vec(), &back, client);
         }
     });
