Fuzz the decoders and the configuration fold from a fixed seed

Arbitrary, truncated and damaged bytes go through the codec, peer messages, records, engine events, log pages, event pages, the operators' file and the settings: none panics, and no truncated batch decodes. A newer format is refused whatever follows. Repeats of publications, in place and late, change no verdict, no entry and no version.

--- a/crates/hibiscus-bench/src/commands/slopes/state.rs
+++ b/crates/hibiscus-bench/src/commands/slopes/state.rs
@@ -2,8 +2,10 @@
 
 use std::time::Instant;
 
+use hibiscus_config::entry::BrandEntry;
 use hibiscus_config::entry::BudgetEntry;
 use hibiscus_config::entry::ConfigEntry;
+use hibiscus_config::entry::TeamEntry;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
 use hibiscus_config::record::EntryChange;
@@ -41,6 +43,8 @@
 const BATCH: usize = 100;
 /// Teams; the two-year size.
 const TEAMS: u64 = 920;
+/// The brand of all teams.
+const BRAND: &str = "prairie-seam";
 /// Tokens of a top-up; covers all grants.
 const TOP_UP: u64 = 1_000_000_000;
 
@@ -57,7 +61,7 @@
 
 /// Measures and prints all slopes of pure state.
 pub(crate) fn measure() -> Result<()> {
-    measure_events();
+    let events = measure_events();
     let mut kept = KeptState::default();
     kept.fold_config()?;
     let credits = (0..BUDGETS).map(credit).collect();
@@ -88,6 +92,7 @@
         "settlement",
         settlements,
     )?;
+    drop(events);
     Ok(())
 }
 
@@ -100,14 +105,15 @@
         records: Vec<LedgerRecord>,
     ) -> Result<()> {
         let count = records.len() as u64;
-        let mut batches = Vec::new();
+        let mut batches = Vec::with_capacity(records.len().div_ceil(BATCH));
         let mut bytes = 0;
         let incarnation = IncarnationId::generate();
-        for (index, records) in records.chunks(BATCH).enumerate() {
+        let mut records = records.into_iter().peekable();
+        while records.peek().is_some() {
             let batch = RecordBatch {
                 incarnation,
-                sequence: index as u64 + 1,
-                records: records.to_vec(),
+                sequence: batches.len() as u64 + 1,
+                records: records.by_ref().take(BATCH).collect(),
             };
             bytes += codec::encode(&batch)?.len();
             batches.push(batch);
@@ -128,9 +134,25 @@
         Ok(())
     }
 
-    /// Folds one publication an entry.
+    /// Folds one publication a budget, behind one that holds all teams.
     fn fold_config(&mut self) -> Result<()> {
-        let mut records = Vec::new();
+        let brand = ConfigEntry::Brand(BrandEntry {
+            name: BRAND.to_owned(),
+        });
+        let mut changes = vec![change(brand)];
+        for number in 0..TEAMS {
+            changes.push(change(ConfigEntry::Team(TeamEntry {
+                name: team(number),
+                brand: BRAND.to_owned(),
+                api_key_sha256: vec![format!("{number:064x}")],
+            })));
+        }
+        let teams = ConfigRecord {
+            publication: u128::MAX,
+            changes,
+        };
+        self.config.apply(0, &teams);
+        let mut records = Vec::with_capacity(usize::try_from(BUDGETS).unwrap_or(0));
         let mut bytes = 0;
         for number in 0..BUDGETS {
             let entry = ConfigEntry::Budget(BudgetEntry {
@@ -139,12 +161,7 @@
             });
             let record = ConfigRecord {
                 publication: u128::from(number) + 1,
-                changes: vec![EntryChange {
-                    key: entry.key(),
-                    entry: Some(entry),
-                    replaces: None,
-                    asked_by: "Dana, front desk".to_owned(),
-                }],
+                changes: vec![change(entry)],
             };
             bytes += codec::encode(&record)?.len();
             records.push(record);
@@ -152,7 +169,7 @@
         let before = procfs::look(std::process::id()).resident;
         let started = Instant::now();
         for (offset, record) in records.iter().enumerate() {
-            self.config.apply(offset as u64, record);
+            self.config.apply(offset as u64 + 1, record);
         }
         let elapsed = started.elapsed().as_secs_f64();
         let after = procfs::look(std::process::id()).resident;
@@ -179,7 +196,7 @@
 }
 
 /// Fills an event ring.
-fn measure_events() {
+fn measure_events() -> EventRecorder {
     let recorder = EventRecorder::new("router-1");
     let before = procfs::look(std::process::id()).resident;
     let started = Instant::now();
@@ -213,6 +230,17 @@
         elapsed * 1e6 / share,
         count,
     );
+    recorder
+}
+
+/// A new entry.
+fn change(entry: ConfigEntry) -> EntryChange {
+    EntryChange {
+        key: entry.key(),
+        entry: Some(entry),
+        replaces: None,
+        asked_by: "Dana, front desk".to_owned(),
+    }
 }
 
 fn team(number: u64) -> TeamName {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod contracts;
 mod events;
+mod fuzz;
 mod settings;
 mod timeline;
 mod whole_path;
