--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -310,8 +310,8 @@
         }
     }
 
-    /// Reports neighbours that have fallen silent.
-    pub fn note_silence(&mut self, now: UnixMillis) {
+    /// Reports neighbours that have fallen silent, and names them.
+    pub fn note_silence(&mut self, now: UnixMillis) -> Vec<InstanceName> {
         let silence_ms = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
         let mut silent = Vec::new();
         for name in &self.neighbours {
@@ -329,11 +329,14 @@
                 });
             }
         }
+        let mut names = Vec::with_capacity(silent.len());
         for report in silent {
+            names.push(report.name.clone());
             self.reported
                 .insert(report.name.clone(), report.incarnation);
             self.pass_on(GossipItem::Silence(report));
         }
+        names
     }
 
     /// All listed instances.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,9 @@
 
 mod callers;
 mod configuration;
+mod contracts;
 mod events;
+mod fuzz;
 mod settings;
+mod timeline;
 mod whole_path;
