--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod example;
 pub mod fleet;
+pub mod gossip;
 pub mod keys;
 pub mod list;
 pub mod log;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,10 @@
 
 mod addressing;
 mod callers;
+mod configuration;
+mod contracts;
 mod events;
+mod fuzz;
 mod operators;
 mod planned_stop;
 mod requests;
