--- a/crates/hibiscus-peer/src/lib.rs
+++ b/crates/hibiscus-peer/src/lib.rs
@@ -10,6 +10,7 @@
 mod connect;
 mod keys;
 mod link;
+mod message;
 mod tls;
 
 pub use keys::FLEET_NAME;
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -17,9 +17,10 @@
 use tokio::sync::oneshot;
 
 use crate::connect::ConnectionCache;
-use crate::connect::MESSAGE_LIMIT;
 use crate::keys::KeyFault;
 use crate::keys::LinkKeys;
+use crate::message;
+use crate::message::MessageSender;
 use crate::tls;
 
 /// Calls that wait for the link's thread.
@@ -258,12 +259,8 @@
 
 /// Makes one call and hands its reply over.
 async fn send_call(cache: Arc<ConnectionCache>, events: Arc<EventRecorder>, call: OutgoingCall) {
-    let exchange = cache.exchange(call.peer, &call.body);
-    let reply = tokio::time::timeout(call.timeout, exchange).await;
-    let body = reply
-        .ok()
-        .flatten()
-        .and_then(|message| take_stamp(&events, message));
+    let reply = cache.exchange(call.peer, &call.body, call.timeout).await;
+    let body = reply.and_then(|message| take_stamp(&events, message));
     let _gone = call.reply.try_send(body);
 }
 
@@ -288,12 +285,13 @@
 
 /// Receives one call and sends its reply.
 async fn serve_call(
-    mut send: SendStream,
+    send: SendStream,
     mut receive: RecvStream,
     events: Arc<EventRecorder>,
     inbox: std_mpsc::SyncSender<PeerCall>,
 ) {
-    let Ok(message) = receive.read_to_end(MESSAGE_LIMIT).await else {
+    let mut sender = MessageSender::new(send);
+    let Some(message) = message::receive(&mut receive).await else {
         return;
     };
     let Some(body) = take_stamp(&events, message) else {
@@ -307,9 +305,7 @@
         return;
     };
     let message = add_stamp(&events, &body);
-    if send.write_all(&message).await.is_ok() {
-        let _closed = send.finish();
-    }
+    let _gone = sender.send(&message).await;
 }
 
 /// Puts the present time in front of `body`.
--- a/crates/hibiscus-support/src/keys.rs
+++ b/crates/hibiscus-support/src/keys.rs
@@ -45,9 +45,31 @@
     ///
     /// Panics when no key can be made.
     pub fn issue(&self) -> InstanceKeys {
+        self.sign(instance_params(FLEET_NAME))
+    }
+
+    /// Keys of an instance whose certificate expired long ago.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no key can be made.
+    pub fn issue_expired(&self) -> InstanceKeys {
+        let mut params = instance_params(FLEET_NAME);
+        params.not_after = rcgen::date_time_ymd(2020, 1, 1);
+        self.sign(params)
+    }
+
+    /// Keys whose certificate names `name` instead of the fleet.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no key can be made.
+    pub fn issue_named(&self, name: &str) -> InstanceKeys {
+        self.sign(instance_params(name))
+    }
+
+    fn sign(&self, params: CertificateParams) -> InstanceKeys {
         let key = KeyPair::generate().expect("a key is generated");
-        let params =
-            CertificateParams::new(vec![FLEET_NAME.to_owned()]).expect("the name is valid");
         let certificate = params
             .signed_by(&key, &self.issuer)
             .expect("the certificate is signed");
@@ -58,3 +80,8 @@
         }
     }
 }
+
+/// Contents of a certificate that names `name`.
+fn instance_params(name: &str) -> CertificateParams {
+    CertificateParams::new(vec![name.to_owned()]).expect("the name is valid")
+}
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -14,6 +14,7 @@
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::record::RequestOpen;
+use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_membership::view::InstanceHeartbeat;
 use hibiscus_platform::engine::ChatChunk;
 use hibiscus_platform::log::WirePage;
@@ -82,6 +83,11 @@
         name: "router-1".into(),
         ..heartbeat_sample()
     };
+    let message = GossipMessage {
+        beat,
+        joining: true,
+        items: Vec::new(),
+    };
     let request = PeerRequest::Broker(BrokerRequest::OpenFirst { open: open(number) });
     let reply = PeerReply::Broker(BrokerReply::Budgets {
         offset: number,
@@ -89,7 +95,7 @@
     });
     [
         codec::encode(&batch),
-        codec::encode(&PeerRequest::Heartbeat(beat)),
+        codec::encode(&PeerRequest::Heartbeat(message)),
         codec::encode(&request),
         codec::encode(&reply),
         codec::encode(&publication(number, 1, None)),
@@ -102,7 +108,7 @@
 /// A heartbeat as an idle instance sends it.
 fn heartbeat_sample() -> InstanceHeartbeat {
     serde_json::from_str(
-        r#"{"name":"router-1","incarnation":"01936f2e-7b00-7000-8000-000000000001","stopping":false,"load":0,"config_version":1}"#,
+        r#"{"name":"router-1","incarnation":"01936f2e-7b00-7000-8000-000000000001","uptime_ms":1,"stopping":false,"ready":true,"load":0,"config_version":1}"#,
     )
     .expect("the sample is a heartbeat")
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,12 @@
 //! Integration tests, a module a topic.
 
+mod addressing;
 mod callers;
 mod configuration;
 mod contracts;
 mod events;
 mod fuzz;
+mod operators;
 mod settings;
 mod timeline;
 mod whole_path;
