--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -36,6 +36,7 @@
     pub routes: SharedMap<String, RouteEntry>,
     team_keys: SharedMap<String, TeamName>,
     team_budgets: SharedMap<TeamName, Vec<BudgetName>>,
+    service_versions: SharedMap<ServiceName, u64>,
 }
 
 impl ConfigSnapshot {
@@ -46,7 +47,7 @@
             ..Self::default()
         };
         for state in fold.entries().values() {
-            snapshot.insert(&state.entry);
+            snapshot.insert(&state.entry, state.offset + 1);
         }
         snapshot
     }
@@ -58,13 +59,14 @@
         }
         for change in changes {
             if let Some(entry) = &change.entry {
-                self.insert(entry);
+                self.insert(entry, version);
             }
         }
         self.version = version;
     }
 
-    fn insert(&mut self, entry: &ConfigEntry) {
+    /// Inserts `entry`, which the publication of `version` set.
+    fn insert(&mut self, entry: &ConfigEntry, version: u64) {
         match entry {
             ConfigEntry::Team(team) => {
                 for hash in &team.api_key_sha256 {
@@ -86,6 +88,7 @@
             }
             ConfigEntry::Service(service) => {
                 self.services.insert(service.name.clone(), service.clone());
+                self.service_versions.insert(service.name.clone(), version);
             }
             ConfigEntry::Route(route) => {
                 self.routes.insert(route.path.clone(), route.clone());
@@ -109,6 +112,7 @@
             }
             ConfigSection::Services => {
                 self.services.remove(&ServiceName::from(name));
+                self.service_versions.remove(&ServiceName::from(name));
             }
             ConfigSection::Routes => {
                 self.routes.remove(&key.name);
@@ -140,6 +144,12 @@
         equal.then_some(team)
     }
 
+    /// One past the offset of the publication that set `service`, 0 when it
+    /// is not there.
+    pub fn service_version(&self, service: &ServiceName) -> u64 {
+        self.service_versions.get(service).copied().unwrap_or(0)
+    }
+
     /// The first budget of `team` by name.
     pub fn budget_of(&self, team: &TeamName) -> Option<&BudgetEntry> {
         let names = self.team_budgets.get(team)?;
--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -56,4 +56,5 @@
     RequestFailed = "HS4006", Warn, "request failed after it was sent";
     OpenWitnessed = "HS4101", Debug, "open acknowledged as witness";
     SettlementWitnessed = "HS4102", Debug, "settlement acknowledged as witness";
+    ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
 }
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -42,8 +42,9 @@
 use crate::holder::HolderMessage;
 use crate::operators::metrics;
 use crate::requests;
+use crate::requests::AdmittedCall;
 use crate::requests::RequestPath;
-use crate::requests::chat::HeadSender;
+use crate::requests::progress::HeadSender;
 
 /// Bytes of a request's headers at most.
 const HEADER_LIMIT: usize = 16 * 1024;
@@ -232,18 +233,18 @@
     }
     let message = format!("failed to read the headers: they are larger than {HEADER_LIMIT} bytes");
     let reason = RefusalReason::HeadersTooLarge;
-    Err(RequestFailure::not_run(reason, message))
+    Err(RequestFailure::unadmitted(reason, message))
 }
 
 /// Refuses because `limit` requests are in progress.
 fn overloaded(limit: u32) -> RequestFailure {
     let message = format!("failed to take the request: {limit} requests are in progress");
-    RequestFailure::not_run(RefusalReason::Overloaded, message)
+    RequestFailure::unadmitted(RefusalReason::Overloaded, message)
 }
 
 /// Refuses with the addresses of the instances that stay.
 fn stopping(context: &SharedContext) -> RequestFailure {
-    let mut failure = RequestFailure::not_run(
+    let mut failure = RequestFailure::unadmitted(
         RefusalReason::Stopping,
         "failed to take the request: this instance is stopping",
     );
@@ -270,6 +271,7 @@
         return answer::fail(&overloaded(limit));
     }
     let holder = state.holder.clone();
+    let mut waiting = identity.presence.hold();
     let (head, answered) = oneshot::channel();
     let spawned = thread::Builder::new()
         .name("request".to_owned())
@@ -281,17 +283,19 @@
     if spawned.is_err() {
         state.context.in_progress.fetch_sub(1, Ordering::Relaxed);
         let message = "failed to take the request: no thread can be started";
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&RequestFailure::unadmitted(
+            RefusalReason::Overloaded,
+            message,
+        ));
     }
-    match answered.await {
+    let answered = answered.await;
+    waiting.end();
+    match answered {
         Ok(response) => response,
-        Err(_) => answer::fail(&RequestFailure {
-            outcome: RequestOutcome::Unknown,
-            ..RequestFailure::not_run(
-                RefusalReason::ServerFailed,
-                "failed to answer: the request's thread ended",
-            )
-        }),
+        Err(_) => answer::fail(&RequestFailure::unknown(
+            RefusalReason::ServerFailed,
+            "failed to answer: the request's thread ended",
+        )),
     }
 }
 
@@ -311,9 +315,10 @@
             return;
         }
     };
-    match request.path {
-        RequestPath::Chat { .. } => requests::chat::run(context, holder, request, head),
-        RequestPath::Plain { .. } => requests::plain::run(context, holder, request, head),
+    let call = AdmittedCall::new(request);
+    match call.request.path {
+        RequestPath::Chat { .. } => requests::chat::run(context, holder, call, head),
+        RequestPath::Plain { .. } => requests::plain::run(context, holder, call, head),
     }
     drop(body.memory);
 }
--- a/crates/hibiscus-router/src/callers/receive.rs
+++ b/crates/hibiscus-router/src/callers/receive.rs
@@ -49,7 +49,7 @@
         Arc::clone(&self.permits)
             .try_acquire_many_owned(count)
             .map_err(|_full| {
-                RequestFailure::not_run(
+                RequestFailure::unadmitted(
                     RefusalReason::Overloaded,
                     "failed to take the request: the memory for request bodies is in use",
                 )
@@ -68,7 +68,7 @@
         Ok(received) => received,
         Err(_late) => {
             let message = format!("failed to receive the body within {} ms", limits.receive_ms);
-            Err(RequestFailure::not_run(
+            Err(RequestFailure::unadmitted(
                 RefusalReason::ReceiveTimeout,
                 message,
             ))
@@ -84,7 +84,7 @@
     let mut counted = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            return Err(RequestFailure::not_run(
+            return Err(RequestFailure::unadmitted(
                 RefusalReason::BadRequest,
                 "failed to receive the body: it is broken or ended early",
             ));
@@ -95,7 +95,7 @@
         let total = bytes.len() + part.len();
         if total > limit {
             let message = format!("failed to receive the body: it is larger than {limit} bytes");
-            return Err(RequestFailure::not_run(
+            return Err(RequestFailure::unadmitted(
                 RefusalReason::BodyTooLarge,
                 message,
             ));
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -10,6 +10,7 @@
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
+use hibiscus_request::quarantine::ServerDeath;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
@@ -55,6 +56,8 @@
     Broker(BrokerRequest),
     /// Asks for configuration.
     Config(ConfigRequest),
+    /// Tells of a server that stopped while it ran a request.
+    ServerDeath(ServerDeath),
 }
 
 /// What an instance answers.
@@ -68,6 +71,8 @@
     Broker(BrokerReply),
     /// Configuration.
     Config(ConfigReply),
+    /// The death is known.
+    ServerDeath,
     /// The duty's ring is full.
     Busy,
 }
@@ -140,6 +145,10 @@
         PeerRequest::Config(request) => {
             PeerReply::Config(peers::answer(context, &request)).send(call);
         }
+        PeerRequest::ServerDeath(death) => {
+            context.suspects.record(&death);
+            PeerReply::ServerDeath.send(call);
+        }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
             let _full = rings.witness.try_send(WitnessMessage { request, call });
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod plain;
 pub mod process;
 pub mod proxy;
+pub mod requests;
 
 mod http;
 
