--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -47,11 +47,7 @@
             ..Self::default()
         };
         for state in fold.entries().values() {
-            snapshot.insert(&state.entry);
-            if let ConfigEntry::Service(service) = &state.entry {
-                let name = service.name.clone();
-                snapshot.service_versions.insert(name, state.offset + 1);
-            }
+            snapshot.insert(&state.entry, state.offset + 1);
         }
         snapshot
     }
@@ -62,18 +58,15 @@
             self.remove(&change.key);
         }
         for change in changes {
-            let Some(entry) = &change.entry else {
-                continue;
-            };
-            self.insert(entry);
-            if let ConfigEntry::Service(service) = entry {
-                self.service_versions.insert(service.name.clone(), version);
+            if let Some(entry) = &change.entry {
+                self.insert(entry, version);
             }
         }
         self.version = version;
     }
 
-    fn insert(&mut self, entry: &ConfigEntry) {
+    /// Inserts `entry`, which the publication of `version` set.
+    fn insert(&mut self, entry: &ConfigEntry, version: u64) {
         match entry {
             ConfigEntry::Team(team) => {
                 for hash in &team.api_key_sha256 {
@@ -95,6 +88,7 @@
             }
             ConfigEntry::Service(service) => {
                 self.services.insert(service.name.clone(), service.clone());
+                self.service_versions.insert(service.name.clone(), version);
             }
             ConfigEntry::Route(route) => {
                 self.routes.insert(route.path.clone(), route.clone());
@@ -117,9 +111,8 @@
                 self.top_ups.remove(&key.name);
             }
             ConfigSection::Services => {
-                let name = ServiceName::from(name);
-                self.services.remove(&name);
-                self.service_versions.remove(&name);
+                self.services.remove(&ServiceName::from(name));
+                self.service_versions.remove(&ServiceName::from(name));
             }
             ConfigSection::Routes => {
                 self.routes.remove(&key.name);
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -112,13 +112,13 @@
     spawn(&context, "config-peers", config::peers::fetch);
     spawn(&context, "config-snapshots", config::snapshots::run);
     spawn(&context, "instance-list", membership::follow_list);
-    spawn(&context, "call-watch", servers::watch::run);
-    spawn(&context, "suspects", servers::suspects::follow);
     for thread in 0..membership::BEAT_THREADS {
         spawn(&context, "heartbeat", move |context| {
             membership::beat(context, thread);
         });
     }
+    spawn(&context, "call-watch", servers::watch::run);
+    spawn(&context, "suspects", servers::suspects::follow);
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -54,10 +54,10 @@
     Witness(WitnessRequest),
     /// Asks a broker.
     Broker(BrokerRequest),
-    /// Tells of a server that stopped while it ran a request.
-    ServerDeath(ServerDeath),
     /// Asks for configuration.
     Config(ConfigRequest),
+    /// Tells of a server that stopped while it ran a request.
+    ServerDeath(ServerDeath),
 }
 
 /// What an instance answers.
@@ -69,10 +69,10 @@
     Witness(WitnessReply),
     /// A broker's answer.
     Broker(BrokerReply),
-    /// The death is known.
-    ServerDeath,
     /// Configuration.
     Config(ConfigReply),
+    /// The death is known.
+    ServerDeath,
     /// The duty's ring is full.
     Busy,
 }
