--- a/crates/hibiscus-bench/src/commands/quickstart.rs
+++ b/crates/hibiscus-bench/src/commands/quickstart.rs
@@ -29,6 +29,7 @@
 use hibiscus_types::codec::CodecError;
 
 use crate::caller::FleetCaller;
+use crate::steps;
 
 /// The example that is published.
 const EXAMPLE: &str = include_str!("../../../../examples/prairie-seam.jsonc");
@@ -48,6 +49,8 @@
     "saskatoon-example-key",
     "winnipeg-example-key",
 ];
+/// Beginning of the streamed requests' keys.
+const CHAT_KEY: &str = "chat";
 /// Time that the fleet may take to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Time that the ledger may take to hold all settlements.
@@ -114,6 +117,7 @@
         return Err(QuickstartError::NotReady);
     }
     let answers = call_all(&routers);
+    print_steps(&routers);
     let report = report(&log, answers)?;
     for router in routers {
         router.kill();
@@ -139,7 +143,7 @@
         for (team, api_key) in API_KEYS.iter().enumerate() {
             let caller = FleetCaller::new(api_key);
             let address = router.addresses.callers;
-            answers += call_stream(&caller, address, &format!("chat-{index}-{team}"));
+            answers += call_stream(&caller, address, &format!("{CHAT_KEY}-{index}-{team}"));
             answers += call_plain(&caller, address, &format!("order-{index}-{team}"));
         }
     }
@@ -186,6 +190,22 @@
     }
 }
 
+/// Prints where the time of the streamed requests went.
+fn print_steps(routers: &[RunningRouter]) {
+    let mut events = Vec::new();
+    for router in routers {
+        events.extend(router.context.events.page(0).events);
+    }
+    events.retain(|event| event.fields.request.contains(CHAT_KEY));
+    println!("where the time of the streamed requests went, in medians:");
+    for step in steps::step_times(&events) {
+        println!(
+            "  {}: {:.2} ms ({} requests)",
+            step.name, step.median_ms, step.requests
+        );
+    }
+}
+
 /// Prints each team's spend and the closing line.
 fn report(log: &HttpLog, answers: usize) -> Result<bool> {
     let deadline = Instant::now() + SETTLE_LIMIT;
