--- a/crates/hibiscus-ledger/src/fold.rs
+++ b/crates/hibiscus-ledger/src/fold.rs
@@ -1,107 +1,72 @@
 //! The fold that gives every record its verdict.
+//!
+//! Every record is idempotent by itself (a credit by its id, a grant by its
+//! number, an open and a settlement by their key, a return by its serial), so
+//! the batch sequences save work and the fold may forget the oldest of them.
+
+mod grants;
+mod requests;
+mod state;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use hibiscus_types::BudgetName;
 use hibiscus_types::GrantId;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::RequestKey;
-use hibiscus_types::TeamName;
 use hibiscus_types::TokenCount;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::record::AllowanceGrant;
-use crate::record::AllowanceReturn;
+pub use crate::fold::state::BudgetState;
+pub use crate::fold::state::FoldLimits;
+pub use crate::fold::state::GrantState;
+pub use crate::fold::state::OpenState;
+pub use crate::fold::state::RecordVerdict;
 use crate::record::BudgetCredit;
-use crate::record::GrantSeal;
 use crate::record::LedgerRecord;
 use crate::record::RecordBatch;
-use crate::record::RequestOpen;
 use crate::record::RequestSettlement;
-use crate::record::SettledEnd;
 use crate::record::TopUpId;
-use crate::record::WitnessSeal;
-
-/// Whether a record took effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RecordVerdict {
-    /// The record took effect.
-    Accepted,
-    /// The record repeats one that took effect.
-    Repeated,
-    /// The budget does not cover the record.
-    Uncovered,
-    /// Another open came first for the key.
-    Preceded,
-    /// The record names something that does not exist or has ended.
-    Void,
-}
-
-/// State of one budget.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BudgetState {
-    /// The team that it belongs to.
-    pub team: TeamName,
-    /// Sum of the credits.
-    pub credited: TokenCount,
-    /// Sum of the charges.
-    pub charged: TokenCount,
-    /// Sum over the open grants of what may still be charged.
-    pub outstanding: TokenCount,
-}
-
-impl BudgetState {
-    /// Tokens that a new grant may take.
-    pub fn free(&self) -> TokenCount {
-        self.credited
-            .saturating_sub(self.charged)
-            .saturating_sub(self.outstanding)
-    }
-}
-
-/// State of one grant.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GrantState {
-    /// The grant as accepted.
-    pub grant: AllowanceGrant,
-    /// What may still be charged under it.
-    pub outstanding: TokenCount,
-    /// Sum of the charges.
-    pub charged: TokenCount,
-    /// Whether a reclaim was proposed.
-    pub sealing: bool,
-    /// Witnesses that promised.
-    pub sealed: BTreeSet<IncarnationId>,
-    /// Whether all witnesses promised and the rest was freed.
-    pub reclaimed: bool,
-}
-
-/// An open without its settlement.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OpenState {
-    /// The open as accepted.
-    pub open: RequestOpen,
-    /// Its position in the stream.
-    pub offset: u64,
-}
 
 /// The ledger of one shard at one offset.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerFold {
+    limits: FoldLimits,
     next: u64,
-    sequences: BTreeMap<IncarnationId, u64>,
+    sequences: BTreeMap<IncarnationId, SequenceState>,
     budgets: BTreeMap<BudgetName, BudgetState>,
     credits: BTreeSet<TopUpId>,
     grants: BTreeMap<GrantId, GrantState>,
+    refused: BTreeSet<GrantId>,
     opens: BTreeMap<RequestKey, Vec<OpenState>>,
     settled: BTreeMap<RequestKey, RequestSettlement>,
+    settled_order: VecDeque<(u64, RequestKey)>,
+    frozen: Option<u64>,
     not_run: BTreeSet<(RequestKey, GrantId, u32)>,
-    late: Vec<RequestSettlement>,
+    not_run_order: VecDeque<(u64, RequestKey, GrantId, u32)>,
+    orphans: VecDeque<(u64, LedgerRecord)>,
+    late: VecDeque<RequestSettlement>,
+}
+
+/// The last batch of one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct SequenceState {
+    last: u64,
+    offset: u64,
 }
 
 impl LedgerFold {
+    /// An empty ledger with `limits`, which must be the same at all readers.
+    pub fn with_limits(limits: FoldLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// The offset of the next record to apply.
     pub fn next_offset(&self) -> u64 {
         self.next
@@ -117,6 +82,11 @@
         &self.grants
     }
 
+    /// Whether the verdict of the grant `id` is known.
+    pub fn has_decided(&self, id: &GrantId) -> bool {
+        self.grants.contains_key(id) || self.refused.contains(id)
+    }
+
     /// Whether the top-up `id` was credited.
     pub fn has_credit(&self, id: &TopUpId) -> bool {
         self.credits.contains(id)
@@ -127,17 +97,22 @@
         self.opens.get(key).map_or(&[], Vec::as_slice)
     }
 
+    /// All opens that are not settled.
+    pub fn all_open(&self) -> impl Iterator<Item = &OpenState> {
+        self.opens.values().flatten()
+    }
+
     /// The settlement that charged `key`.
     pub fn settlement(&self, key: &RequestKey) -> Option<&RequestSettlement> {
         self.settled.get(key)
     }
 
-    /// Settlements that came too late to be charged.
-    pub fn late(&self) -> &[RequestSettlement] {
-        &self.late
+    /// Settlements that could not be charged, for operators.
+    pub fn late(&self) -> impl Iterator<Item = &RequestSettlement> {
+        self.late.iter()
     }
 
-    /// Number of keys that were charged.
+    /// Number of keys that were charged and are remembered.
     pub fn settled_count(&self) -> usize {
         self.settled.len()
     }
@@ -146,7 +121,8 @@
     pub fn overspent(&self) -> Vec<&BudgetName> {
         let mut overspent = Vec::new();
         for (name, budget) in &self.budgets {
-            if budget.charged + budget.outstanding > budget.credited {
+            let used = budget.charged.checked_add(budget.outstanding);
+            if used.is_none_or(|used| used > budget.credited) {
                 overspent.push(name);
             }
         }
@@ -159,230 +135,144 @@
         if offset < self.next {
             return vec![RecordVerdict::Repeated; batch.records.len()];
         }
-        self.next = offset + 1;
-        let last = self.sequences.get(&batch.incarnation).copied();
-        if last.is_some_and(|last| batch.sequence <= last) {
+        self.next = offset.saturating_add(1);
+        let last = self.sequences.get(&batch.incarnation);
+        if last.is_some_and(|held| batch.sequence <= held.last) {
             return vec![RecordVerdict::Repeated; batch.records.len()];
         }
-        self.sequences.insert(batch.incarnation, batch.sequence);
+        self.remember_sequence(offset, batch);
         let mut verdicts = Vec::with_capacity(batch.records.len());
         for record in &batch.records {
             verdicts.push(self.apply_record(offset, record));
         }
+        self.forget_keys();
+        self.forget_grants();
         verdicts
     }
 
     /// Counts an undecodable record, so that offsets stay aligned.
     pub fn skip(&mut self, offset: u64) {
-        self.next = self.next.max(offset + 1);
+        self.next = self.next.max(offset.saturating_add(1));
     }
 
     fn apply_record(&mut self, offset: u64, record: &LedgerRecord) -> RecordVerdict {
         match record {
             LedgerRecord::Credit(credit) => self.credit(credit),
-            LedgerRecord::Grant(grant) => self.grant(grant),
+            LedgerRecord::Grant(grant) => self.grant(offset, grant),
             LedgerRecord::Open(open) => self.open(offset, open),
-            LedgerRecord::Settle(settlement) => self.settle(settlement),
+            LedgerRecord::Settle(settlement) => self.settle(offset, settlement),
             LedgerRecord::Return(back) => self.give_back(back),
             LedgerRecord::Seal(seal) => self.seal(seal),
             LedgerRecord::Sealed(seal) => self.promise(seal),
+            LedgerRecord::Split(split) => self.split(offset, split),
+            LedgerRecord::Release(release) => self.release(release),
+            LedgerRecord::Snapshot(_) => RecordVerdict::Accepted,
         }
     }
 
+    /// Adds a top-up. One that would overflow the sum is refused whole.
     fn credit(&mut self, credit: &BudgetCredit) -> RecordVerdict {
-        if !self.credits.insert(credit.id.clone()) {
+        if self.credits.contains(&credit.id) {
             return RecordVerdict::Repeated;
         }
         let budget = self.budgets.entry(credit.budget.clone()).or_default();
-        budget.team = credit.team.clone();
-        budget.credited = budget.credited + credit.tokens;
-        RecordVerdict::Accepted
-    }
-
-    fn grant(&mut self, grant: &AllowanceGrant) -> RecordVerdict {
-        if self.grants.contains_key(&grant.id) {
-            return RecordVerdict::Repeated;
-        }
-        let Some(budget) = self.budgets.get_mut(&grant.budget) else {
+        let Some(credited) = budget.credited.checked_add(credit.tokens) else {
             return RecordVerdict::Void;
         };
-        if grant.tokens > budget.free() {
-            return RecordVerdict::Uncovered;
-        }
-        budget.outstanding = budget.outstanding + grant.tokens;
-        let state = GrantState {
-            grant: grant.clone(),
-            outstanding: grant.tokens,
-            charged: TokenCount::ZERO,
-            sealing: false,
-            sealed: BTreeSet::new(),
-            reclaimed: false,
-        };
-        self.grants.insert(grant.id, state);
+        budget.team = credit.team.clone();
+        budget.credited = credited;
+        self.credits.insert(credit.id.clone());
         RecordVerdict::Accepted
     }
 
-    fn open(&mut self, offset: u64, open: &RequestOpen) -> RecordVerdict {
-        let Some(grant) = self.grants.get(&open.grant) else {
-            return RecordVerdict::Void;
-        };
-        if self.settled.contains_key(&open.key) {
-            return RecordVerdict::Preceded;
-        }
-        let ended = (open.key.clone(), open.grant, open.attempt);
-        if self.not_run.contains(&ended) {
-            return RecordVerdict::Repeated;
-        }
-        let known = self.opens.get(&open.key).map_or(&[][..], Vec::as_slice);
-        for state in known {
-            if state.open.grant == open.grant && state.open.attempt == open.attempt {
-                return RecordVerdict::Repeated;
-            }
-        }
-        if open.exclusive && !known.is_empty() {
-            return RecordVerdict::Preceded;
-        }
-        if grant.reclaimed {
-            return RecordVerdict::Void;
-        }
-        let state = OpenState {
-            open: open.clone(),
+    fn remember_sequence(&mut self, offset: u64, batch: &RecordBatch) {
+        let state = SequenceState {
+            last: batch.sequence,
             offset,
         };
-        self.opens.entry(open.key.clone()).or_default().push(state);
-        RecordVerdict::Accepted
-    }
-
-    fn settle(&mut self, settlement: &RequestSettlement) -> RecordVerdict {
-        let was_open = self.close_open(settlement);
-        if settlement.end == SettledEnd::NotRun {
-            let ended = (settlement.key.clone(), settlement.grant, settlement.attempt);
-            self.not_run.insert(ended);
-            self.drop_reservation(settlement, was_open, TokenCount::ZERO);
-            return RecordVerdict::Accepted;
-        }
-        if self.settled.contains_key(&settlement.key) {
-            self.drop_reservation(settlement, was_open, TokenCount::ZERO);
-            return RecordVerdict::Repeated;
+        self.sequences.insert(batch.incarnation, state);
+        if self.sequences.len() <= self.limits.incarnations {
+            return;
         }
-        let reclaimed = self
-            .grants
-            .get(&settlement.grant)
-            .is_none_or(|grant| grant.reclaimed);
-        if reclaimed && !was_open {
-            self.late.push(settlement.clone());
-            return RecordVerdict::Void;
+        let oldest = self
+            .sequences
+            .iter()
+            .min_by_key(|(_incarnation, held)| held.offset)
+            .map(|(incarnation, _held)| *incarnation);
+        if let Some(oldest) = oldest {
+            self.sequences.remove(&oldest);
         }
-        let charge = settlement.charge.min(settlement.reserved);
-        self.drop_reservation(settlement, was_open, charge);
-        self.settled
-            .insert(settlement.key.clone(), settlement.clone());
-        RecordVerdict::Accepted
     }
 
-    /// Removes the open that `settlement` ends; false when it is not known.
-    fn close_open(&mut self, settlement: &RequestSettlement) -> bool {
-        let Some(opens) = self.opens.get_mut(&settlement.key) else {
-            return false;
-        };
-        let before = opens.len();
-        opens.retain(|state| {
-            state.open.grant != settlement.grant || state.open.attempt != settlement.attempt
-        });
-        let closed = opens.len() < before;
-        if opens.is_empty() {
-            self.opens.remove(&settlement.key);
-        }
-        closed
+    /// The lowest offset of a grant under which a copy may still arrive.
+    fn oldest_open_grant(&self) -> u64 {
+        let open = self.grants.values().filter(|grant| !grant.is_closed());
+        open.map(|grant| grant.offset).min().unwrap_or(self.next)
     }
 
-    /// Moves `charge` from outstanding to charged. Under a reclaimed grant
-    /// the rest of the reservation is freed too, since nobody else may use it.
-    fn drop_reservation(
-        &mut self,
-        settlement: &RequestSettlement,
-        was_open: bool,
-        charge: TokenCount,
-    ) {
-        let Some(grant) = self.grants.get_mut(&settlement.grant) else {
-            return;
-        };
-        let Some(budget) = self.budgets.get_mut(&grant.grant.budget) else {
+    /// Forgets the oldest charged keys past the limit: first those that no
+    /// open grant can bring a copy of, and past the bound the others too,
+    /// which freezes the grants that are as old.
+    fn forget_keys(&mut self) {
+        if self.settled.len() + self.not_run.len() <= self.limits.keys {
             return;
-        };
-        let charge = charge.min(grant.outstanding);
-        let freed = if grant.reclaimed && was_open {
-            settlement.reserved.min(grant.outstanding)
-        } else {
-            charge
-        };
-        grant.outstanding = grant.outstanding.saturating_sub(freed);
-        budget.outstanding = budget.outstanding.saturating_sub(freed);
-        grant.charged = grant.charged + charge;
-        budget.charged = budget.charged + charge;
-    }
-
-    fn give_back(&mut self, back: &AllowanceReturn) -> RecordVerdict {
-        let Some(grant) = self.grants.get_mut(&back.grant) else {
-            return RecordVerdict::Void;
-        };
-        if grant.reclaimed || back.tokens > grant.outstanding {
-            return RecordVerdict::Void;
         }
-        let Some(budget) = self.budgets.get_mut(&grant.grant.budget) else {
-            return RecordVerdict::Void;
-        };
-        grant.outstanding = grant.outstanding.saturating_sub(back.tokens);
-        budget.outstanding = budget.outstanding.saturating_sub(back.tokens);
-        RecordVerdict::Accepted
+        let oldest = self.oldest_open_grant();
+        while let Some((offset, key)) = self.settled_order.front() {
+            let full = self.settled.len() > self.limits.keys_bound;
+            if *offset >= oldest && !full {
+                break;
+            }
+            if *offset >= oldest {
+                self.frozen = Some(*offset);
+            }
+            self.settled.remove(key);
+            self.settled_order.pop_front();
+        }
+        while let Some((offset, key, grant, attempt)) = self.not_run_order.front() {
+            let full = self.not_run.len() > self.limits.keys_bound;
+            if *offset >= oldest && !full {
+                break;
+            }
+            if *offset >= oldest {
+                self.frozen = self.frozen.max(Some(*offset));
+            }
+            self.not_run.remove(&(key.clone(), *grant, *attempt));
+            self.not_run_order.pop_front();
+        }
     }
 
-    fn seal(&mut self, seal: &GrantSeal) -> RecordVerdict {
-        let Some(grant) = self.grants.get_mut(&seal.grant) else {
-            return RecordVerdict::Void;
-        };
-        if grant.sealing {
-            return RecordVerdict::Repeated;
+    /// Forgets the oldest closed grants and refused grants past the limit.
+    fn forget_grants(&mut self) {
+        while self.refused.len() > self.limits.grants {
+            self.refused.pop_first();
         }
-        grant.sealing = true;
-        RecordVerdict::Accepted
+        if self.grants.len() <= self.limits.grants {
+            return;
+        }
+        let mut excess = self.grants.len() - self.limits.grants / 2;
+        self.grants.retain(|_id, grant| {
+            let forgotten = excess > 0 && grant.is_closed();
+            excess -= usize::from(forgotten);
+            !forgotten
+        });
     }
 
-    fn promise(&mut self, seal: &WitnessSeal) -> RecordVerdict {
-        let Some(grant) = self.grants.get_mut(&seal.grant) else {
-            return RecordVerdict::Void;
-        };
-        if !grant.sealing || !grant.grant.witnesses.contains(&seal.witness) {
-            return RecordVerdict::Void;
-        }
-        if !grant.sealed.insert(seal.witness) {
-            return RecordVerdict::Repeated;
+    /// Puts a settlement on the operators' list.
+    fn list_late(&mut self, settlement: &RequestSettlement) {
+        if self.late.contains(settlement) {
+            return;
         }
-        let all = grant.grant.witnesses.len();
-        if grant.sealed.len() == all {
-            self.reclaim(seal.grant);
+        self.late.push_back(settlement.clone());
+        if self.late.len() > self.limits.late {
+            self.late.pop_front();
         }
-        RecordVerdict::Accepted
     }
 
-    /// Frees what no open of the grant may still need.
-    fn reclaim(&mut self, id: GrantId) {
-        let mut kept = TokenCount::ZERO;
-        for state in self.opens.values().flatten() {
-            if state.open.grant == id {
-                kept = kept + state.open.reserved;
-            }
-        }
-        let Some(grant) = self.grants.get_mut(&id) else {
-            return;
-        };
-        let Some(budget) = self.budgets.get_mut(&grant.grant.budget) else {
-            return;
-        };
-        let kept = kept.min(grant.outstanding);
-        let freed = grant.outstanding.saturating_sub(kept);
-        grant.outstanding = kept;
-        grant.reclaimed = true;
-        budget.outstanding = budget.outstanding.saturating_sub(freed);
+    /// Tokens that opens of `grant` may still need.
+    fn open_tokens(&self, grant: GrantId) -> TokenCount {
+        let opens = self.opens.values().flatten();
+        let under = opens.filter(|state| state.open.grant == grant);
+        under.map(|state| state.open.reserved).sum()
     }
 }
--- a/crates/hibiscus-ledger/src/holder.rs
+++ b/crates/hibiscus-ledger/src/holder.rs
@@ -8,6 +8,8 @@
 use hibiscus_types::TokenCount;
 
 use crate::record::AllowanceGrant;
+use crate::record::AllowanceReturn;
+use crate::record::AllowanceSplit;
 
 /// Tokens set aside for one request under one grant.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +28,29 @@
     grant: AllowanceGrant,
     unreserved: TokenCount,
     reserved: TokenCount,
+    returns: u32,
+    sealed: bool,
+}
+
+impl HeldGrant {
+    /// Tokens that a request may reserve.
+    fn usable(&self) -> TokenCount {
+        if self.sealed {
+            return TokenCount::ZERO;
+        }
+        self.unreserved
+    }
+
+    /// Takes `tokens` out, to be given back to the ledger.
+    fn give_back(&mut self, tokens: TokenCount) -> AllowanceReturn {
+        self.unreserved = self.unreserved.saturating_sub(tokens);
+        self.returns += 1;
+        AllowanceReturn {
+            grant: self.grant.id,
+            serial: self.returns,
+            tokens,
+        }
+    }
 }
 
 /// All grants of one process.
@@ -40,36 +65,42 @@
         self.grants.entry(grant.id).or_insert_with(|| HeldGrant {
             unreserved: grant.tokens,
             reserved: TokenCount::ZERO,
+            returns: 0,
+            sealed: false,
             grant,
         });
     }
 
     /// Tokens of `budget` that are not reserved.
     pub fn unreserved(&self, budget: &BudgetName) -> TokenCount {
-        let mut sum = TokenCount::ZERO;
-        for held in self.grants.values() {
-            if held.grant.budget == *budget {
-                sum = sum + held.unreserved;
-            }
-        }
-        sum
+        let held = self.grants.values();
+        let named = held.filter(|held| held.grant.budget == *budget);
+        named.map(HeldGrant::usable).sum()
+    }
+
+    /// Tokens of `budget` that requests in progress have set aside.
+    pub fn reserved(&self, budget: &BudgetName) -> TokenCount {
+        let held = self.grants.values();
+        let named = held.filter(|held| held.grant.budget == *budget);
+        named.map(|held| held.reserved).sum()
     }
 
-    /// Sets `tokens` of `budget` aside, from the oldest grant that has them.
+    /// Sets `tokens` of `budget` aside, from the grant that they fit best, so
+    /// that large grants stay whole for large requests.
     pub fn reserve(&mut self, budget: &BudgetName, tokens: TokenCount) -> Option<TokenReservation> {
-        for held in self.grants.values_mut() {
-            if held.grant.budget != *budget || held.unreserved < tokens {
-                continue;
-            }
-            held.unreserved = held.unreserved.saturating_sub(tokens);
-            held.reserved = held.reserved + tokens;
-            return Some(TokenReservation {
-                grant: held.grant.id,
-                tokens,
-                witnesses: held.grant.witnesses.clone(),
-            });
-        }
-        None
+        let fitting = self
+            .grants
+            .values_mut()
+            .filter(|held| held.grant.budget == *budget && !held.sealed)
+            .filter(|held| held.unreserved >= tokens);
+        let held = fitting.min_by_key(|held| held.unreserved)?;
+        held.unreserved = held.unreserved.saturating_sub(tokens);
+        held.reserved = held.reserved + tokens;
+        Some(TokenReservation {
+            grant: held.grant.id,
+            tokens,
+            witnesses: held.grant.witnesses.clone(),
+        })
     }
 
     /// Ends a reservation of which `charge` was used.
@@ -80,24 +111,89 @@
         let unused = reservation.tokens.saturating_sub(charge);
         held.reserved = held.reserved.saturating_sub(reservation.tokens);
         held.unreserved = held.unreserved + unused;
+        if held.reserved.is_zero() && (held.sealed || held.unreserved.is_zero()) {
+            self.grants.remove(&reservation.grant);
+        }
+    }
+
+    /// A witness refused because `grant` is sealed: nothing more is reserved
+    /// from it, and what is left belongs to the reclaim.
+    pub fn seal(&mut self, grant: GrantId) {
+        let Some(held) = self.grants.get_mut(&grant) else {
+            return;
+        };
+        held.sealed = true;
+        if held.reserved.is_zero() {
+            self.grants.remove(&grant);
+        }
     }
 
-    /// Removes a grant, for one that was sealed.
-    pub fn remove(&mut self, grant: GrantId) {
-        self.grants.remove(&grant);
+    /// Takes the unreserved tokens of `budget` beyond `kept` out, smallest
+    /// grants first, to be given back to the ledger.
+    pub fn take_beyond(&mut self, budget: &BudgetName, kept: TokenCount) -> Vec<AllowanceReturn> {
+        let mut excess = self.unreserved(budget).saturating_sub(kept);
+        let held = self.grants.values_mut();
+        let mut named: Vec<_> = held
+            .filter(|held| held.grant.budget == *budget && !held.usable().is_zero())
+            .collect();
+        named.sort_by_key(|held| held.unreserved);
+        let mut returns = Vec::new();
+        for held in named {
+            let tokens = excess.min(held.unreserved);
+            if tokens.is_zero() {
+                break;
+            }
+            excess = excess.saturating_sub(tokens);
+            returns.push(held.give_back(tokens));
+        }
+        self.drop_empty();
+        returns
     }
 
-    /// Takes all unreserved tokens out, to be returned to the ledger.
-    pub fn take_unreserved(&mut self) -> Vec<(BudgetName, GrantId, TokenCount)> {
+    /// Takes all unreserved tokens out, to be given back to the ledger.
+    pub fn take_unreserved(&mut self) -> Vec<(BudgetName, AllowanceReturn)> {
         let mut taken = Vec::new();
         for held in self.grants.values_mut() {
-            if held.unreserved.is_zero() {
+            if held.usable().is_zero() {
                 continue;
             }
             let budget = held.grant.budget.clone();
-            taken.push((budget, held.grant.id, held.unreserved));
-            held.unreserved = TokenCount::ZERO;
+            let tokens = held.unreserved;
+            taken.push((budget, held.give_back(tokens)));
         }
+        self.drop_empty();
         taken
     }
+
+    /// Takes up to `tokens` out of one grant for a peer, whose grant is made
+    /// by `child` from the parent and the tokens. The parent's witnesses must
+    /// acknowledge the split before the peer is told.
+    pub fn split<F>(
+        &mut self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+        child: F,
+    ) -> Option<(AllowanceSplit, Vec<IncarnationId>)>
+    where
+        F: FnOnce(&AllowanceGrant, TokenCount) -> AllowanceGrant,
+    {
+        let held = self.grants.values_mut();
+        let named = held.filter(|held| held.grant.budget == *budget && !held.usable().is_zero());
+        let held = named.max_by_key(|held| held.unreserved)?;
+        let tokens = tokens.min(held.unreserved);
+        held.unreserved = held.unreserved.saturating_sub(tokens);
+        let split = AllowanceSplit {
+            parent: held.grant.id,
+            child: child(&held.grant, tokens),
+        };
+        let witnesses = held.grant.witnesses.clone();
+        self.drop_empty();
+        Some((split, witnesses))
+    }
+
+    /// Removes grants of which nothing is left.
+    fn drop_empty(&mut self) {
+        self.grants
+            .retain(|_id, held| !(held.unreserved.is_zero() && held.reserved.is_zero()));
+    }
 }
--- a/crates/hibiscus-ledger/src/lib.rs
+++ b/crates/hibiscus-ledger/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fold;
 pub mod holder;
 pub mod record;
+pub mod recovery;
 pub mod sizing;
 pub mod witness;
 
--- a/crates/hibiscus-ledger/src/record.rs
+++ b/crates/hibiscus-ledger/src/record.rs
@@ -119,6 +119,8 @@
 pub struct AllowanceReturn {
     /// The grant that shrinks.
     pub grant: GrantId,
+    /// Grows by one for each return of the grant, so that a copy is ignored.
+    pub serial: u32,
     /// Tokens given back.
     pub tokens: TokenCount,
 }
@@ -140,6 +142,36 @@
     pub witness: IncarnationId,
 }
 
+/// A part of a grant that its holder passes to a peer. The parent's witnesses
+/// acknowledge it like an open, so it precedes their seals.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceSplit {
+    /// The grant that shrinks.
+    pub parent: GrantId,
+    /// The grant of the peer.
+    pub child: AllowanceGrant,
+}
+
+/// An operator's word that a grant's holder has stopped, copied from an
+/// accepted configuration entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantRelease {
+    /// The grant to free.
+    pub grant: GrantId,
+}
+
+/// The fold at one offset, for readers that start after older records have
+/// expired.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerSnapshot {
+    /// The offset of the first record that the state does not include.
+    pub next: u64,
+    /// Hash of the state's bytes.
+    pub digest: u64,
+    /// The encoded state.
+    pub state: Vec<u8>,
+}
+
 /// One proposal of a batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -158,6 +190,12 @@
     Seal(GrantSeal),
     /// A witness's promise.
     Sealed(WitnessSeal),
+    /// A part of a grant passed to a peer.
+    Split(AllowanceSplit),
+    /// An operator's release of a held grant.
+    Release(GrantRelease),
+    /// The fold's state; it changes nothing.
+    Snapshot(LedgerSnapshot),
 }
 
 /// Records that one process appends at once.
--- a/crates/hibiscus-ledger/src/witness.rs
+++ b/crates/hibiscus-ledger/src/witness.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::record::AllowanceSplit;
 use crate::record::LedgerRecord;
 use crate::record::RequestOpen;
 use crate::record::RequestSettlement;
@@ -75,6 +76,18 @@
         self.push(LedgerRecord::Settle(settlement.clone()))
     }
 
+    /// Takes a split of a grant, unless the parent is sealed: like an open it
+    /// must precede the promise of this witness.
+    pub fn split(&mut self, addressed: IncarnationId, split: &AllowanceSplit) -> WitnessAnswer {
+        if addressed != self.incarnation {
+            return WitnessAnswer::WrongIncarnation;
+        }
+        if self.sealed.contains(&split.parent) {
+            return WitnessAnswer::Sealed;
+        }
+        self.push(LedgerRecord::Split(split.clone()))
+    }
+
     /// Promises to acknowledge no more opens under `grant`.
     pub fn seal(&mut self, addressed: IncarnationId, grant: GrantId) -> WitnessAnswer {
         if addressed != self.incarnation {
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -14,7 +14,6 @@
 use hibiscus_ledger::holder::HeldAllowance;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::AllowanceGrant;
-use hibiscus_ledger::record::AllowanceReturn;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::sizing::EqualShares;
@@ -307,12 +306,11 @@
 
     fn give_back(&mut self) {
         let config = self.context.config.get();
-        for (budget, grant, tokens) in self.held.take_unreserved() {
+        for (budget, back) in self.held.take_unreserved() {
             let Some(entry) = config.budgets.get(&budget) else {
                 continue;
             };
             let shard = shard_of(&entry.team, self.context.settings.budgets.shards);
-            let back = AllowanceReturn { grant, tokens };
             self.appends.push(shard, LedgerRecord::Return(back));
         }
     }
