--- a/crates/hibiscus-ledger/src/fold.rs
+++ b/crates/hibiscus-ledger/src/fold.rs
@@ -112,6 +112,11 @@
         self.late.iter()
     }
 
+    /// Records whose grant is not known yet, for operators.
+    pub fn waiting(&self) -> impl Iterator<Item = &LedgerRecord> {
+        self.orphans.iter().map(|(_offset, record)| record)
+    }
+
     /// Number of keys that were charged and are remembered.
     pub fn settled_count(&self) -> usize {
         self.settled.len()
--- a/crates/hibiscus-ledger/src/fold/grants.rs
+++ b/crates/hibiscus-ledger/src/fold/grants.rs
@@ -25,6 +25,7 @@
         let free = budget.as_ref().map(|budget| budget.free());
         let Some(budget) = budget.filter(|budget| grant.tokens <= budget.free()) else {
             self.refused.insert(grant.id);
+            self.adopt_orphans(grant.id);
             return match free {
                 Some(_) => RecordVerdict::Uncovered,
                 None => RecordVerdict::Void,
@@ -67,6 +68,7 @@
         let covered = child.tokens <= parent.outstanding && child.budget == parent.grant.budget;
         if parent.reclaimed || !covered {
             self.refused.insert(child.id);
+            self.adopt_orphans(child.id);
             return RecordVerdict::Void;
         }
         parent.outstanding = parent.outstanding.saturating_sub(child.tokens);
