Size grants by demand, recall idle allowance, and reclaim lost grants

Cause: a lost answer made a new grant number and leaked its tokens; idle allowance stayed where it was, so small budgets were refused while peers held them; nobody reclaimed the grants of a dead holder; expired records, a newer format and a stop during an outage were not handled.

--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use hibiscus_types::BudgetName;
+use hibiscus_types::GrantId;
 use hibiscus_types::ServiceName;
 use hibiscus_types::TeamName;
 use sha2::Digest;
@@ -11,6 +12,7 @@
 
 use crate::entry::BudgetEntry;
 use crate::entry::ConfigEntry;
+use crate::entry::ReleaseEntry;
 use crate::entry::RouteEntry;
 use crate::entry::ServiceEntry;
 use crate::entry::TeamEntry;
@@ -28,6 +30,8 @@
     pub budgets: BTreeMap<BudgetName, BudgetEntry>,
     /// Top-ups by id.
     pub top_ups: BTreeMap<String, TopUpEntry>,
+    /// Releases of held grants by grant.
+    pub releases: BTreeMap<GrantId, ReleaseEntry>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceEntry>,
     /// Routed calls by path.
@@ -68,7 +72,10 @@
             ConfigEntry::Route(route) => {
                 self.routes.insert(route.path.clone(), route);
             }
-            ConfigEntry::Brand(_) | ConfigEntry::Release(_) => {}
+            ConfigEntry::Release(release) => {
+                self.releases.insert(release.grant, release);
+            }
+            ConfigEntry::Brand(_) => {}
         }
     }
 
--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -46,6 +46,8 @@
     GrantSealed = "HS3003", Warn, "grant sealed by this witness";
     LedgerUnreadable = "HS3004", Warn, "ledger stream cannot be read";
     AppendFailed = "HS3005", Warn, "append failed and will be repeated";
+    GrantReclaimed = "HS3006", Warn, "reclaim of a grant proposed";
+    RecordsLost = "HS3007", Warn, "records lost at the stop, the log did not answer";
     RequestAdmitted = "HS4001", Debug, "request admitted";
     RequestOpened = "HS4002", Debug, "open acknowledged";
     RequestDispatched = "HS4003", Debug, "request sent to a server";
--- a/crates/hibiscus-ledger/src/fold/grants.rs
+++ b/crates/hibiscus-ledger/src/fold/grants.rs
@@ -41,18 +41,19 @@
         let Some(grant) = self.grants.get_mut(&back.grant) else {
             return RecordVerdict::Void;
         };
-        if back.serial <= grant.returned {
+        let tokens = back.total.saturating_sub(grant.returned);
+        if tokens.is_zero() {
             return RecordVerdict::Repeated;
         }
-        if grant.reclaimed || back.tokens > grant.outstanding {
+        if grant.reclaimed || tokens > grant.outstanding {
             return RecordVerdict::Void;
         }
         let Some(budget) = self.budgets.get_mut(&grant.grant.budget) else {
             return RecordVerdict::Void;
         };
-        grant.returned = back.serial;
-        grant.outstanding = grant.outstanding.saturating_sub(back.tokens);
-        budget.outstanding = budget.outstanding.saturating_sub(back.tokens);
+        grant.returned = back.total;
+        grant.outstanding = grant.outstanding.saturating_sub(tokens);
+        budget.outstanding = budget.outstanding.saturating_sub(tokens);
         RecordVerdict::Accepted
     }
 
--- a/crates/hibiscus-ledger/src/fold/state.rs
+++ b/crates/hibiscus-ledger/src/fold/state.rs
@@ -94,8 +94,8 @@
     pub outstanding: TokenCount,
     /// Sum of the charges.
     pub charged: TokenCount,
-    /// Serial of the last return.
-    pub returned: u32,
+    /// Sum of the returns.
+    pub returned: TokenCount,
     /// Whether a reclaim was proposed.
     pub sealing: bool,
     /// Witnesses that promised.
@@ -113,7 +113,7 @@
             offset,
             outstanding: grant.tokens,
             charged: TokenCount::ZERO,
-            returned: 0,
+            returned: TokenCount::ZERO,
             sealing: false,
             sealed: BTreeSet::new(),
             reclaimed: false,
--- a/crates/hibiscus-ledger/src/holder.rs
+++ b/crates/hibiscus-ledger/src/holder.rs
@@ -28,7 +28,7 @@
     grant: AllowanceGrant,
     unreserved: TokenCount,
     reserved: TokenCount,
-    returns: u32,
+    returned: TokenCount,
     sealed: bool,
 }
 
@@ -44,11 +44,10 @@
     /// Takes `tokens` out, to be given back to the ledger.
     fn give_back(&mut self, tokens: TokenCount) -> AllowanceReturn {
         self.unreserved = self.unreserved.saturating_sub(tokens);
-        self.returns += 1;
+        self.returned = self.returned + tokens;
         AllowanceReturn {
             grant: self.grant.id,
-            serial: self.returns,
-            tokens,
+            total: self.returned,
         }
     }
 }
@@ -65,12 +64,17 @@
         self.grants.entry(grant.id).or_insert_with(|| HeldGrant {
             unreserved: grant.tokens,
             reserved: TokenCount::ZERO,
-            returns: 0,
+            returned: TokenCount::ZERO,
             sealed: false,
             grant,
         });
     }
 
+    /// Whether anything of `grant` is held or reserved.
+    pub fn holds(&self, grant: GrantId) -> bool {
+        self.grants.contains_key(&grant)
+    }
+
     /// Tokens of `budget` that are not reserved.
     pub fn unreserved(&self, budget: &BudgetName) -> TokenCount {
         let held = self.grants.values();
--- a/crates/hibiscus-ledger/src/record.rs
+++ b/crates/hibiscus-ledger/src/record.rs
@@ -119,10 +119,9 @@
 pub struct AllowanceReturn {
     /// The grant that shrinks.
     pub grant: GrantId,
-    /// Grows by one for each return of the grant, so that a copy is ignored.
-    pub serial: u32,
-    /// Tokens given back.
-    pub tokens: TokenCount,
+    /// Sum of all tokens given back so far, so that copies and their order do
+    /// not matter.
+    pub total: TokenCount,
 }
 
 /// A proposal to reclaim a grant from a dead or paused holder.
--- a/crates/hibiscus-ledger/tests/fold.rs
+++ b/crates/hibiscus-ledger/tests/fold.rs
@@ -106,17 +106,20 @@
 }
 
 #[test]
-fn a_return_counts_once_by_its_serial() {
+fn a_return_counts_once_in_any_order() {
     let mut driver = LedgerDriver::new();
     driver.grant(1, 60);
     let back = AllowanceReturn {
         grant: first(),
-        serial: 1,
-        tokens: TokenCount::new(20),
+        total: TokenCount::new(20),
     };
+    let mut earlier = back.clone();
+    earlier.total = TokenCount::new(15);
     let record = LedgerRecord::Return(back);
     assert_eq!(driver.append(record.clone()), RecordVerdict::Accepted);
     assert_eq!(driver.append(record), RecordVerdict::Repeated);
+    let earlier = LedgerRecord::Return(earlier);
+    assert_eq!(driver.append(earlier), RecordVerdict::Repeated);
     assert_eq!(driver.sums(), (100, 0, 40));
 }
 
@@ -337,8 +340,7 @@
         }
         6 => LedgerRecord::Return(AllowanceReturn {
             grant: id,
-            serial: u32::from(b),
-            tokens: TokenCount::new(u64::from(a)),
+            total: TokenCount::new(u64::from(a)),
         }),
         7 => LedgerRecord::Sealed(WitnessSeal {
             grant: id,
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -11,6 +11,7 @@
 use hibiscus_types::IncarnationId;
 
 use crate::config::ConfigCell;
+use crate::holder::sealed::SealedGrants;
 use crate::membership::FleetCell;
 use crate::servers::ServerTable;
 use crate::settings::RouterSettings;
@@ -33,6 +34,8 @@
     pub link: PeerLink,
     /// The log service.
     pub log: HttpLog,
+    /// Own grants that a witness or the ledger called sealed.
+    pub sealed_grants: SealedGrants,
     /// Requests in progress.
     pub in_progress: AtomicU32,
     draining: AtomicBool,
@@ -55,6 +58,7 @@
             servers: ServerTable::default(),
             link,
             log,
+            sealed_grants: SealedGrants::default(),
             in_progress: AtomicU32::new(0),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -1,48 +1,49 @@
 //! Duty: keeps this process's allowance and asks brokers for more.
 
+pub mod grants;
+pub mod sealed;
+
+mod desk;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 use std::time::Instant;
 
 use hibiscus_events::EventCode;
-use hibiscus_events::EventFields;
 use hibiscus_ledger::holder::HeldAllowance;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::AllowanceGrant;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::shard_of;
-use hibiscus_ledger::sizing::EqualShares;
+use hibiscus_ledger::sizing::HorizonShares;
 use hibiscus_ledger::sizing::SizingPolicy;
-use hibiscus_ledger::sizing::SizingView;
-use hibiscus_membership::ranking;
 use hibiscus_types::BudgetName;
 use hibiscus_types::GrantId;
-use hibiscus_types::IncarnationId;
 use hibiscus_types::TeamName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::UnixMillis;
 
 use crate::context::SharedContext;
+use crate::holder::desk::BudgetDesk;
+use crate::holder::grants::GrantWanted;
 use crate::ledger::append::AppendRings;
+use crate::ledger::broker;
 use crate::ledger::broker::BrokerReply;
-use crate::ledger::broker::BrokerRequest;
-use crate::ledger::client;
+use crate::peer::PeerRequest;
 
 /// Time between looks at deadlines and stop flag.
 const TICK: Duration = Duration::from_millis(20);
-/// Time that a broker may take to answer a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time between looks at the stop flag of the grant threads.
-const IDLE_WAIT: Duration = Duration::from_millis(100);
-/// Witnesses of a grant.
-const WITNESSES: usize = 2;
-/// Smallest grant asked for, so that small requests share one.
-const SMALLEST_GRANT: TokenCount = TokenCount::new(2_000);
+/// Time between looks at idle allowance.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a peer may take to hear of a recall.
+const RECALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Silence of the log after which fragments are kept and not joined.
+const JOIN_SILENCE: Duration = Duration::from_secs(1);
+/// Seconds of its own demand that a holder keeps when a peer runs dry.
+const RECALL_KEPT_SECONDS: f64 = 2.0;
 
 /// Why a reservation was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,6 +92,11 @@
         /// The answer, `None` when no broker answered.
         reply: Option<BrokerReply>,
     },
+    /// A peer runs dry: give back what is not needed soon.
+    Recall {
+        /// The budget.
+        budget: BudgetName,
+    },
     /// Give all unreserved tokens back.
     GiveBack {
         /// Told once the returns are on their way to the log.
@@ -98,30 +104,15 @@
     },
 }
 
-/// A grant to ask a broker for.
-pub struct GrantWanted {
-    /// The shard of the budget.
-    pub shard: u32,
-    /// The grant.
-    pub grant: AllowanceGrant,
-}
-
-/// What is known of one budget here.
-struct BudgetDesk {
-    team: TeamName,
-    waiting: VecDeque<ReserveCall>,
-    asked: bool,
-    free: Option<TokenCount>,
-    exhausted_at: Option<u64>,
-}
-
 /// State of the duty.
 struct HolderState<'a> {
     context: &'a SharedContext,
     wanted: &'a SyncSender<GrantWanted>,
     appends: &'a AppendRings,
+    policy: HorizonShares,
     held: HeldAllowance,
     desks: BTreeMap<BudgetName, BudgetDesk>,
+    budgets: BTreeMap<GrantId, BudgetName>,
 }
 
 /// Serves reservations until the process ends.
@@ -135,15 +126,25 @@
         context,
         wanted,
         appends,
+        policy: HorizonShares,
         held: HeldAllowance::default(),
         desks: BTreeMap::new(),
+        budgets: BTreeMap::new(),
     };
+    let mut last_tick = Instant::now();
+    let mut last_idle = Instant::now();
     while !context.is_ended() {
         if let Ok(message) = ring.recv_timeout(TICK) {
             state.take(message);
         }
-        state.refuse_late();
-        state.ask_for_waiting();
+        if last_tick.elapsed() >= TICK {
+            last_tick = Instant::now();
+            state.tick();
+        }
+        if last_idle.elapsed() >= IDLE_INTERVAL {
+            last_idle = Instant::now();
+            state.give_back_idle();
+        }
     }
 }
 
@@ -154,8 +155,9 @@
             HolderMessage::Settle {
                 reservation,
                 charge,
-            } => self.held.settle(&reservation, charge),
+            } => self.settle(&reservation, charge),
             HolderMessage::Granted { grant, reply } => self.granted(grant, reply),
+            HolderMessage::Recall { budget } => self.recall(&budget),
             HolderMessage::GiveBack { done } => {
                 self.give_back();
                 let _gone = done.try_send(());
@@ -164,51 +166,79 @@
     }
 
     fn reserve(&mut self, call: ReserveCall) {
-        if let Some(reservation) = self.held.reserve(&call.budget, call.tokens) {
-            let _gone = call.reply.try_send(Ok(reservation));
-            return;
-        }
         let budget = call.budget.clone();
         let desk = self
             .desks
             .entry(budget.clone())
-            .or_insert_with(|| BudgetDesk {
-                team: call.team.clone(),
-                waiting: VecDeque::new(),
-                asked: false,
-                free: None,
-                exhausted_at: None,
-            });
-        desk.waiting.push_back(call);
-        self.ask(&budget);
+            .or_insert_with(|| BudgetDesk::new(call.team.clone()));
+        let now = desk.now();
+        desk.meter.reserve(call.tokens, now);
+        match self.held.reserve(&budget, call.tokens) {
+            Some(reservation) => {
+                let _gone = call.reply.try_send(Ok(reservation));
+            }
+            None => desk.waiting.push_back(call),
+        }
+        self.plan(&budget);
     }
 
-    /// Asks a broker for a grant unless one is on its way.
-    fn ask(&mut self, budget: &BudgetName) {
-        let holders = self.context.fleet.lock().instances().len();
-        let Some(desk) = self.desks.get_mut(budget) else {
+    fn settle(&mut self, reservation: &TokenReservation, charge: TokenCount) {
+        self.held.settle(reservation, charge);
+        let Some(budget) = self.budgets.get(&reservation.grant).cloned() else {
             return;
         };
-        if desk.asked || desk.waiting.is_empty() {
-            return;
+        if let Some(desk) = self.desks.get_mut(&budget) {
+            let now = desk.now();
+            desk.meter.spend(charge, now);
         }
-        let needed: TokenCount = desk.waiting.iter().map(|call| call.tokens).sum();
-        let view = SizingView {
-            demand_per_second: 0.0,
-            wanted: needed,
-            held: TokenCount::ZERO,
-            free: desk.free.unwrap_or(needed.max(SMALLEST_GRANT)),
-            holders: u32::try_from(holders).unwrap_or(u32::MAX),
-            log_silence: Duration::ZERO,
-        };
-        let tokens = EqualShares.next_grant(&view);
-        if tokens.is_zero() {
+        self.serve_waiting(&budget);
+    }
+
+    /// Does what the sizing policy decides for `budget`.
+    fn plan(&mut self, budget: &BudgetName) {
+        let holders = self.context.fleet.lock().instances().len();
+        let held = self.held.unreserved(budget);
+        let Some(desk) = self.desks.get_mut(budget) else {
             return;
+        };
+        if desk.asked.is_some() {
+            self.ask_again(budget);
+        } else {
+            let mut view = desk.view(held, holders);
+            // What is held and serves no waiting request lies in fragments.
+            let fragments = !desk.waiting.is_empty() && !held.is_zero();
+            let joins = fragments && desk.log_silence() < JOIN_SILENCE;
+            if joins {
+                view.held = TokenCount::ZERO;
+                if let Some(ledger) = &mut view.ledger {
+                    ledger.free = ledger.free + held;
+                }
+            }
+            let decision = self.policy.decide(&view);
+            let gathers = decision.gather && desk.may_gather();
+            if !decision.ask.is_zero() && desk.may_ask() {
+                self.ask(budget, decision.ask, joins);
+            }
+            if gathers {
+                self.ask_peers(budget);
+            }
         }
-        let witnesses = choose_witnesses(self.context, budget);
+    }
+
+    /// Asks the ledger for a new grant.
+    fn ask(&mut self, budget: &BudgetName, tokens: TokenCount, joins: bool) {
+        let witnesses = grants::choose_witnesses(self.context, budget);
         if witnesses.is_empty() {
             return;
         }
+        let returns = if joins {
+            self.held.take_beyond(budget, TokenCount::ZERO)
+        } else {
+            Vec::new()
+        };
+        let Some(desk) = self.desks.get_mut(budget) else {
+            return;
+        };
         let grant = AllowanceGrant {
             id: GrantId::generate(),
             budget: budget.clone(),
@@ -218,7 +248,23 @@
             witnesses,
         };
         let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
-        desk.asked = self.wanted.try_send(GrantWanted { shard, grant }).is_ok();
+        desk.asked = Some(GrantWanted {
+            shard,
+            returns,
+            grant,
+        });
+        self.ask_again(budget);
+    }
+
+    /// Sends the open question to a grant thread.
+    fn ask_again(&mut self, budget: &BudgetName) {
+        let Some(desk) = self.desks.get_mut(budget) else {
+            return;
+        };
+        let Some(asked) = desk.asked.clone().filter(|_asked| desk.may_ask()) else {
+            return;
+        };
+        desk.asking = self.wanted.try_send(asked).is_ok();
     }
 
     fn granted(&mut self, grant: AllowanceGrant, reply: Option<BrokerReply>) {
@@ -226,30 +272,31 @@
         let Some(desk) = self.desks.get_mut(&budget) else {
             return;
         };
-        desk.asked = false;
         let Some(BrokerReply::Grant {
             accepted,
-            free,
+            headroom,
             offset,
         }) = reply
         else {
+            desk.unanswered();
             return;
         };
-        desk.free = Some(free);
+        desk.answered(headroom, offset, accepted);
+        let detail = format!("{} tokens, ledger offset {offset}", grant.tokens);
         let code = if accepted {
+            desk.obtained = desk.obtained + grant.tokens;
+            self.budgets.insert(grant.id, budget.clone());
             self.held.add(grant);
             EventCode::GrantObtained
         } else {
-            desk.exhausted_at = Some(offset);
             EventCode::GrantRefused
         };
-        let fields = EventFields {
-            budget: budget.to_string(),
-            ..EventFields::default()
-        };
-        self.context.events.record(code, fields);
+        broker::note_grant(self.context, code, &budget, detail);
         self.serve_waiting(&budget);
-        self.ask(&budget);
+        if let Some(desk) = self.desks.get_mut(&budget) {
+            desk.refuse_exhausted();
+        }
+        self.plan(&budget);
     }
 
     /// Serves the waiting requests in order of arrival.
@@ -259,118 +306,96 @@
         };
         let mut still = VecDeque::new();
         while let Some(call) = desk.waiting.pop_front() {
-            if let Some(reservation) = self.held.reserve(budget, call.tokens) {
-                let _gone = call.reply.try_send(Ok(reservation));
-                continue;
-            }
-            match (desk.exhausted_at, desk.free) {
-                (Some(offset), Some(free)) if free < call.tokens => {
-                    let refusal = ReserveRefusal::Exhausted { offset };
-                    let _gone = call.reply.try_send(Err(refusal));
+            match self.held.reserve(budget, call.tokens) {
+                Some(reservation) => {
+                    let _gone = call.reply.try_send(Ok(reservation));
                 }
-                _ => still.push_back(call),
+                None => still.push_back(call),
             }
         }
-        if desk.exhausted_at.take().is_some() {
-            // Credits may follow: the next request asks the ledger again.
-            desk.free = None;
-        }
         desk.waiting = still;
     }
 
-    fn refuse_late(&mut self) {
-        let now = Instant::now();
-        for desk in self.desks.values_mut() {
-            desk.waiting.retain(|call| {
-                let late = call.deadline <= now;
-                if late {
-                    let _gone = call.reply.try_send(Err(ReserveRefusal::Unconfirmed));
-                }
-                !late
-            });
+    /// Drops sealed grants, refuses late requests, and plans for the others.
+    fn tick(&mut self) {
+        for grant in self.context.sealed_grants.take() {
+            self.held.seal(grant);
         }
-    }
-
-    /// Asks again for budgets whose last grant could not be asked for.
-    fn ask_for_waiting(&mut self) {
-        let mut unasked = Vec::new();
-        for (budget, desk) in &self.desks {
-            if !desk.asked && !desk.waiting.is_empty() {
-                unasked.push(budget.clone());
+        let mut open = Vec::new();
+        for (budget, desk) in &mut self.desks {
+            desk.refuse_late();
+            if desk.asked.is_some() || !desk.waiting.is_empty() {
+                open.push(budget.clone());
             }
         }
-        for budget in unasked {
-            self.ask(&budget);
+        for budget in open {
+            self.plan(&budget);
         }
     }
 
-    fn give_back(&mut self) {
-        let config = self.context.config.get();
-        for (budget, back) in self.held.take_unreserved() {
-            let Some(entry) = config.budgets.get(&budget) else {
+    /// Asks every peer to give back what it does not need soon.
+    fn ask_peers(&self, budget: &BudgetName) {
+        let peers = self.context.fleet.lock().ready(UnixMillis::now());
+        for peer in peers {
+            if peer.name == self.context.settings.instance.name {
                 continue;
+            }
+            let request = PeerRequest::Recall {
+                budget: budget.clone(),
             };
-            let shard = shard_of(&entry.team, self.context.settings.budgets.shards);
-            self.appends.push(shard, LedgerRecord::Return(back));
+            // A lost recall is repeated while a request waits.
+            let _pending = request.start(self.context, peer.peers, RECALL_TIMEOUT);
         }
     }
-}
 
-/// One witness in the own data centre and one in another, never itself.
-fn choose_witnesses(context: &SharedContext, budget: &BudgetName) -> Vec<IncarnationId> {
-    let fleet = context.fleet.lock();
-    let own = &context.settings.instance;
-    let mut ready = fleet.ready(UnixMillis::now());
-    ready.retain(|instance| instance.name != own.name);
-    let key = format!("witness/{}/{budget}", own.name);
-    let ranked = ranking::rank(key.as_bytes(), &ready);
-    let near = ranked
-        .iter()
-        .find(|held| held.data_centre == own.data_centre);
-    let far = ranked
-        .iter()
-        .find(|held| held.data_centre != own.data_centre);
-    let mut chosen: Vec<_> = near.into_iter().chain(far).collect();
-    for instance in &ranked {
-        if chosen.len() >= WITNESSES {
-            break;
+    fn recall(&mut self, budget: &BudgetName) {
+        let Some(desk) = self.desks.get_mut(budget) else {
+            return;
+        };
+        if !desk.waiting.is_empty() {
+            return;
+        }
+        let now = desk.now();
+        let kept = desk.meter.rate(now) * RECALL_KEPT_SECONDS;
+        self.return_beyond(budget, TokenCount::new(kept as u64));
+    }
+
+    /// Gives back what is held beyond what the policy keeps.
+    fn give_back_idle(&mut self) {
+        let holders = self.context.fleet.lock().instances().len();
+        let mut excess = Vec::new();
+        for (budget, desk) in &mut self.desks {
+            let held = self.held.unreserved(budget);
+            let keep = self.policy.decide(&desk.view(held, holders)).keep;
+            if held > keep {
+                excess.push((budget.clone(), keep));
+            }
         }
-        if !chosen.iter().any(|held| held.name == instance.name) {
-            chosen.push(instance);
+        for (budget, keep) in excess {
+            self.return_beyond(&budget, keep);
         }
+        let held = &self.held;
+        self.budgets.retain(|grant, _budget| held.holds(*grant));
     }
-    let mut witnesses = Vec::with_capacity(WITNESSES);
-    for instance in chosen {
-        let Some(beat) = fleet.beat_of(&instance.name) else {
-            continue;
+
+    fn return_beyond(&mut self, budget: &BudgetName, keep: TokenCount) {
+        let Some(desk) = self.desks.get(budget) else {
+            return;
         };
-        witnesses.push(beat.incarnation);
+        let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
+        for back in self.held.take_beyond(budget, keep) {
+            self.appends.push(shard, LedgerRecord::Return(back));
+        }
     }
-    witnesses
-}
 
-/// Asks brokers for grants until the holder ends.
-pub fn request_grants(
-    context: &SharedContext,
-    wanted: &Mutex<Receiver<GrantWanted>>,
-    ring: &SyncSender<HolderMessage>,
-) {
-    while !context.is_ended() {
-        let next = wanted
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .recv_timeout(IDLE_WAIT);
-        let Ok(want) = next else {
-            continue;
-        };
-        let request = BrokerRequest::Grant {
-            shard: want.shard,
-            grant: want.grant.clone(),
-        };
-        let reply = client::call(context, want.shard, &request, GRANT_TIMEOUT);
-        let grant = want.grant;
-        if ring.send(HolderMessage::Granted { grant, reply }).is_err() {
-            return;
+    fn give_back(&mut self) {
+        let config = self.context.config.get();
+        for (budget, back) in self.held.take_unreserved() {
+            let Some(entry) = config.budgets.get(&budget) else {
+                continue;
+            };
+            let shard = shard_of(&entry.team, self.context.settings.budgets.shards);
+            self.appends.push(shard, LedgerRecord::Return(back));
         }
     }
 }
--- a/crates/hibiscus-router/src/ledger/append.rs
+++ b/crates/hibiscus-router/src/ledger/append.rs
@@ -29,6 +29,8 @@
 const IDLE_WAIT: Duration = Duration::from_millis(100);
 /// Delay before a failed append is first repeated.
 const FIRST_DELAY: Duration = Duration::from_millis(50);
+/// Time that a stopping process waits for the log to take its records.
+const LAST_APPENDS: Duration = Duration::from_secs(20);
 /// Longest delay before a failed append is repeated.
 const LAST_DELAY: Duration = Duration::from_secs(2);
 
@@ -81,6 +83,7 @@
         return;
     };
     let mut delay = FIRST_DELAY;
+    let mut ended = None;
     while let Err(error) = context.log.append(stream, &data) {
         let fields = EventFields {
             detail: error.to_string(),
@@ -88,9 +91,26 @@
         };
         context.events.record(EventCode::AppendFailed, fields);
         if context.is_ended() {
-            return;
+            let since = *ended.get_or_insert_with(Instant::now);
+            if since.elapsed() >= LAST_APPENDS {
+                note_lost(context, batch);
+                return;
+            }
         }
         thread::sleep(delay);
         delay = (delay * 2).min(LAST_DELAY);
     }
 }
+
+/// Says how many records the log did not take before the process ended.
+fn note_lost(context: &SharedContext, batch: &RecordBatch) {
+    let fields = EventFields {
+        detail: format!(
+            "{} records of sequence {}",
+            batch.records.len(),
+            batch.sequence
+        ),
+        ..EventFields::default()
+    };
+    context.events.record(EventCode::RecordsLost, fields);
+}
--- a/crates/hibiscus-router/src/ledger/broker.rs
+++ b/crates/hibiscus-router/src/ledger/broker.rs
@@ -1,9 +1,6 @@
 //! Broker duty: folds the ledger streams and answers other instances.
 
-use std::collections::BTreeMap;
 use std::sync::mpsc::Receiver;
-use std::sync::mpsc::SyncSender;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,112 +10,39 @@
 use hibiscus_ledger::fold::LedgerFold;
 use hibiscus_ledger::fold::RecordVerdict;
 use hibiscus_ledger::record::AllowanceGrant;
-use hibiscus_ledger::record::BudgetCredit;
+use hibiscus_ledger::record::AllowanceReturn;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::record::RequestOpen;
-use hibiscus_ledger::record::RequestSettlement;
-use hibiscus_ledger::record::TopUpId;
+use hibiscus_ledger::recovery::LedgerReplay;
 use hibiscus_ledger::shard_of;
-use hibiscus_ledger::stream_of;
+use hibiscus_ledger::sizing::LedgerHeadroom;
 use hibiscus_peer::PeerCall;
 use hibiscus_platform::log::LogRecord;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::BudgetName;
 use hibiscus_types::GrantId;
 use hibiscus_types::RequestKey;
-use hibiscus_types::TokenCount;
-use hibiscus_types::codec;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::context::SharedContext;
 use crate::ledger::append::AppendRings;
+use crate::ledger::client;
+use crate::ledger::copy::ConfigCopier;
+use crate::ledger::copy::SnapshotClock;
+use crate::ledger::follow;
+pub use crate::ledger::message::BrokerReply;
+pub use crate::ledger::message::BrokerRequest;
+pub use crate::ledger::message::KeyStatus;
+use crate::ledger::reclaim::ReclaimWatch;
 use crate::peer::PeerReply;
 
-/// Time between looks at configuration and stop flag.
+/// Time between looks at waiting calls and the stop flag.
 const TICK: Duration = Duration::from_millis(100);
-/// Time that a read waits for a record.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
-/// Delay before a failed read is repeated.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// What an instance asks of a broker.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum BrokerRequest {
-    /// Append a grant and answer its verdict.
-    Grant {
-        /// The shard of the budget.
-        shard: u32,
-        /// The grant.
-        grant: AllowanceGrant,
-    },
-    /// Append an open and answer whether it is the first of its key.
-    OpenFirst {
-        /// The open.
-        open: RequestOpen,
-    },
-    /// Append records that need no verdict.
-    Append {
-        /// The shard.
-        shard: u32,
-        /// The records.
-        records: Vec<LedgerRecord>,
-    },
-    /// Answer what the ledger holds of a key.
-    Lookup {
-        /// The key.
-        key: RequestKey,
-    },
-    /// Answer the state of the budgets of a shard.
-    Budgets {
-        /// The shard.
-        shard: u32,
-    },
-}
-
-/// What the ledger holds of a key.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum KeyStatus {
-    /// Nothing.
-    Unseen,
-    /// An open without its settlement.
-    Open(RequestOpen),
-    /// A settlement.
-    Settled(RequestSettlement),
-}
-
-/// A broker's answer.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum BrokerReply {
-    /// The grant's verdict.
-    Grant {
-        /// Whether the grant may be spent.
-        accepted: bool,
-        /// Tokens that a further grant could take.
-        free: TokenCount,
-        /// The offset that proves it.
-        offset: u64,
-    },
-    /// The open's verdict.
-    OpenFirst {
-        /// Whether the request may be sent to a server.
-        first: bool,
-        /// What the ledger holds of the key.
-        status: KeyStatus,
-    },
-    /// The records are on their way to the log.
-    Appending,
-    /// What the ledger holds of the key.
-    Lookup(KeyStatus),
-    /// State of the budgets at an offset.
-    Budgets {
-        /// The offset of the next record.
-        offset: u64,
-        /// The budgets by name.
-        budgets: BTreeMap<BudgetName, BudgetState>,
-    },
-}
+/// Time between looks at configuration, grants and snapshots.
+const DUTY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a call is no longer waited for by its caller.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// Calls that wait for their record at most.
+const WAITING_LIMIT: usize = 10_000;
 
 /// Input of the broker duty.
 pub enum BrokerMessage {
@@ -136,22 +60,39 @@
         /// The records in order.
         records: Vec<LogRecord>,
     },
+    /// Records of a shard's stream expired before they were read.
+    Expired {
+        /// The shard.
+        shard: u32,
+        /// The oldest retained offset.
+        first: u64,
+    },
+}
+
+/// What a waiting call asked for.
+enum WaitingKind {
+    Grant { id: GrantId, budget: BudgetName },
+    OpenFirst(RequestOpen),
+    Record(LedgerRecord),
 }
 
 /// A call whose record has not been read back yet.
-struct WaitingOpen {
-    open: RequestOpen,
+struct WaitingCall {
+    shard: u32,
+    kind: WaitingKind,
     call: PeerCall,
+    since: Instant,
 }
 
 /// State of the duty.
 struct BrokerState<'a> {
     context: &'a SharedContext,
     appends: &'a AppendRings,
-    folds: Vec<LedgerFold>,
-    waiting_grants: BTreeMap<GrantId, PeerCall>,
-    waiting_opens: Vec<WaitingOpen>,
-    credited_version: u64,
+    replays: Vec<LedgerReplay>,
+    waiting: Vec<WaitingCall>,
+    copier: ConfigCopier,
+    reclaims: ReclaimWatch,
+    snapshots: Vec<SnapshotClock>,
 }
 
 /// Answers calls until the process ends.
@@ -160,19 +101,21 @@
     let mut state = BrokerState {
         context,
         appends,
-        folds: vec![LedgerFold::default(); shards],
-        waiting_grants: BTreeMap::new(),
-        waiting_opens: Vec::new(),
-        credited_version: 0,
+        replays: (0..shards).map(|_shard| LedgerReplay::default()).collect(),
+        waiting: Vec::new(),
+        copier: ConfigCopier::default(),
+        reclaims: ReclaimWatch::default(),
+        snapshots: (0..shards).map(|_shard| SnapshotClock::default()).collect(),
     };
-    let mut last_tick = Instant::now();
+    let mut last_duty = Instant::now();
     while !context.is_ended() {
         if let Ok(message) = ring.recv_timeout(TICK) {
             state.take(message);
         }
-        if last_tick.elapsed() >= TICK {
-            last_tick = Instant::now();
-            state.copy_credits();
+        if last_duty.elapsed() >= DUTY_INTERVAL {
+            last_duty = Instant::now();
+            state.expire_calls();
+            state.look_after_shards();
         }
     }
 }
@@ -182,77 +125,126 @@
         match message {
             BrokerMessage::Call { request, call } => self.answer(request, call),
             BrokerMessage::Page { shard, records } => self.apply(shard, &records),
+            BrokerMessage::Expired { shard, first } => {
+                if let Some(replay) = self.replays.get_mut(shard as usize) {
+                    replay.skip_to(first);
+                }
+            }
         }
     }
 
+    /// The ledger of `shard`, when it can be decided on from here.
+    fn fold(&self, shard: u32) -> Option<&LedgerFold> {
+        self.replays.get(shard as usize)?.fold()
+    }
+
     fn answer(&mut self, request: BrokerRequest, call: PeerCall) {
+        let shard = match &request {
+            BrokerRequest::Grant { shard, .. }
+            | BrokerRequest::Record { shard, .. }
+            | BrokerRequest::Budgets { shard } => *shard,
+            BrokerRequest::OpenFirst { open } => self.shard(&open.key),
+            BrokerRequest::Lookup { key } => self.shard(key),
+        };
+        if self.fold(shard).is_none() || self.waiting.len() >= WAITING_LIMIT {
+            PeerReply::Broker(BrokerReply::Unavailable).send(call);
+            return;
+        }
         match request {
-            BrokerRequest::Grant { shard, grant } => self.grant(shard, grant, call),
-            BrokerRequest::OpenFirst { open } => self.open_first(open, call),
-            BrokerRequest::Append { shard, records } => {
-                for record in records {
-                    self.appends.push(shard, record);
-                }
-                PeerReply::Broker(BrokerReply::Appending).send(call);
+            BrokerRequest::Grant { returns, grant, .. } => self.grant(shard, returns, grant, call),
+            BrokerRequest::OpenFirst { open } => self.open_first(shard, open, call),
+            BrokerRequest::Record { record, .. } => {
+                self.appends.push(shard, record.clone());
+                self.wait(shard, WaitingKind::Record(record), call);
             }
             BrokerRequest::Lookup { key } => {
-                let reply = BrokerReply::Lookup(self.status(&key));
-                PeerReply::Broker(reply).send(call);
-            }
-            BrokerRequest::Budgets { shard } => {
-                let fold = &self.folds[shard as usize];
-                let reply = BrokerReply::Budgets {
-                    offset: fold.next_offset(),
-                    budgets: fold.budgets().clone(),
-                };
+                let reply = BrokerReply::Lookup(self.status(shard, &key));
                 PeerReply::Broker(reply).send(call);
             }
+            BrokerRequest::Budgets { .. } => self.reply_budgets(shard, call),
         }
     }
 
-    fn grant(&mut self, shard: u32, grant: AllowanceGrant, call: PeerCall) {
-        let known = self.folds[shard as usize].grants().contains_key(&grant.id);
-        if known {
-            self.reply_grant(shard, &grant.id, &grant.budget, call);
+    fn wait(&mut self, shard: u32, kind: WaitingKind, call: PeerCall) {
+        let since = Instant::now();
+        self.waiting.push(WaitingCall {
+            shard,
+            kind,
+            call,
+            since,
+        });
+    }
+
+    fn reply_budgets(&self, shard: u32, call: PeerCall) {
+        let Some(fold) = self.fold(shard) else {
             return;
+        };
+        let reply = BrokerReply::Budgets {
+            offset: fold.next_offset(),
+            budgets: fold.budgets().clone(),
+        };
+        PeerReply::Broker(reply).send(call);
+    }
+
+    /// Appends the returned fragments before the grant that may use them.
+    fn grant(
+        &mut self,
+        shard: u32,
+        returns: Vec<AllowanceReturn>,
+        grant: AllowanceGrant,
+        call: PeerCall,
+    ) {
+        let decided = self
+            .fold(shard)
+            .is_some_and(|fold| fold.has_decided(&grant.id));
+        if decided {
+            self.reply_grant(shard, grant.id, &grant.budget, call);
+            return;
+        }
+        for back in returns {
+            self.appends.push(shard, LedgerRecord::Return(back));
         }
-        self.waiting_grants.insert(grant.id, call);
+        let kind = WaitingKind::Grant {
+            id: grant.id,
+            budget: grant.budget.clone(),
+        };
+        self.wait(shard, kind, call);
         self.appends.push(shard, LedgerRecord::Grant(grant));
     }
 
-    fn reply_grant(&self, shard: u32, id: &GrantId, budget: &BudgetName, call: PeerCall) {
-        let fold = &self.folds[shard as usize];
-        let free = fold
-            .budgets()
-            .get(budget)
-            .map_or(TokenCount::ZERO, BudgetState::free);
+    fn reply_grant(&self, shard: u32, id: GrantId, budget: &BudgetName, call: PeerCall) {
+        let Some(fold) = self.fold(shard) else {
+            return;
+        };
+        let headroom = fold.budgets().get(budget).map(headroom);
         let reply = BrokerReply::Grant {
-            accepted: fold.grants().contains_key(id),
-            free,
+            accepted: fold.grants().contains_key(&id),
+            headroom: headroom.unwrap_or_default(),
             offset: fold.next_offset(),
         };
         PeerReply::Broker(reply).send(call);
     }
 
-    fn open_first(&mut self, open: RequestOpen, call: PeerCall) {
-        let status = self.status(&open.key);
+    fn open_first(&mut self, shard: u32, open: RequestOpen, call: PeerCall) {
+        let status = self.status(shard, &open.key);
         if !matches!(status, KeyStatus::Unseen) {
             let first = matches!(&status, KeyStatus::Open(held) if *held == open);
             let reply = BrokerReply::OpenFirst { first, status };
             PeerReply::Broker(reply).send(call);
             return;
         }
-        let shard = self.shard(&open.key);
         self.appends.push(shard, LedgerRecord::Open(open.clone()));
-        self.waiting_opens.push(WaitingOpen { open, call });
+        self.wait(shard, WaitingKind::OpenFirst(open), call);
     }
 
     fn shard(&self, key: &RequestKey) -> u32 {
         shard_of(&key.team, self.context.settings.budgets.shards)
     }
 
-    fn status(&self, key: &RequestKey) -> KeyStatus {
-        let fold = &self.folds[self.shard(key) as usize];
+    fn status(&self, shard: u32, key: &RequestKey) -> KeyStatus {
+        let Some(fold) = self.fold(shard) else {
+            return KeyStatus::Unseen;
+        };
         if let Some(settlement) = fold.settlement(key) {
             return KeyStatus::Settled(settlement.clone());
         }
@@ -264,108 +256,111 @@
 
     fn apply(&mut self, shard: u32, records: &[LogRecord]) {
         for record in records {
-            let batch = match codec::decode::<RecordBatch>(&record.data) {
-                Ok(batch) => batch,
+            let Some(replay) = self.replays.get_mut(shard as usize) else {
+                return;
+            };
+            let applied = match replay.take(record.offset, &record.data) {
+                Ok(applied) => applied,
                 Err(error) => {
-                    note_failure(self.context, &error.to_string());
-                    self.folds[shard as usize].skip(record.offset);
-                    continue;
+                    follow::note_failure(
+                        self.context,
+                        &format!("{error}: a newer release wrote it"),
+                    );
+                    return;
                 }
             };
-            let verdicts = self.folds[shard as usize].apply(record.offset, &batch);
-            self.resolve(shard, &batch, &verdicts);
+            let Some(applied) = applied else {
+                continue;
+            };
+            self.snapshots[shard as usize].count(&applied.batch);
+            self.resolve(shard, &applied.batch, &applied.verdicts);
         }
     }
 
     /// Answers the calls that waited for the records of `batch`.
     fn resolve(&mut self, shard: u32, batch: &RecordBatch, verdicts: &[RecordVerdict]) {
         for (record, verdict) in batch.records.iter().zip(verdicts) {
-            match record {
-                LedgerRecord::Grant(grant) => {
-                    let Some(call) = self.waiting_grants.remove(&grant.id) else {
-                        continue;
-                    };
-                    self.reply_grant(shard, &grant.id, &grant.budget, call);
+            let mut index = 0;
+            while index < self.waiting.len() {
+                let waiting = &self.waiting[index];
+                if waiting.shard != shard || !waiting.kind.matches(record) {
+                    index += 1;
+                    continue;
                 }
-                LedgerRecord::Open(open) => self.resolve_open(open, *verdict),
-                _ => {}
+                let waiting = self.waiting.swap_remove(index);
+                self.reply_waiting(waiting, *verdict);
             }
         }
     }
 
-    fn resolve_open(&mut self, open: &RequestOpen, verdict: RecordVerdict) {
-        let found = self
-            .waiting_opens
-            .iter()
-            .position(|waiting| waiting.open == *open);
-        let Some(index) = found else {
-            return;
-        };
-        let waiting = self.waiting_opens.swap_remove(index);
-        let reply = BrokerReply::OpenFirst {
-            first: verdict == RecordVerdict::Accepted,
-            status: self.status(&open.key),
+    fn reply_waiting(&self, waiting: WaitingCall, verdict: RecordVerdict) {
+        let reply = match waiting.kind {
+            WaitingKind::Grant { id, budget } => {
+                self.reply_grant(waiting.shard, id, &budget, waiting.call);
+                return;
+            }
+            WaitingKind::OpenFirst(open) => BrokerReply::OpenFirst {
+                first: verdict == RecordVerdict::Accepted,
+                status: self.status(waiting.shard, &open.key),
+            },
+            WaitingKind::Record(_) => BrokerReply::Recorded(verdict),
         };
         PeerReply::Broker(reply).send(waiting.call);
     }
 
-    /// Copies accepted top-ups into the ledger, once for each version of the
-    /// configuration; the fold ignores the copies of other brokers.
-    fn copy_credits(&mut self) {
-        let config = self.context.config.get();
-        if config.version == self.credited_version {
-            return;
-        }
-        self.credited_version = config.version;
-        for top_up in config.top_ups.values() {
-            let Some(budget) = config.budgets.get(&top_up.budget) else {
+    /// Drops the calls whose callers have given up.
+    fn expire_calls(&mut self) {
+        self.waiting
+            .retain(|waiting| waiting.since.elapsed() < CALL_LIMIT);
+    }
+
+    /// Copies the configuration, reclaims grants and appends snapshots for
+    /// the shards that this instance is ranked for.
+    fn look_after_shards(&mut self) {
+        for (index, replay) in self.replays.iter().enumerate() {
+            let shard = u32::try_from(index).unwrap_or(u32::MAX);
+            let Some(rank) = client::own_rank(self.context, shard) else {
                 continue;
             };
-            let shard = shard_of(&budget.team, self.context.settings.budgets.shards);
-            let id = TopUpId(top_up.id.clone());
-            if self.folds[shard as usize].has_credit(&id) {
+            let Some(fold) = replay.fold() else {
                 continue;
-            }
-            let credit = BudgetCredit {
-                id,
-                team: budget.team.clone(),
-                budget: budget.name.clone(),
-                tokens: top_up.tokens,
             };
-            self.appends.push(shard, LedgerRecord::Credit(credit));
+            self.copier.copy(self.context, self.appends, shard, fold);
+            self.reclaims.step(self.context, self.appends, shard, fold);
+            if rank == 0 {
+                self.snapshots[index].step(self.appends, shard, fold);
+            }
         }
     }
 }
 
-/// Reads a shard's stream and passes its records to the broker duty.
-pub fn follow(context: &SharedContext, shard: u32, ring: &SyncSender<BrokerMessage>) {
-    let stream = stream_of(shard);
-    let mut next = 0;
-    while !context.is_ended() {
-        let page = match context.log.read(&stream, next, POLL_WAIT) {
-            Ok(page) => page,
-            Err(error) => {
-                note_failure(context, &error.to_string());
-                thread::sleep(RETRY_DELAY);
-                continue;
-            }
-        };
-        let Some(last) = page.records.last() else {
-            continue;
-        };
-        next = next.max(last.offset + 1);
-        let records = page.records;
-        if ring.send(BrokerMessage::Page { shard, records }).is_err() {
-            return;
+impl WaitingKind {
+    /// Whether `record` is the one waited for.
+    fn matches(&self, record: &LedgerRecord) -> bool {
+        match (self, record) {
+            (Self::Grant { id, .. }, LedgerRecord::Grant(grant)) => grant.id == *id,
+            (Self::OpenFirst(waiting), LedgerRecord::Open(open)) => waiting == open,
+            (Self::Record(waiting), record) => waiting == record,
+            _ => false,
         }
     }
 }
 
-/// Records that a stream could not be read.
-fn note_failure(context: &SharedContext, detail: &str) {
+/// What a holder needs to know of a budget.
+fn headroom(state: &BudgetState) -> LedgerHeadroom {
+    LedgerHeadroom {
+        credited: state.credited,
+        remaining: state.credited.saturating_sub(state.charged),
+        free: state.free(),
+    }
+}
+
+/// Records an event of a grant.
+pub fn note_grant(context: &SharedContext, code: EventCode, budget: &BudgetName, detail: String) {
     let fields = EventFields {
-        detail: detail.to_owned(),
+        budget: budget.to_string(),
+        detail,
         ..EventFields::default()
     };
-    context.events.record(EventCode::LedgerUnreadable, fields);
+    context.events.record(code, fields);
 }
--- a/crates/hibiscus-router/src/ledger/client.rs
+++ b/crates/hibiscus-router/src/ledger/client.rs
@@ -23,6 +23,14 @@
     chosen.into_iter().cloned().collect()
 }
 
+/// This instance's rank for `shard`, 0 for the first; `None` when it is not
+/// among its brokers.
+pub fn own_rank(context: &SharedContext, shard: u32) -> Option<usize> {
+    let own = &context.settings.instance.name;
+    let chosen = brokers(context, shard);
+    chosen.iter().position(|instance| instance.name == *own)
+}
+
 /// Asks the brokers of `shard` in order, `timeout` each, until one answers.
 pub fn call(
     context: &SharedContext,
@@ -35,6 +43,9 @@
         let Ok(PeerReply::Broker(reply)) = request.call(context, broker.peers, timeout) else {
             continue;
         };
+        if matches!(reply, BrokerReply::Unavailable) {
+            continue;
+        }
         return Some(reply);
     }
     None
--- a/crates/hibiscus-router/src/ledger/mod.rs
+++ b/crates/hibiscus-router/src/ledger/mod.rs
@@ -4,3 +4,7 @@
 pub mod append;
 pub mod broker;
 pub mod client;
+pub mod copy;
+pub mod follow;
+pub mod message;
+pub mod reclaim;
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -29,6 +29,7 @@
 use crate::ledger::append;
 use crate::ledger::append::AppendRings;
 use crate::ledger::broker;
+use crate::ledger::follow;
 use crate::membership;
 use crate::operators;
 use crate::operators::OperatorsError;
@@ -116,7 +117,7 @@
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
-            broker::follow(context, shard, &ring);
+            follow::run(context, shard, &ring);
         });
     }
     let rings = appends.clone();
@@ -136,10 +137,14 @@
         let ring = holder.clone();
         let wants = Arc::clone(&wants);
         spawn(&context, "grants", move |context| {
-            holder::request_grants(context, &wants, &ring);
+            holder::grants::request_grants(context, &wants, &ring);
         });
     }
-    let rings = DutyRings { witness, broker };
+    let rings = DutyRings {
+        witness,
+        broker,
+        holder: holder.clone(),
+    };
     spawn(&context, "peer-calls", move |context| {
         peer::dispatch(context, &calls, &rings);
     });
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -10,6 +10,7 @@
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
+use hibiscus_types::BudgetName;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
@@ -17,6 +18,7 @@
 use serde::Serialize;
 
 use crate::context::SharedContext;
+use crate::holder::HolderMessage;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
@@ -51,6 +53,11 @@
     Witness(WitnessRequest),
     /// Asks a broker.
     Broker(BrokerRequest),
+    /// Asks the holder to give back what it does not need soon.
+    Recall {
+        /// The budget.
+        budget: BudgetName,
+    },
 }
 
 /// What an instance answers.
@@ -62,6 +69,8 @@
     Witness(WitnessReply),
     /// A broker's answer.
     Broker(BrokerReply),
+    /// The holder knows of the recall.
+    Recalled,
     /// The duty's ring is full.
     Busy,
 }
@@ -110,6 +119,8 @@
     pub witness: SyncSender<WitnessMessage>,
     /// The broker duty.
     pub broker: SyncSender<BrokerMessage>,
+    /// The holder duty.
+    pub holder: SyncSender<HolderMessage>,
 }
 
 /// Passes calls on until the process ends.
@@ -139,5 +150,9 @@
         PeerRequest::Broker(request) => {
             let _full = rings.broker.try_send(BrokerMessage::Call { request, call });
         }
+        PeerRequest::Recall { budget } => {
+            let _full = rings.holder.try_send(HolderMessage::Recall { budget });
+            PeerReply::Recalled.send(call);
+        }
     }
 }
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -8,6 +8,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
+use hibiscus_ledger::fold::RecordVerdict;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RequestOpen;
@@ -16,6 +17,7 @@
 use hibiscus_ledger::witness::WitnessAnswer;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::RefusalReason;
+use hibiscus_types::RequestKey;
 use hibiscus_types::TokenCount;
 
 use crate::callers::answer::RequestFailure;
@@ -33,7 +35,7 @@
 
 /// Time that a witness may take.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time that a broker may take to hand a record to the log.
+/// Time that a broker may take to read a record back.
 const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of a step.
@@ -107,6 +109,7 @@
     };
     let answers = ask_witnesses(context, &reservation.witnesses, ask);
     if answers.contains(&WitnessAnswer::Sealed) {
+        context.sealed_grants.add(reservation.grant);
         return Err(RequestFailure::not_run(
             RefusalReason::NotRecorded,
             "failed to record the request: its grant is sealed",
@@ -115,10 +118,21 @@
     if answers.contains(&WitnessAnswer::Acknowledged) {
         return Ok(());
     }
-    Err(RequestFailure::not_run(
-        RefusalReason::NotRecorded,
-        "failed to record the request: no witness answered",
-    ))
+    let record = LedgerRecord::Open(open.clone());
+    match read_back(context, &open.key, record) {
+        Some(RecordVerdict::Accepted | RecordVerdict::Repeated) => Ok(()),
+        Some(_) => {
+            context.sealed_grants.add(reservation.grant);
+            Err(RequestFailure::not_run(
+                RefusalReason::NotRecorded,
+                "failed to record the request: the ledger refused its open",
+            ))
+        }
+        None => Err(RequestFailure::not_run(
+            RefusalReason::NotRecorded,
+            "failed to record the request: neither a witness nor the log answered",
+        )),
+    }
 }
 
 /// Has the settlement acknowledged by a witness, or by a broker when no
@@ -136,13 +150,23 @@
     if answers.contains(&WitnessAnswer::Acknowledged) {
         return true;
     }
-    let shard = shard_of(&settlement.key.team, context.settings.budgets.shards);
-    let request = BrokerRequest::Append {
-        shard,
-        records: vec![LedgerRecord::Settle(settlement.clone())],
-    };
-    let reply = client::call(context, shard, &request, BROKER_TIMEOUT);
-    matches!(reply, Some(BrokerReply::Appending))
+    let record = LedgerRecord::Settle(settlement.clone());
+    read_back(context, &settlement.key, record).is_some()
+}
+
+/// Has a broker append the record and read it back; `None` when the log did
+/// not answer in time, though it may hold the record.
+fn read_back(
+    context: &SharedContext,
+    key: &RequestKey,
+    record: LedgerRecord,
+) -> Option<RecordVerdict> {
+    let shard = shard_of(&key.team, context.settings.budgets.shards);
+    let request = BrokerRequest::Record { shard, record };
+    match client::call(context, shard, &request, BROKER_TIMEOUT) {
+        Some(BrokerReply::Recorded(verdict)) => Some(verdict),
+        _ => None,
+    }
 }
 
 /// Asks all witnesses at once and collects the answers that come.
