Raise the charge of a key when a later run used more

A key is still charged once, at its largest run, and never from what a reclaimed grant keeps for other opens.

--- a/crates/hibiscus-ledger/src/fold/requests.rs
+++ b/crates/hibiscus-ledger/src/fold/requests.rs
@@ -63,9 +63,16 @@
             return self.settle_not_run(offset, settlement, was_open);
         }
         if let Some(first) = self.settled.get(&settlement.key) {
-            let copy = first.grant == settlement.grant && first.attempt == settlement.attempt;
-            if !copy || was_open {
-                self.drop_reservation(settlement, was_open, TokenCount::ZERO);
+            // A run that got further than the one charged raises the charge:
+            // the key still costs once, what its largest run used.
+            let more = settlement.charge.min(settlement.reserved);
+            let mut more = more.saturating_sub(first.charge);
+            if reclaimed && !was_open {
+                more = TokenCount::ZERO;
+            }
+            let paid = self.drop_reservation(settlement, was_open, more);
+            if let Some(first) = self.settled.get_mut(&settlement.key) {
+                first.charge = first.charge + paid;
             }
             return RecordVerdict::Repeated;
         }
@@ -84,8 +91,11 @@
             // see what the grant could not pay for.
             self.list_late(settlement);
         }
-        self.settled
-            .insert(settlement.key.clone(), settlement.clone());
+        let kept = RequestSettlement {
+            charge: charged,
+            ..settlement.clone()
+        };
+        self.settled.insert(settlement.key.clone(), kept);
         self.settled_order
             .push_back((offset, settlement.key.clone()));
         self.free_copies(&settlement.key);
--- a/crates/hibiscus-ledger/tests/fold.rs
+++ b/crates/hibiscus-ledger/tests/fold.rs
@@ -152,6 +152,21 @@
     assert_eq!(driver.sums(), (100, 8, 22));
 }
 
+#[test]
+fn a_later_run_that_used_more_raises_the_charge_of_its_key_once() {
+    let mut driver = LedgerDriver::new();
+    driver.grant(1, 40);
+    driver.grant(2, 40);
+    let failed = LedgerRecord::Settle(settle(&open(7, first(), 20), 8));
+    let whole = LedgerRecord::Settle(settle(&open(7, GrantId::from_u128(2), 20), 13));
+    assert_eq!(driver.append(failed.clone()), RecordVerdict::Accepted);
+    assert_eq!(driver.append(whole.clone()), RecordVerdict::Repeated);
+    driver.append(whole);
+    driver.append(failed);
+    assert_eq!(driver.sums(), (100, 13, 67));
+    assert_eq!(driver.fold.settled_count(), 1);
+}
+
 #[test]
 fn promises_that_precede_the_proposal_count() {
     let mut driver = LedgerDriver::new();
