--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -11,6 +11,7 @@
 use hibiscus_types::IncarnationId;
 
 use crate::config::ConfigCell;
+use crate::holder::sealed::SealedGrants;
 use crate::membership::FleetCell;
 use crate::servers::ServerTable;
 use crate::servers::suspects::SuspectCell;
@@ -39,6 +40,8 @@
     pub link: PeerLink,
     /// The log service.
     pub log: HttpLog,
+    /// Own grants that a witness or the ledger called sealed.
+    pub sealed_grants: SealedGrants,
     /// Requests in progress.
     pub in_progress: AtomicU32,
     /// Number of the next attempt at a non-idempotent call.
@@ -69,6 +72,7 @@
             suspects: SuspectCell::default(),
             link,
             log,
+            sealed_grants: SealedGrants::default(),
             in_progress: AtomicU32::new(0),
             next_attempt: AtomicU32::new(1),
             draining: AtomicBool::new(false),
