--- a/crates/hibiscus-router/src/operators/status.rs
+++ b/crates/hibiscus-router/src/operators/status.rs
@@ -50,7 +50,7 @@
         reasons.push("no configuration is in force");
     }
     if context.config.is_outdated() {
-        reasons.push("the configuration in force is outdated");
+        reasons.push("a newer release changed the configuration");
     }
     if context.is_draining() {
         reasons.push("the instance is stopping");
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -11,6 +11,7 @@
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
 use hibiscus_request::quarantine::ServerDeath;
+use hibiscus_types::BudgetName;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
@@ -20,6 +21,7 @@
 use crate::config::peers::ConfigReply;
 use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
+use crate::holder::HolderMessage;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
@@ -58,6 +60,11 @@
     Config(ConfigRequest),
     /// Tells of a server that stopped while it ran a request.
     ServerDeath(ServerDeath),
+    /// Asks the holder to give back what it does not need soon.
+    Recall {
+        /// The budget.
+        budget: BudgetName,
+    },
 }
 
 /// What an instance answers.
@@ -73,6 +80,8 @@
     Config(ConfigReply),
     /// The death is known.
     ServerDeath,
+    /// The holder knows of the recall.
+    Recalled,
     /// The duty's ring is full.
     Busy,
 }
@@ -121,6 +130,8 @@
     pub witness: SyncSender<WitnessMessage>,
     /// The broker duty.
     pub broker: SyncSender<BrokerMessage>,
+    /// The holder duty.
+    pub holder: SyncSender<HolderMessage>,
 }
 
 /// Passes calls on until the process ends.
@@ -156,5 +167,9 @@
         PeerRequest::Broker(request) => {
             let _full = rings.broker.try_send(BrokerMessage::Call { request, call });
         }
+        PeerRequest::Recall { budget } => {
+            let _full = rings.holder.try_send(HolderMessage::Recall { budget });
+            PeerReply::Recalled.send(call);
+        }
     }
 }
