--- a/crates/hibiscus-router/src/callers/admission.rs
+++ b/crates/hibiscus-router/src/callers/admission.rs
@@ -36,6 +36,11 @@
 pub const RESUME_HEADER: &str = "x-resume-from";
 /// Header that names the budget that pays, one of the team's.
 pub const BUDGET_HEADER: &str = "x-hibiscus-budget";
+/// Header of the configuration version: in a request the lowest that the
+/// caller accepts, in an answer the one in force.
+pub const CONFIG_HEADER: &str = "x-hibiscus-config";
+/// Time after which a version that is not in force yet may be.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
 /// Path of chat completions.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 /// Longest idempotency key, in bytes.
@@ -91,6 +96,7 @@
             "failed to take the request: a newer release changed the configuration",
         ));
     }
+    check_version(&config, &head.headers)?;
     let team = identify_team(&config, &head.headers)?;
     check_target(&config, head)?;
     let budget = choose_budget(&config, team, &head.headers)?;
@@ -146,6 +152,22 @@
     RequestFailure::unadmitted(RefusalReason::BadRequest, message)
 }
 
+/// Checks that the version that the caller knows of is in force here.
+fn check_version(config: &ConfigSnapshot, headers: &HeaderMap) -> Result<()> {
+    let lowest = number(headers, CONFIG_HEADER, 0, u64::MAX)?.unwrap_or(0);
+    if config.version >= lowest {
+        return Ok(());
+    }
+    let version = config.version;
+    let message = format!(
+        "failed to take the request: configuration version {lowest} is not in force here yet, \
+         version {version} is"
+    );
+    let mut failure = RequestFailure::unadmitted(RefusalReason::NotReady, message);
+    failure.retry_after = Some(CONFIG_WAIT);
+    Err(failure)
+}
+
 /// The team that the API key identifies.
 fn identify_team<'a>(config: &'a ConfigSnapshot, headers: &HeaderMap) -> Result<&'a TeamName> {
     let api_key = single(headers, AUTHORIZATION_HEADER)?
--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -10,6 +10,7 @@
 use hyper::http::HeaderValue;
 use serde::Serialize;
 
+use crate::callers::admission::CONFIG_HEADER;
 use crate::callers::body::AnswerBody;
 
 /// Header that tells whether the request ran.
@@ -240,6 +241,12 @@
     response
 }
 
+/// Names the configuration version in force.
+pub fn stamp_config(response: &mut Response<AnswerBody>, version: u64) {
+    let version = HeaderValue::from(version);
+    response.headers_mut().insert(CONFIG_HEADER, version);
+}
+
 /// Names the request's key in an answer that does not name it yet.
 pub fn stamp_key(response: &mut Response<AnswerBody>, key: &str) {
     let Ok(value) = HeaderValue::from_str(key) else {
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -174,10 +174,11 @@
     }
     let received = Instant::now();
     let (head, body) = request.into_parts();
-    let response = match identify(&state, &head, received) {
+    let mut response = match identify(&state, &head, received) {
         Ok(identity) => receive_and_run(&state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
+    answer::stamp_config(&mut response, state.context.config.get().version);
     count(&state.context, &response, received);
     Ok(response)
 }
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -258,6 +258,20 @@
         let answer = fleet.exchange(&chat_request(headers, CHAT_BODY));
         answer.assert_refused(400, "bad_request", message);
     }
+    let newer = chat_request("x-hibiscus-config: 7\r\n", CHAT_BODY);
+    let answer = fleet.exchange(&newer);
+    answer.assert_refused(
+        503,
+        "not_ready",
+        "failed to take the request: configuration version 7 is not in force here yet, \
+         version 1 is",
+    );
+    assert_eq!(answer.error()["retry_after_ms"], 500);
+    assert!(
+        answer.head.contains("x-hibiscus-config: 1"),
+        "{}",
+        answer.head
+    );
     let large = format!("x-large: {}\r\n", "x".repeat(17 * 1024));
     let answer = fleet.exchange(&chat_request(&large, CHAT_BODY));
     answer.assert_refused(
