--- a/crates/hibiscus-bench/src/commands/overhead.rs
+++ b/crates/hibiscus-bench/src/commands/overhead.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::recorder::EventPage;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::engine::EngineBehaviour;
 use hibiscus_support::fleet::StandinPlatform;
@@ -26,6 +27,7 @@
 
 use crate::caller::FleetCaller;
 use crate::commands::run::ExperimentOptions;
+use crate::steps;
 
 /// Streams in progress.
 const STREAMS: usize = 500;
@@ -51,6 +53,8 @@
 const EXAMPLE: &str = include_str!("../../../../examples/prairie-seam.jsonc");
 /// Credit in the example, and credit for the whole run.
 const CREDITS: [&str; 2] = ["\"tokens\": 200000", "\"tokens\": 2000000000"];
+/// Bytes of one router's events at most.
+const EVENTS_LIMIT: u64 = 64 * 1024 * 1024;
 /// Milliseconds in a second.
 const MILLIS: f64 = 1e3;
 
@@ -105,6 +109,7 @@
     let peak = watch.stop();
     report_phase("direct", &direct);
     report_phase("fleet", &fleet);
+    report_steps(&routers);
     let result = compare(&direct, &fleet, peak.saturating_sub(idle));
     match serde_json::to_string(&result) {
         Ok(line) => println!("{line}"),
@@ -295,6 +300,32 @@
     );
 }
 
+/// Prints where the time of the counted streams went in the routers to
+/// standard error.
+fn report_steps(routers: &[RouterProcess]) {
+    let mut events = Vec::new();
+    for router in routers {
+        let url = format!("http://{}/v1/events", router.addresses.operators);
+        let Ok(mut response) = ureq::get(url).call() else {
+            continue;
+        };
+        let body = response.body_mut().with_config().limit(EVENTS_LIMIT);
+        let text = body.read_to_string().unwrap_or_default();
+        let page: EventPage = serde_json::from_str(&text).unwrap_or_default();
+        events.extend(page.events);
+    }
+    events.retain(|event| {
+        let request = event.fields.request.as_str();
+        request.contains("/stream-") && !request.ends_with("-0")
+    });
+    for step in steps::step_times(&events) {
+        eprintln!(
+            "fleet: {}: p50 {:.2} ms, p99 {:.2} ms ({} requests)",
+            step.name, step.median_ms, step.p99_ms, step.requests
+        );
+    }
+}
+
 /// Compares the phases.
 fn compare(direct: &PhaseResult, fleet: &PhaseResult, added_bytes: u64) -> OverheadResult {
     let direct_times = first_tokens(direct);
--- a/crates/hibiscus-bench/src/steps.rs
+++ b/crates/hibiscus-bench/src/steps.rs
@@ -40,6 +40,8 @@
     pub requests: usize,
     /// Median, in milliseconds.
     pub median_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
 }
 
 /// The steps of all requests whose events are among `events`.
@@ -65,14 +67,16 @@
         steps.push(StepTime {
             name,
             requests: spans.len(),
-            median_ms: median_ms(&spans),
+            median_ms: percentile_ms(&spans, 50),
+            p99_ms: percentile_ms(&spans, 99),
         });
     }
     steps
 }
 
-/// The median of sorted `spans`, zero when there are none.
-fn median_ms(spans: &[u64]) -> f64 {
-    let middle = spans.get(spans.len() / 2).copied().unwrap_or(0);
-    middle as f64 / NANOS_PER_MILLI
+/// A percentile of sorted `spans`, zero when there are none.
+fn percentile_ms(spans: &[u64], percent: usize) -> f64 {
+    let index = (spans.len() * percent / 100).min(spans.len().saturating_sub(1));
+    let span = spans.get(index).copied().unwrap_or(0);
+    span as f64 / NANOS_PER_MILLI
 }
