Print the causes of a failed start; test pipelined requests

A port in use was reported without its cause. Requests that come at once on one connection get their own answers in order; that held before and is now tested.

--- a/crates/hibiscus-router/src/cli.rs
+++ b/crates/hibiscus-router/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line of the daemon.
 
+use std::error::Error;
 use std::fs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -76,6 +77,17 @@
     })
 }
 
+/// An error with its chain of causes, a line each.
+fn with_causes(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(&format!("\ncaused by: {cause}"));
+        source = cause.source();
+    }
+    text
+}
+
 /// Serves until a signal; a second one ends the process at once.
 fn serve(settings: RouterSettings) -> ExitCode {
     let mut signals = match Signals::new([SIGINT, SIGTERM]) {
@@ -88,7 +100,7 @@
     let router = match ops::start(settings) {
         Ok(router) => router,
         Err(error) => {
-            eprintln!("error: {error}");
+            eprintln!("error: {}", with_causes(&error));
             return ExitCode::from(EXIT_START);
         }
     };
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -416,6 +416,34 @@
     );
 }
 
+#[test]
+fn requests_sent_at_once_on_one_connection_get_their_own_answers_in_order() {
+    let fleet = CallerFleet::start(&LimitSettings::default());
+    let mut bytes = Vec::new();
+    let mut expected = Vec::new();
+    for marker in ["hem", "sleeve", "collar"] {
+        let body = CHAT_BODY.replace("fit", marker);
+        let key = format!("idempotency-key: {marker}\r\n");
+        let request = String::from_utf8(chat_request(&key, &body)).expect("it is text");
+        // Only the last request closes the connection.
+        let keep = if marker == "collar" {
+            request
+        } else {
+            request.replace("connection: close\r\n", "")
+        };
+        bytes.extend_from_slice(keep.as_bytes());
+        expected.push(format!("{marker}.0 {marker}.1 {marker}.2 {marker}.3"));
+    }
+    let answer = fleet.exchange(&bytes);
+    let all = format!("{}{}", answer.head, answer.body);
+    let mut from = 0;
+    for text in expected {
+        let found = all[from..].find(&text);
+        from += found.unwrap_or_else(|| panic!("`{text}` is missing in its place: {all}"));
+    }
+    assert_eq!(all.matches("HTTP/1.1 200").count(), 3, "{all}");
+}
+
 #[test]
 fn a_body_over_the_limit_is_refused_by_length_and_by_parts() {
     let limits = LimitSettings {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod contracts;
 mod events;
+mod exit_codes;
 mod fuzz;
 mod operators;
 mod planned_stop;
