Measure the configuration and bound the heartbeats' bytes

Cause: with 16 pieces of news a message the start of a fleet of 810 cost 7,164 bytes a second and instance, over the 4 KB for control.

A message carries 4 pieces of news and 2 repairs; an instance that starts asks for all heartbeats every second message at first. Three instances a data centre follow the log, so at today's sizes all do.

--- a/crates/hibiscus-membership/src/gossip.rs
+++ b/crates/hibiscus-membership/src/gossip.rs
@@ -8,9 +8,9 @@
 use crate::view::InstanceHeartbeat;
 
 /// News in one message.
-pub const NEWS_LIMIT: usize = 16;
+pub const NEWS_LIMIT: usize = 4;
 /// Messages in which one piece of news is passed on.
-pub const NEWS_REPEATS: u8 = 12;
+pub const NEWS_REPEATS: u8 = 8;
 /// Heartbeats of others repeated in each message without being news, so that
 /// what was lost is repaired in the end.
 pub const REPAIR_ITEMS: usize = 2;
--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -26,6 +26,12 @@
 /// Time without a heartbeat after which a neighbour counts as silent.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Times that an instance asks for all heartbeats after its start.
+const WHOLE_ASKS: u32 = 16;
+/// One message among so many asks for all heartbeats, so that the asks reach
+/// past the time in which a whole fleet starts.
+const WHOLE_ASK_EVERY: u32 = 2;
+
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceHeartbeat {
@@ -110,6 +116,7 @@
     news: VecDeque<PendingNews>,
     reported: BTreeMap<InstanceName, IncarnationId>,
     repair_from: Option<InstanceName>,
+    messages: u32,
 }
 
 impl FleetView {
@@ -159,7 +166,9 @@
     pub fn hear(&mut self, beat: InstanceHeartbeat, now: UnixMillis) {
         let name = beat.name.clone();
         let incarnation = beat.incarnation;
-        self.learn(beat, now);
+        if self.learn(beat.clone(), now) {
+            self.pass_on(GossipItem::Beat(beat));
+        }
         let Some(known) = self.known.get_mut(&name) else {
             return;
         };
@@ -170,8 +179,9 @@
         }
     }
 
-    /// Takes a heartbeat from its instance or passed on by another one.
-    fn learn(&mut self, beat: InstanceHeartbeat, now: UnixMillis) {
+    /// Takes a heartbeat from its instance or passed on by another one;
+    /// whether it is news.
+    fn learn(&mut self, beat: InstanceHeartbeat, now: UnixMillis) -> bool {
         let Some(known) = self.known.get_mut(&beat.name) else {
             self.pass_on(GossipItem::Beat(beat.clone()));
             self.incarnations
@@ -183,10 +193,10 @@
                 reports: BTreeMap::new(),
             };
             self.known.insert(beat.name, known);
-            return;
+            return true;
         };
         if !beat.is_after(&known.beat) {
-            return;
+            return false;
         }
         let mut news = beat.is_news(&known.beat);
         if beat.incarnation != known.beat.incarnation {
@@ -200,10 +210,8 @@
         let uptime = beat.uptime_ms;
         known.reports.retain(|_reporter, silent| *silent >= uptime);
         news |= known.reports.len() < reports;
-        known.beat = beat.clone();
-        if news {
-            self.pass_on(GossipItem::Beat(beat));
-        }
+        known.beat = beat;
+        news
     }
 
     /// Takes another instance's word that one is silent.
@@ -248,24 +256,53 @@
         });
     }
 
-    /// The next message to a neighbour, or the reply to one that is
+    /// The next message to a neighbour.
+    pub fn message(&mut self, beat: InstanceHeartbeat) -> GossipMessage {
+        let joining = self.asks_for_all();
+        let items = self.next_items();
+        GossipMessage {
+            beat,
+            joining,
+            items,
+        }
+    }
+
+    /// The reply to a message, with all heartbeats when its sender is
     /// `joining`.
-    pub fn message(&mut self, beat: InstanceHeartbeat, joining: bool) -> GossipMessage {
-        let mut items = Vec::new();
-        if joining {
+    pub fn reply(&mut self, beat: InstanceHeartbeat, joining: bool) -> GossipMessage {
+        let items = if joining {
             let all = self.known.values();
-            items.extend(all.map(|known| GossipItem::Beat(known.beat.clone())));
+            all.map(|known| GossipItem::Beat(known.beat.clone()))
+                .collect()
         } else {
-            self.take_news(&mut items);
-            self.take_repairs(&mut items);
-        }
+            self.next_items()
+        };
         GossipMessage {
-            joining: !self.knows_most(),
             beat,
+            joining: false,
             items,
         }
     }
 
+    /// News and repairs for one message.
+    fn next_items(&mut self) -> Vec<GossipItem> {
+        let mut items = Vec::with_capacity(NEWS_LIMIT + REPAIR_ITEMS);
+        self.take_news(&mut items);
+        self.take_repairs(&mut items);
+        items
+    }
+
+    /// Whether to ask for all heartbeats: while some are missing, but only
+    /// so often, since some instances may never have been heard by anyone.
+    fn asks_for_all(&mut self) -> bool {
+        let missing = self.instances.len().saturating_sub(self.known.len());
+        if missing == 0 || self.messages >= WHOLE_ASKS * WHOLE_ASK_EVERY {
+            return false;
+        }
+        self.messages += 1;
+        self.messages % WHOLE_ASK_EVERY == 1
+    }
+
     fn take_news(&mut self, items: &mut Vec<GossipItem>) {
         for _item in 0..self.news.len().min(NEWS_LIMIT) {
             let Some(mut pending) = self.news.pop_front() else {
@@ -301,9 +338,15 @@
     /// Takes a message that arrived at `now`.
     pub fn take_message(&mut self, message: GossipMessage, now: UnixMillis) {
         self.hear(message.beat, now);
+        // All heartbeats, for one who joins, are no news to the others.
+        let whole = message.items.len() > NEWS_LIMIT + REPAIR_ITEMS;
         for item in message.items {
             match item {
-                GossipItem::Beat(beat) if beat.name != self.own => self.learn(beat, now),
+                GossipItem::Beat(beat) if beat.name != self.own => {
+                    if self.learn(beat.clone(), now) && !whole {
+                        self.pass_on(GossipItem::Beat(beat));
+                    }
+                }
                 GossipItem::Beat(_) => {}
                 GossipItem::Silence(report) => self.learn_silence(report),
             }
--- a/crates/hibiscus-router/src/config/follow.rs
+++ b/crates/hibiscus-router/src/config/follow.rs
@@ -19,8 +19,8 @@
 use crate::context::SharedContext;
 
 /// Instances of a data centre that follow the log; the others fetch from
-/// their peers.
-const READERS: usize = 2;
+/// their peers. At today's sizes all follow it.
+const READERS: usize = 3;
 /// Time that a read waits for a record.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
 /// Delay before a failed read is repeated.
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -176,7 +176,7 @@
 
 /// One exchange with `peer`.
 fn exchange(context: &SharedContext, beat: InstanceHeartbeat, peer: SocketAddr) {
-    let message = context.fleet.lock().message(beat, false);
+    let message = context.fleet.lock().message(beat);
     let request = PeerRequest::Heartbeat(message);
     if let Ok(PeerReply::Heartbeat(reply)) = request.call(context, peer, BEAT_TIMEOUT) {
         context.fleet.lock().take_message(reply, UnixMillis::now());
@@ -189,5 +189,5 @@
     let joining = message.joining;
     let mut fleet = context.fleet.lock();
     fleet.take_message(message, UnixMillis::now());
-    fleet.message(beat, joining)
+    fleet.reply(beat, joining)
 }
--- a/crates/hibiscus-support/src/gossip.rs
+++ b/crates/hibiscus-support/src/gossip.rs
@@ -151,12 +151,12 @@
     fn exchange(&mut self, from: usize, to: usize) {
         let now = self.now;
         let beat = self.members[from].next_beat(now);
-        let message = self.members[from].view.message(beat, false);
+        let message = self.members[from].view.message(beat);
         self.count(&message);
         let joining = message.joining;
         let beat = self.members[to].next_beat(now);
         self.members[to].view.take_message(message, now);
-        let reply = self.members[to].view.message(beat, joining);
+        let reply = self.members[to].view.reply(beat, joining);
         self.count(&reply);
         self.members[from].view.take_message(reply, now);
     }
