--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Duty: follows the instance list and exchanges heartbeats.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_membership::view::FleetInstance;
 use hibiscus_membership::view::FleetView;
@@ -16,6 +19,7 @@
 use hibiscus_platform::list::InstanceList;
 use hibiscus_platform::list::ListClient;
 use hibiscus_platform::list::ListedState;
+use hibiscus_types::InstanceName;
 use hibiscus_types::UnixMillis;
 
 use crate::context::SharedContext;
@@ -39,6 +43,9 @@
 /// Time that an exchange may take.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Neighbours that fell silent and were not heard again.
+type SilentNames = BTreeSet<InstanceName>;
+
 /// The fleet as this process sees it.
 pub struct FleetCell {
     view: Mutex<FleetView>,
@@ -121,11 +128,13 @@
     let own = &context.settings.instance.name;
     context.fleet.lock().set_own(own);
     let mut hurry = HurryState::default();
+    let mut silent = SilentNames::new();
     let mut turn = 0;
     while !context.is_ended() {
         let started = Instant::now();
         let beat = own_heartbeat(context);
         let interval = hurry.interval(context, &beat);
+        note_silence(context, &mut silent);
         if let Some(peer) = next_neighbour(context, thread, turn) {
             exchange(context, beat, peer);
         }
@@ -160,12 +169,38 @@
     }
 }
 
+/// Records which neighbours fall silent and which are heard again.
+fn note_silence(context: &SharedContext, silent: &mut SilentNames) {
+    let now = UnixMillis::now();
+    let mut fleet = context.fleet.lock();
+    let fallen = fleet.note_silence(now);
+    let ready = fleet.ready(now);
+    drop(fleet);
+    for instance in ready {
+        if silent.remove(&instance.name) {
+            note_instance(context, EventCode::InstanceHeard, &instance.name);
+        }
+    }
+    for name in fallen {
+        note_instance(context, EventCode::InstanceSilent, &name);
+        silent.insert(name);
+    }
+}
+
+/// Records an event about another instance.
+fn note_instance(context: &SharedContext, code: EventCode, name: &InstanceName) {
+    let fields = EventFields {
+        detail: name.to_string(),
+        ..EventFields::default()
+    };
+    context.events.record(code, fields);
+}
+
 /// The neighbour whose turn it is.
 fn next_neighbour(context: &SharedContext, thread: usize, turn: usize) -> Option<SocketAddr> {
     let now = UnixMillis::now();
     let mut fleet = context.fleet.lock();
     fleet.hear(own_heartbeat(context), now);
-    fleet.note_silence(now);
     let all = fleet.neighbours().skip(thread).step_by(BEAT_THREADS);
     let share: Vec<SocketAddr> = all.map(|instance| instance.peers).collect();
     if share.is_empty() {
