--- a/crates/hibiscus-bench/src/commands/config/heartbeats.rs
+++ b/crates/hibiscus-bench/src/commands/config/heartbeats.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventRecorder;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -108,9 +109,11 @@
 /// A link on a free port.
 fn open(authority: &FleetAuthority) -> Result<(PeerLink, mpsc::Receiver<PeerCall>), LinkError> {
     let keys = authority.issue();
+    let events = Arc::new(EventRecorder::new("bench"));
     let (inbox, calls) = mpsc::sync_channel(64);
     let options = LinkOptions {
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        events: &events,
         keys: LinkKeys {
             authority: &keys.authority,
             certificate: &keys.certificate,
