Read changes of the instance list, and keep witnesses without configuration

Cause: each change of the list brought the whole list, 1.5 MB at 10,000 servers. Instances without a configuration were left out of the ready ones, so a grant made while the fleet starts had one witness instead of two (found by the time line's test).

--- a/crates/hibiscus-bench/src/commands/config.rs
+++ b/crates/hibiscus-bench/src/commands/config.rs
@@ -4,17 +4,16 @@
 
 use serde::Serialize;
 
+use crate::commands::config::load::CaseError;
+use crate::commands::config::load::CaseOutcome;
+use crate::commands::config::population::PublishLoad;
 use crate::commands::run::ExperimentOptions;
 
-mod heartbeats;
-mod load;
-mod memory;
-mod observe;
-mod population;
-
-use load::CaseError;
-use load::CaseOutcome;
-use population::PublishLoad;
+pub mod heartbeats;
+pub mod load;
+pub mod memory;
+pub mod observe;
+pub mod population;
 
 /// One line of the report.
 #[derive(Debug, Serialize)]
--- a/crates/hibiscus-bench/src/commands/config/memory.rs
+++ b/crates/hibiscus-bench/src/commands/config/memory.rs
@@ -24,7 +24,7 @@
         entries += record.changes.len() as u64;
         page.push((page.len() as u64, codec::encode(&record)?));
     }
-    let mut offset = page.len() as u64;
+    let first = page.len() as u64;
     let before = resident_bytes();
     let cell = ConfigCell::default();
     let started = Instant::now();
@@ -33,9 +33,9 @@
     let bytes = resident_bytes().saturating_sub(before);
     let started = Instant::now();
     for number in 0..TIMED_CHANGES {
+        let offset = first + number;
         let record = one_change(number, offset);
         let _accepted = cell.take(&[(offset, codec::encode(&record)?)]);
-        offset += 1;
     }
     let each = started.elapsed().as_secs_f64() * 1e6 / TIMED_CHANGES as f64;
     eprintln!(
--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -44,7 +44,7 @@
     /// Whether it is stopping.
     pub stopping: bool,
     /// Whether it has a configuration that it may decide by.
-    pub ready: bool,
+    pub configured: bool,
     /// Requests in progress.
     pub load: u32,
     /// The configuration version in force there.
@@ -62,7 +62,7 @@
     fn is_news(&self, other: &Self) -> bool {
         self.incarnation != other.incarnation
             || self.stopping != other.stopping
-            || self.ready != other.ready
+            || self.configured != other.configured
     }
 }
 
@@ -434,8 +434,18 @@
         *name != self.own && known.reports.len() >= SILENCE_REPORTS
     }
 
-    /// Instances that are listed as live, not silent, not stopping and have
-    /// a configuration.
+    /// The instances of [`Self::ready`] that have a configuration to decide
+    /// by: those that callers may be sent to.
+    pub fn serving(&self, now: UnixMillis) -> Vec<FleetInstance> {
+        let mut serving = self.ready(now);
+        serving.retain(|instance| {
+            let beat = self.beat_of(&instance.name);
+            beat.is_some_and(|beat| beat.configured)
+        });
+        serving
+    }
+
+    /// Instances that are listed as live, not silent and not stopping.
     pub fn ready(&self, now: UnixMillis) -> Vec<FleetInstance> {
         let mut ready = Vec::new();
         for instance in &self.instances {
@@ -446,7 +456,7 @@
                 continue;
             };
             let beat = &known.beat;
-            if beat.stopping || !beat.ready || self.is_silent(&instance.name, known, now) {
+            if beat.stopping || self.is_silent(&instance.name, known, now) {
                 continue;
             }
             ready.push(instance.clone());
--- a/crates/hibiscus-membership/tests/view.rs
+++ b/crates/hibiscus-membership/tests/view.rs
@@ -83,6 +83,23 @@
     }
 }
 
+#[test]
+fn callers_are_not_sent_to_a_member_without_a_configuration() {
+    let mut fleet = settled(7, 3);
+    fleet.members[4].beat.configured = false;
+    rounds(&mut fleet, SETTLE_ROUNDS);
+    assert_eq!(fleet.ready_range(), (7, 7));
+    for member in &fleet.members {
+        let serving = member.view.serving(fleet.now);
+        assert_eq!(serving.len(), 6);
+        assert!(
+            serving
+                .iter()
+                .all(|held| held.name != fleet.members[4].beat.name)
+        );
+    }
+}
+
 #[test]
 fn a_new_incarnation_at_the_same_address_replaces_the_old_one() {
     for (count, data_centres) in [(7, 3), (60, 4)] {
--- a/crates/hibiscus-platform/src/list.rs
+++ b/crates/hibiscus-platform/src/list.rs
@@ -1,9 +1,12 @@
 //! The platform's instance list: instances of this fleet and backend servers.
 //!
-//! `GET /v1/instances?after=v&wait_ms=m` answers the whole list once its
-//! version differs from `v`, waiting up to `m` milliseconds. The list lags
-//! behind the machines.
+//! `GET /v1/instances?after=v&wait_ms=m` answers the list once its version
+//! differs from `v`, waiting up to `m` milliseconds. With `&changes=1` the
+//! platform may answer only what changed after `v`, which the answer says by
+//! `"changed_after": v`; without that field it is the whole list. The list
+//! lags behind the machines.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -96,6 +99,56 @@
     pub servers: Vec<ListedServer>,
 }
 
+/// The answer to a read that takes changes: the whole list, or what changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListChanges {
+    /// Grows with every change.
+    pub version: u64,
+    /// The version that the changes come after, `None` for the whole list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changed_after: Option<u64>,
+    /// Instances that are new or changed.
+    pub instances: Vec<ListedInstance>,
+    /// Servers that are new or changed.
+    pub servers: Vec<ListedServer>,
+    /// Instances that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed_instances: Vec<InstanceName>,
+    /// Servers that are gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed_servers: Vec<ServerName>,
+}
+
+impl InstanceList {
+    /// Takes an answer over; false when it does not follow on this version,
+    /// so that the whole list must be read again.
+    pub fn apply(&mut self, changes: ListChanges) -> bool {
+        let Some(after) = changes.changed_after else {
+            self.version = changes.version;
+            self.instances = changes.instances;
+            self.servers = changes.servers;
+            return true;
+        };
+        if after != self.version {
+            return false;
+        }
+        let gone: BTreeSet<&InstanceName> = changes.removed_instances.iter().collect();
+        let new: BTreeSet<&InstanceName> =
+            changes.instances.iter().map(|held| &held.name).collect();
+        self.instances
+            .retain(|held| !gone.contains(&held.name) && !new.contains(&held.name));
+        let gone: BTreeSet<&ServerName> = changes.removed_servers.iter().collect();
+        let new: BTreeSet<&ServerName> = changes.servers.iter().map(|held| &held.name).collect();
+        self.servers
+            .retain(|held| !gone.contains(&held.name) && !new.contains(&held.name));
+        self.instances.extend(changes.instances);
+        self.servers.extend(changes.servers);
+        self.version = changes.version;
+        true
+    }
+}
+
 /// Client of the instance list over HTTP.
 #[derive(Clone, Debug)]
 pub struct ListClient {
@@ -118,11 +171,27 @@
     /// The list once its version differs from `after`, or as it is when
     /// `wait` has passed.
     pub fn read(&self, after: u64, wait: Duration) -> Result<InstanceList> {
-        let url = format!(
-            "{}/v1/instances?after={after}&wait_ms={}",
-            self.base,
-            wait.as_millis()
-        );
+        let query = format!("after={after}&wait_ms={}", wait.as_millis());
+        let text = self.get(&query, wait)?;
+        serde_json::from_str(&text).map_err(ListError::Malformed)
+    }
+
+    /// Brings `list` up to date, waiting up to `wait` for a change; whether
+    /// it changed.
+    pub fn follow(&self, list: &mut InstanceList, wait: Duration) -> Result<bool> {
+        let before = list.version;
+        let query = format!("after={before}&wait_ms={}&changes=1", wait.as_millis());
+        let text = self.get(&query, wait)?;
+        let changes = serde_json::from_str(&text).map_err(ListError::Malformed)?;
+        if !list.apply(changes) {
+            *list = self.read(0, Duration::ZERO)?;
+        }
+        Ok(list.version != before)
+    }
+
+    /// The answer to a read, as text.
+    fn get(&self, query: &str, wait: Duration) -> Result<String> {
+        let url = format!("{}/v1/instances?{query}", self.base);
         let mut response = self
             .agent
             .get(&url)
@@ -135,13 +204,12 @@
         if status != 200 {
             return Err(ListError::Unavailable { status });
         }
-        let text = response
+        response
             .body_mut()
             .with_config()
             .limit(http::CONTROL_BODY_LIMIT)
             .read_to_string()
-            .map_err(unreachable)?;
-        serde_json::from_str(&text).map_err(ListError::Malformed)
+            .map_err(unreachable)
     }
 }
 
--- a/crates/hibiscus-router/src/callers/address.rs
+++ b/crates/hibiscus-router/src/callers/address.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use hibiscus_membership::address;
+use hibiscus_membership::view::FleetInstance;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::UnixMillis;
 use hyper::Response;
@@ -34,8 +35,12 @@
         Ok(caller) => caller,
         Err(failure) => return answer::fail(&failure),
     };
-    let ready = context.fleet.lock().ready(UnixMillis::now());
-    let mut answer = address::answer(&caller, &context.settings.instance.data_centre, &ready);
+    let fleet = context.fleet.lock();
+    let serving = fleet.serving(UnixMillis::now());
+    let nearby = &context.settings.instance.data_centre;
+    let load_of = |instance: &FleetInstance| fleet.load_of(&instance.name);
+    let mut answer = address::answer_by_load(&caller, nearby, &serving, load_of);
+    drop(fleet);
     answer.lifetime_s = context.settings.address_lifetime().as_secs();
     let head = AnswerHead {
         status: 200,
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -247,7 +247,7 @@
         RefusalReason::Stopping,
         "failed to take the request: this instance is stopping",
     );
-    let ready = context.fleet.lock().ready(UnixMillis::now());
+    let ready = context.fleet.lock().serving(UnixMillis::now());
     for instance in ready {
         if instance.name != context.settings.instance.name {
             failure.addresses.push(instance.callers);
--- a/crates/hibiscus-router/src/config/follow.rs
+++ b/crates/hibiscus-router/src/config/follow.rs
@@ -70,7 +70,7 @@
 /// log. A wrong view costs a read too many, or a delay until the fallback.
 fn is_reader(context: &SharedContext) -> bool {
     let own = &context.settings.instance;
-    let mut near = context.fleet.lock().ready(UnixMillis::now());
+    let mut near = context.fleet.lock().serving(UnixMillis::now());
     near.retain(|instance| instance.data_centre == own.data_centre);
     let ranked = ranking::rank(CONFIG_STREAM.as_bytes(), &near);
     let position = ranked.iter().position(|instance| instance.name == own.name);
--- a/crates/hibiscus-router/src/config/snapshots.rs
+++ b/crates/hibiscus-router/src/config/snapshots.rs
@@ -78,7 +78,7 @@
 
 /// Whether this instance ranks first, as far as it sees.
 fn is_writer(context: &SharedContext) -> bool {
-    let ready = context.fleet.lock().ready(UnixMillis::now());
+    let ready = context.fleet.lock().serving(UnixMillis::now());
     let ranked = ranking::rank(SNAPSHOT_STREAM.as_bytes(), &ready);
     let first = ranked.first();
     first.is_some_and(|instance| instance.name == context.settings.instance.name)
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -78,7 +78,7 @@
     let config_version = context.config.get().version;
     InstanceHeartbeat {
         uptime_ms: context.fleet.uptime_ms(),
-        ready: config_version > 0 && !context.config.is_outdated(),
+        configured: config_version > 0 && !context.config.is_outdated(),
         name: context.settings.instance.name.clone(),
         incarnation: context.incarnation,
         stopping: context.is_draining(),
@@ -90,28 +90,24 @@
 /// Follows the instance list until the process ends.
 pub fn follow_list(context: &SharedContext) {
     let client = ListClient::new(&context.settings.platform.instances, LIST_TIMEOUT);
-    let mut version = 0;
+    let mut list = InstanceList::default();
     while !context.is_ended() {
-        let Ok(list) = client.read(version, POLL_WAIT) else {
-            thread::sleep(RETRY_DELAY);
-            continue;
-        };
-        if list.version == version {
-            continue;
+        match client.follow(&mut list, POLL_WAIT) {
+            Ok(true) => take_list(context, &list),
+            Ok(false) => {}
+            Err(_unreachable) => thread::sleep(RETRY_DELAY),
         }
-        version = list.version;
-        take_list(context, list);
     }
 }
 
 /// Takes a new version of the list over.
-fn take_list(context: &SharedContext, list: InstanceList) {
+fn take_list(context: &SharedContext, list: &InstanceList) {
     let mut instances = Vec::with_capacity(list.instances.len());
-    for listed in list.instances {
+    for listed in &list.instances {
         instances.push(FleetInstance {
-            name: listed.name,
-            data_centre: listed.data_centre,
-            region: listed.region,
+            name: listed.name.clone(),
+            data_centre: listed.data_centre.clone(),
+            region: listed.region.clone(),
             callers: listed.callers,
             operators: listed.operators,
             peers: listed.peers,
@@ -155,7 +151,7 @@
     /// listed instances start a hurry when they change.
     fn interval(&mut self, context: &SharedContext, beat: &InstanceHeartbeat) -> Duration {
         let listed = context.fleet.lock().instances().len();
-        let state = (beat.stopping, beat.ready, listed);
+        let state = (beat.stopping, beat.configured, listed);
         if self.last != Some(state) {
             self.last = Some(state);
             self.since = Some(Instant::now());
--- a/crates/hibiscus-router/src/operators/status.rs
+++ b/crates/hibiscus-router/src/operators/status.rs
@@ -52,6 +52,9 @@
     if context.config.get().version == 0 {
         reasons.push("no configuration is in force");
     }
+    if context.config.is_outdated() {
+        reasons.push("a newer release changed the configuration");
+    }
     if context.is_draining() {
         reasons.push("the instance is stopping");
     }
--- a/crates/hibiscus-support/src/gossip.rs
+++ b/crates/hibiscus-support/src/gossip.rs
@@ -65,7 +65,7 @@
             incarnation: IncarnationId::generate(),
             uptime_ms: 0,
             stopping: false,
-            ready: true,
+            configured: true,
             load: 0,
             config_version: 1,
         };
--- a/crates/hibiscus-support/src/list.rs
+++ b/crates/hibiscus-support/src/list.rs
@@ -5,6 +5,7 @@
 //! `/views/{viewer}/v1/instances`.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Condvar;
@@ -15,6 +16,7 @@
 use std::time::Instant;
 
 use hibiscus_platform::list::InstanceList;
+use hibiscus_platform::list::ListChanges;
 use hibiscus_platform::list::ListedInstance;
 use hibiscus_platform::list::ListedServer;
 use hibiscus_platform::list::ListedState;
@@ -26,6 +28,9 @@
 use crate::http;
 use crate::http::HttpServer;
 
+/// Earlier versions of the list that are kept to tell changes.
+const FORMER_LISTS: usize = 16;
+
 /// Viewer and listed instance, to the peer address that the viewer sees.
 type ViewMap = BTreeMap<(String, InstanceName), SocketAddr>;
 
@@ -33,8 +38,11 @@
 #[derive(Default)]
 struct ListState {
     list: InstanceList,
+    /// Lists of earlier versions, oldest first.
+    former: VecDeque<InstanceList>,
     views: ViewMap,
     outage: bool,
+    bytes: u64,
 }
 
 /// State and the signal of a new version.
@@ -86,6 +94,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Bytes of all answers.
+    pub fn bytes(&self) -> u64 {
+        self.lock().bytes
+    }
+
     /// Adds or replaces an instance.
     pub fn put_instance(&self, instance: ListedInstance) {
         self.change(move |list| {
@@ -151,6 +164,11 @@
 /// Applies `edit` and wakes the waiting readers.
 fn apply<F: FnOnce(&mut InstanceList)>(shared: &ListShared, edit: F) {
     let mut state = shared.state.lock().expect("the list state is whole");
+    let former = state.list.clone();
+    state.former.push_back(former);
+    if state.former.len() > FORMER_LISTS {
+        state.former.pop_front();
+    }
     edit(&mut state.list);
     state.list.version += 1;
     drop(state);
@@ -177,7 +195,10 @@
         }
         let left = deadline.saturating_duration_since(Instant::now());
         if state.list.version != after || left.is_zero() {
-            return Response::json(&seen_by(&state, &viewer));
+            let changes = changes_for(&state, &viewer, request, after);
+            let answer = serde_json::to_string(&changes).expect("a list is JSON");
+            state.bytes += answer.len() as u64;
+            return Response::from_data("application/json", answer);
         }
         let (woken, _timeout) = shared
             .changed
@@ -187,6 +208,49 @@
     }
 }
 
+/// The answer for `viewer`: what changed after `after` when it takes changes
+/// and they are known, otherwise the whole list.
+fn changes_for(state: &ListState, viewer: &str, request: &Request, after: u64) -> ListChanges {
+    let list = seen_by(state, viewer);
+    let takes_changes = http::number_param(request, "changes") == 1;
+    let special = state.views.keys().any(|(name, _instance)| name == viewer);
+    let mut former = state.former.iter().chain([&state.list]);
+    let former = former.find(|held| held.version == after);
+    let former = former.filter(|_held| takes_changes && !special);
+    let mut changes = ListChanges {
+        version: list.version,
+        changed_after: former.map(|held| held.version),
+        instances: list.instances,
+        servers: list.servers,
+        ..ListChanges::default()
+    };
+    let Some(former) = former else {
+        return changes;
+    };
+    let present = &state.list;
+    for held in &former.instances {
+        if !present
+            .instances
+            .iter()
+            .any(|other| other.name == held.name)
+        {
+            changes.removed_instances.push(held.name.clone());
+        }
+    }
+    for held in &former.servers {
+        if !present.servers.iter().any(|other| other.name == held.name) {
+            changes.removed_servers.push(held.name.clone());
+        }
+    }
+    changes
+        .instances
+        .retain(|held| !former.instances.contains(held));
+    changes
+        .servers
+        .retain(|held| !former.servers.contains(held));
+    changes
+}
+
 /// The list with the peer addresses that `viewer` sees.
 fn seen_by(state: &ListState, viewer: &str) -> InstanceList {
     let mut list = state.list.clone();
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -108,7 +108,7 @@
 /// A heartbeat as an idle instance sends it.
 fn heartbeat_sample() -> InstanceHeartbeat {
     serde_json::from_str(
-        r#"{"name":"router-1","incarnation":"01936f2e-7b00-7000-8000-000000000001","uptime_ms":1,"stopping":false,"ready":true,"load":0,"config_version":1}"#,
+        r#"{"name":"router-1","incarnation":"01936f2e-7b00-7000-8000-000000000001","uptime_ms":1,"stopping":false,"configured":true,"load":0,"config_version":1}"#,
     )
     .expect("the sample is a heartbeat")
 }
