--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! The configuration in the form that the duties read.
 
 use hibiscus_types::BudgetName;
+use hibiscus_types::GrantId;
 use hibiscus_types::ServiceName;
 use hibiscus_types::TeamName;
 use sha2::Digest;
@@ -11,6 +12,7 @@
 use crate::entry::ConfigEntry;
 use crate::entry::ConfigSection;
 use crate::entry::EntryKey;
+use crate::entry::ReleaseEntry;
 use crate::entry::RouteEntry;
 use crate::entry::ServiceEntry;
 use crate::entry::TeamEntry;
@@ -30,12 +32,15 @@
     pub budgets: SharedMap<BudgetName, BudgetEntry>,
     /// Top-ups by id.
     pub top_ups: SharedMap<String, TopUpEntry>,
+    /// Releases of held grants by grant.
+    pub releases: SharedMap<GrantId, ReleaseEntry>,
     /// Services by name.
     pub services: SharedMap<ServiceName, ServiceEntry>,
     /// Routed calls by path.
     pub routes: SharedMap<String, RouteEntry>,
     team_keys: SharedMap<String, TeamName>,
     team_budgets: SharedMap<TeamName, Vec<BudgetName>>,
+    service_versions: SharedMap<ServiceName, u64>,
 }
 
 impl ConfigSnapshot {
@@ -46,7 +51,7 @@
             ..Self::default()
         };
         for state in fold.entries().values() {
-            snapshot.insert(&state.entry);
+            snapshot.insert(&state.entry, state.offset + 1);
         }
         snapshot
     }
@@ -58,13 +63,14 @@
         }
         for change in changes {
             if let Some(entry) = &change.entry {
-                self.insert(entry);
+                self.insert(entry, version);
             }
         }
         self.version = version;
     }
 
-    fn insert(&mut self, entry: &ConfigEntry) {
+    /// Inserts `entry`, which the publication of `version` set.
+    fn insert(&mut self, entry: &ConfigEntry, version: u64) {
         match entry {
             ConfigEntry::Team(team) => {
                 for hash in &team.api_key_sha256 {
@@ -86,11 +92,15 @@
             }
             ConfigEntry::Service(service) => {
                 self.services.insert(service.name.clone(), service.clone());
+                self.service_versions.insert(service.name.clone(), version);
             }
             ConfigEntry::Route(route) => {
                 self.routes.insert(route.path.clone(), route.clone());
             }
-            ConfigEntry::Brand(_) | ConfigEntry::Release(_) => {}
+            ConfigEntry::Release(release) => {
+                self.releases.insert(release.grant, release.clone());
+            }
+            ConfigEntry::Brand(_) => {}
         }
     }
 
@@ -109,6 +119,7 @@
             }
             ConfigSection::Services => {
                 self.services.remove(&ServiceName::from(name));
+                self.service_versions.remove(&ServiceName::from(name));
             }
             ConfigSection::Routes => {
                 self.routes.remove(&key.name);
@@ -140,6 +151,12 @@
         equal.then_some(team)
     }
 
+    /// One past the offset of the publication that set `service`, 0 when it
+    /// is not there.
+    pub fn service_version(&self, service: &ServiceName) -> u64 {
+        self.service_versions.get(service).copied().unwrap_or(0)
+    }
+
     /// The first budget of `team` by name.
     pub fn budget_of(&self, team: &TeamName) -> Option<&BudgetEntry> {
         let names = self.team_budgets.get(team)?;
--- a/crates/hibiscus-router/src/callers/admission.rs
+++ b/crates/hibiscus-router/src/callers/admission.rs
@@ -19,8 +19,10 @@
 use crate::callers::answer::RequestFailure;
 use crate::callers::chat_body;
 use crate::context::SharedContext;
+use crate::requests;
 use crate::requests::CallerRequest;
 use crate::requests::RequestPath;
+use crate::requests::presence::CallerPresence;
 
 /// Header that carries the team's API key.
 pub const AUTHORIZATION_HEADER: &str = "authorization";
@@ -30,6 +32,8 @@
 pub const DEADLINE_HEADER: &str = "x-deadline-ms";
 /// Header that carries the caller's priority, 0 to 9.
 pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header that carries the number of tokens that the caller already has.
+pub const RESUME_HEADER: &str = "x-resume-from";
 /// Header that names the budget that pays, one of the team's.
 pub const BUDGET_HEADER: &str = "x-hibiscus-budget";
 /// Path of chat completions.
@@ -38,6 +42,8 @@
 const KEY_LIMIT: usize = 128;
 /// Longest deadline, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 3_600_000;
+/// Most tokens that a caller can have of one answer.
+const RESUME_LIMIT: u64 = 10_000_000;
 /// Highest priority.
 const PRIORITY_LIMIT: u64 = 9;
 /// Priority of a request that names none.
@@ -59,6 +65,10 @@
     pub priority: u8,
     /// The path called.
     pub path: String,
+    /// Tokens of the answer that the caller has from an earlier try.
+    pub resume_from: u64,
+    /// Whether the caller still waits.
+    pub presence: CallerPresence,
 }
 
 /// Checks the headers of a request received at `received`, so that only
@@ -70,13 +80,13 @@
 ) -> Result<CallerIdentity> {
     let config = context.config.get();
     if config.version == 0 {
-        return Err(RequestFailure::not_run(
+        return Err(RequestFailure::unadmitted(
             RefusalReason::NotReady,
             "failed to take the request: this instance has no configuration yet",
         ));
     }
     if context.config.is_outdated() {
-        return Err(RequestFailure::not_run(
+        return Err(RequestFailure::unadmitted(
             RefusalReason::NotReady,
             "failed to take the request: a newer release changed the configuration",
         ));
@@ -85,16 +95,20 @@
     check_target(&config, head)?;
     let budget = choose_budget(&config, team, &head.headers)?;
     let key = read_key(team, &head.headers)?;
+    requests::check_age(&key)?;
     let default = context.settings.limits.deadline_ms;
     let deadline_ms = number(&head.headers, DEADLINE_HEADER, 1, DEADLINE_LIMIT_MS)?;
     let priority = number(&head.headers, PRIORITY_HEADER, 0, PRIORITY_LIMIT)?;
     let priority = priority.unwrap_or(DEFAULT_PRIORITY);
+    let resume_from = number(&head.headers, RESUME_HEADER, 0, RESUME_LIMIT)?;
     Ok(CallerIdentity {
         key,
         budget,
         deadline: received + Duration::from_millis(deadline_ms.unwrap_or(default)),
         priority: u8::try_from(priority).unwrap_or(u8::MAX),
         path: head.uri.path().to_owned(),
+        resume_from: resume_from.unwrap_or(0),
+        presence: CallerPresence::default(),
     })
 }
 
@@ -122,12 +136,14 @@
         prompt_tokens: TokenCount::ZERO,
         deadline: identity.deadline,
         priority: identity.priority,
+        resume_from: identity.resume_from,
+        presence: identity.presence,
     })
 }
 
 /// A malformed request.
 pub fn bad_request(message: impl Into<String>) -> RequestFailure {
-    RequestFailure::not_run(RefusalReason::BadRequest, message)
+    RequestFailure::unadmitted(RefusalReason::BadRequest, message)
 }
 
 /// The team that the API key identifies.
@@ -136,7 +152,7 @@
         .and_then(|value| value.strip_prefix("Bearer "))
         .unwrap_or("");
     config.team_of_key(api_key).ok_or_else(|| {
-        RequestFailure::not_run(
+        RequestFailure::unadmitted(
             RefusalReason::Unauthenticated,
             "failed to identify the team: the API key is missing or unknown; \
              send `authorization: Bearer KEY`",
@@ -153,7 +169,7 @@
     if head.method != Method::POST {
         let message = format!("failed to call `{path}` by {}: use POST", head.method);
         let reason = RefusalReason::MethodNotAllowed;
-        return Err(RequestFailure::not_run(reason, message));
+        return Err(RequestFailure::unadmitted(reason, message));
     }
     if head.uri.query().is_some() {
         let message = format!("failed to call `{path}`: it takes no query string");
@@ -165,7 +181,7 @@
 /// A path without a routing rule.
 fn no_route(path: &str) -> RequestFailure {
     let message = format!("failed to find a routing rule for `{path}`");
-    RequestFailure::not_run(RefusalReason::NoRoute, message)
+    RequestFailure::unadmitted(RefusalReason::NoRoute, message)
 }
 
 /// The budget that the caller names, or the first of its team.
@@ -177,7 +193,7 @@
     let Some(name) = single(headers, BUDGET_HEADER)? else {
         let budget = config.budget_of(team).ok_or_else(|| {
             let message = format!("failed to find a budget of team `{team}`");
-            RequestFailure::not_run(RefusalReason::NoRoute, message)
+            RequestFailure::unadmitted(RefusalReason::NoRoute, message)
         })?;
         return Ok(budget.name.clone());
     };
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -10,6 +10,8 @@
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
+use hibiscus_request::quarantine::ServerDeath;
+use hibiscus_types::BudgetName;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
@@ -19,6 +21,7 @@
 use crate::config::peers::ConfigReply;
 use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
+use crate::holder::HolderMessage;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
@@ -55,6 +58,13 @@
     Broker(BrokerRequest),
     /// Asks for configuration.
     Config(ConfigRequest),
+    /// Tells of a server that stopped while it ran a request.
+    ServerDeath(ServerDeath),
+    /// Asks the holder to give back what it does not need soon.
+    Recall {
+        /// The budget.
+        budget: BudgetName,
+    },
 }
 
 /// What an instance answers.
@@ -68,6 +78,10 @@
     Broker(BrokerReply),
     /// Configuration.
     Config(ConfigReply),
+    /// The death is known.
+    ServerDeath,
+    /// The holder knows of the recall.
+    Recalled,
     /// The duty's ring is full.
     Busy,
 }
@@ -116,6 +130,8 @@
     pub witness: SyncSender<WitnessMessage>,
     /// The broker duty.
     pub broker: SyncSender<BrokerMessage>,
+    /// The holder duty.
+    pub holder: SyncSender<HolderMessage>,
 }
 
 /// Passes calls on until the process ends.
@@ -140,6 +156,10 @@
         PeerRequest::Config(request) => {
             PeerReply::Config(peers::answer(context, &request)).send(call);
         }
+        PeerRequest::ServerDeath(death) => {
+            context.suspects.record(&death);
+            PeerReply::ServerDeath.send(call);
+        }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
             let _full = rings.witness.try_send(WitnessMessage { request, call });
@@ -147,5 +167,9 @@
         PeerRequest::Broker(request) => {
             let _full = rings.broker.try_send(BrokerMessage::Call { request, call });
         }
+        PeerRequest::Recall { budget } => {
+            let _full = rings.holder.try_send(HolderMessage::Recall { budget });
+            PeerReply::Recalled.send(call);
+        }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,8 @@
 mod events;
 mod fuzz;
 mod operators;
+mod planned_stop;
+mod requests;
 mod settings;
 mod timeline;
 mod whole_path;
