--- a/crates/hibiscus-platform/src/engine.rs
+++ b/crates/hibiscus-platform/src/engine.rs
@@ -18,6 +18,8 @@
 use ureq::Body;
 use ureq::http::Response;
 
+use crate::http;
+
 /// Header that carries the request id to the server and back.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Header that carries the grant number that a checking server compares.
@@ -33,6 +35,8 @@
 const EVENT_LINE_LIMIT: u64 = 1024 * 1024;
 /// Largest answer of a plain service, in bytes.
 const PLAIN_BODY_LIMIT: u64 = 8 * 1024 * 1024;
+/// Largest load report, in bytes.
+const LOAD_BODY_LIMIT: u64 = 4 * 1024;
 /// Time to connect before another server is tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -125,6 +129,49 @@
     pub completion_tokens: u64,
 }
 
+/// A server's answer to `GET /v1/load`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that are being run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Milliseconds since the server counted them.
+    #[serde(default)]
+    pub age_ms: u64,
+}
+
+/// Asks servers for their load.
+#[derive(Clone, Debug)]
+pub struct LoadClient {
+    agent: Agent,
+}
+
+impl LoadClient {
+    /// A client that waits `timeout` for a report.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            agent: http::control_agent(timeout),
+        }
+    }
+
+    /// The load of `server`, `None` when it does not report.
+    pub fn read(&self, server: SocketAddr) -> Option<LoadReport> {
+        let url = format!("http://{server}/v1/load");
+        let mut response = self.agent.get(url).call().ok()?;
+        if response.status().as_u16() != 200 {
+            return None;
+        }
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(LOAD_BODY_LIMIT)
+            .read_to_vec()
+            .ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+}
+
 /// What the next read of a stream brought.
 #[derive(Clone, Debug)]
 pub enum StreamStep {
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Number of the other instances that take requests.
+    pub fn other_instances(&self) -> u32 {
+        let count = self.fleet.lock().instances().len();
+        u32::try_from(count.saturating_sub(1)).unwrap_or(u32::MAX)
+    }
+
     /// Whether the process takes no new requests.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -109,6 +109,7 @@
     spawn(&context, "instance-list", membership::follow_list);
     spawn(&context, "heartbeat", membership::beat);
     spawn(&context, "call-watch", servers::watch::run);
+    spawn(&context, "load-reports", servers::reports::follow);
     spawn(&context, "suspects", servers::suspects::follow);
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
--- a/crates/hibiscus-router/src/requests/attempt.rs
+++ b/crates/hibiscus-router/src/requests/attempt.rs
@@ -139,7 +139,10 @@
                 Instant::now() + wait,
             )
         } else {
-            self.context.servers.choose(self.service, &self.tried)
+            let others = self.context.other_instances();
+            self.context
+                .servers
+                .choose(self.service, &self.tried, others)
         };
         let load = chosen.ok_or(AttemptStop::NoServer)?;
         self.tried.push(load.name.clone());
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -2,6 +2,7 @@
 //! fails.
 
 use std::sync::mpsc::SyncSender;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_ledger::holder::TokenReservation;
@@ -31,6 +32,7 @@
 use crate::requests::open;
 use crate::requests::progress::AnswerProgress;
 use crate::requests::progress::HeadSender;
+use crate::servers::reports::TokenPace;
 
 /// The path of chat completions, at callers' port and engines alike.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
@@ -195,12 +197,19 @@
     let fencing = attempt::fencing_number(context, service);
     let headers = attempt::headers(request, &fencing, progress.tokens());
     let mut stream = client.start_chat(chosen.load.address, &request.body, &headers)?;
+    let mut pace = TokenPace::default();
     loop {
         watched.note_byte();
         let chunk = match stream.next_step()? {
             StreamStep::Chunk(chunk) => chunk,
-            StreamStep::End => return Ok(true),
+            StreamStep::End => {
+                if let Some(seconds) = pace.token_seconds() {
+                    context.servers.note_speed(&chosen.load.name, seconds);
+                }
+                return Ok(true);
+            }
         };
+        pace.note_event(Instant::now());
         if !progress.take(&chunk) {
             return Ok(false);
         }
--- a/crates/hibiscus-router/src/servers/mod.rs
+++ b/crates/hibiscus-router/src/servers/mod.rs
@@ -1,10 +1,12 @@
 //! Duty: follows the backend servers: which are listed, how loaded they are,
 //! which fail, and what this process has in progress at each.
 
+pub mod reports;
 pub mod suspects;
 pub mod watch;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -18,8 +20,9 @@
 use hibiscus_platform::list::ListedState;
 use hibiscus_request::retry::RetryBudget;
 use hibiscus_routing::health::ServerHealth;
+use hibiscus_routing::load::LoadTracker;
 use hibiscus_routing::load::ServerLoad;
-use hibiscus_routing::policy::LeastExpected;
+use hibiscus_routing::policy::LagAware;
 use hibiscus_routing::policy::RoutingPolicy;
 use hibiscus_types::ServerName;
 use hibiscus_types::ServiceName;
@@ -44,7 +47,11 @@
 /// One server as this process knows it.
 #[derive(Clone, Debug)]
 struct TrackedServer {
-    load: ServerLoad,
+    name: ServerName,
+    service: ServiceName,
+    address: SocketAddr,
+    leaving: bool,
+    load: LoadTracker,
     health: ServerHealth,
     /// Whether a suspect has the server for itself.
     alone: bool,
@@ -73,13 +80,9 @@
             let known = state
                 .servers
                 .remove(&server.name)
-                .filter(|known| known.load.address == server.address);
-            let mut tracked = known.unwrap_or_else(|| TrackedServer {
-                load: new_load(server),
-                health: ServerHealth::default(),
-                alone: false,
-            });
-            tracked.load.leaving = server.state == ListedState::Leaving;
+                .filter(|known| known.address == server.address);
+            let mut tracked = known.unwrap_or_else(|| TrackedServer::new(server));
+            tracked.leaving = server.state == ListedState::Leaving;
             kept.insert(server.name.clone(), tracked);
         }
         state.servers = kept;
@@ -108,32 +111,36 @@
     /// Chooses a server of `service` that is not in `tried`, and counts a
     /// request there until [`Self::release`]. Servers that fail are avoided
     /// while there is another.
-    pub fn choose(&self, service: &ServiceName, tried: &[ServerName]) -> Option<ServerLoad> {
+    pub fn choose(
+        &self,
+        service: &ServiceName,
+        tried: &[ServerName],
+        others: u32,
+    ) -> Option<ServerLoad> {
         let pick = self.picks.fetch_add(1, Ordering::Relaxed);
         let now = Instant::now();
         let mut state = self.lock();
         let mut usable = Vec::new();
         let mut avoided = Vec::new();
         for server in state.servers.values() {
-            if server.load.service != *service || tried.contains(&server.load.name) || server.alone
-            {
+            if server.service != *service || tried.contains(&server.name) || server.alone {
                 continue;
             }
             if server.health.is_usable(now) {
-                usable.push(server.load.clone());
+                usable.push(server.view(now, others));
             } else {
-                avoided.push(server.load.clone());
+                avoided.push(server.view(now, others));
             }
         }
-        let (mut candidates, index) = match LeastExpected.choose(&usable, pick) {
+        let (mut candidates, index) = match LagAware.choose(&usable, pick) {
             Some(index) => (usable, index),
             None => {
-                let index = LeastExpected.choose(&avoided, pick)?;
+                let index = LagAware.choose(&avoided, pick)?;
                 (avoided, index)
             }
         };
         let chosen = candidates.swap_remove(index);
-        state.count(&chosen.name);
+        state.count(&chosen.name, now);
         Some(chosen)
     }
 
@@ -160,9 +167,10 @@
             {
                 let mut state = self.lock();
                 let server = state.servers.get_mut(&claimed)?;
-                if server.load.own == 0 {
-                    let chosen = server.load.clone();
-                    state.count(&claimed);
+                if server.load.own() == 0 {
+                    let now = Instant::now();
+                    let chosen = server.view(now, 0);
+                    state.count(&claimed, now);
                     return Some(chosen);
                 }
                 if Instant::now() >= deadline {
@@ -183,7 +191,7 @@
         let mut free = 0;
         let mut claimed = 0;
         for (name, server) in &state.servers {
-            if server.load.service != *service || server.load.leaving {
+            if server.service != *service || server.leaving {
                 continue;
             }
             if server.alone {
@@ -207,17 +215,42 @@
         Some(name)
     }
 
+    /// Servers whose load is asked for.
+    pub fn addresses(&self) -> Vec<(ServerName, SocketAddr)> {
+        let state = self.lock();
+        let mut addresses = Vec::with_capacity(state.servers.len());
+        for server in state.servers.values() {
+            addresses.push((server.name.clone(), server.address));
+        }
+        addresses
+    }
+
+    /// Takes a load report made at `made`.
+    pub fn take_report(&self, server: &ServerName, load: u32, made: Instant) {
+        if let Some(server) = self.lock().servers.get_mut(server) {
+            server.load.take_report(load, made);
+        }
+    }
+
+    /// Takes a measured time between two tokens of `server`.
+    pub fn note_speed(&self, server: &ServerName, token_seconds: f64) {
+        if let Some(server) = self.lock().servers.get_mut(server) {
+            server.load.note_speed(token_seconds);
+        }
+    }
+
     /// Ends the count of a request at `server`, which ended as `end`.
     pub fn release(&self, server: &ServerName, end: AttemptEnd) {
         let mut state = self.lock();
         let Some(server) = state.servers.get_mut(server) else {
             return;
         };
-        server.load.own = server.load.own.saturating_sub(1);
+        let now = Instant::now();
+        server.load.note_ended(now);
         server.alone = false;
         match end {
             AttemptEnd::Answered => server.health.note_answered(),
-            AttemptEnd::Failed | AttemptEnd::Busy => server.health.note_failed(Instant::now()),
+            AttemptEnd::Failed | AttemptEnd::Busy => server.health.note_failed(now),
             AttemptEnd::Nothing => server.health.note_nothing(),
         }
     }
@@ -229,22 +262,40 @@
 
 impl TableState {
     /// Counts a request that goes to `name`.
-    fn count(&mut self, name: &ServerName) {
+    fn count(&mut self, name: &ServerName, now: Instant) {
         if let Some(server) = self.servers.get_mut(name) {
-            server.load.own += 1;
+            server.load.note_sent(now);
             server.health.note_sent();
         }
     }
 }
 
-/// A server that was listed just now.
-fn new_load(server: &ListedServer) -> ServerLoad {
-    ServerLoad {
-        name: server.name.clone(),
-        service: server.service.clone(),
-        address: server.address,
-        leaving: false,
-        reported: 0,
-        own: 0,
+impl TrackedServer {
+    /// A server that was listed just now.
+    fn new(server: &ListedServer) -> Self {
+        Self {
+            name: server.name.clone(),
+            service: server.service.clone(),
+            address: server.address,
+            leaving: false,
+            load: LoadTracker::default(),
+            health: ServerHealth::default(),
+            alone: false,
+        }
+    }
+
+    /// The server as the policy compares it.
+    fn view(&self, now: Instant, others: u32) -> ServerLoad {
+        ServerLoad {
+            name: self.name.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            leaving: self.leaving,
+            reported: self.load.reported(),
+            own: self.load.own(),
+            expected: self.load.expected(now, others),
+            token_seconds: self.load.token_seconds(),
+            cached: 0.0,
+        }
     }
 }
--- a/crates/hibiscus-routing/src/health.rs
+++ b/crates/hibiscus-routing/src/health.rs
@@ -6,9 +6,9 @@
 /// Time for which a server is avoided after its first failure.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Longest time for which a server is avoided.
-const LAST_EJECTION: Duration = Duration::from_secs(30);
+const LAST_EJECTION: Duration = Duration::from_secs(3);
 /// Doublings after which the time grows no more.
-const DOUBLINGS: u32 = 5;
+const DOUBLINGS: u32 = 2;
 
 /// What the last requests showed of one server.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/hibiscus-support/src/engine.rs
+++ b/crates/hibiscus-support/src/engine.rs
@@ -19,6 +19,7 @@
 use hibiscus_platform::engine::ChunkChoice;
 use hibiscus_platform::engine::ChunkDelta;
 use hibiscus_platform::engine::FENCING_HEADER;
+use hibiscus_platform::engine::LoadReport;
 use hibiscus_platform::engine::REQUEST_ID_HEADER;
 use hibiscus_platform::engine::RESUME_HEADER;
 use hibiscus_platform::engine::TokenUsage;
@@ -479,7 +480,11 @@
         .lock()
         .expect("the engine state is whole")
         .running;
-    let body = format!("{{\"running\":{running},\"waiting\":0}}");
+    let report = LoadReport {
+        running: u32::try_from(running).unwrap_or(u32::MAX),
+        ..LoadReport::default()
+    };
+    let body = serde_json::to_string(&report).expect("a report serialises");
     Response::builder()
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body)).boxed())
--- a/crates/hibiscus-support/src/plain.rs
+++ b/crates/hibiscus-support/src/plain.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_platform::engine::LoadReport;
 use hibiscus_platform::engine::REQUEST_ID_HEADER;
 use hibiscus_types::UnixMillis;
 use rouille::Request;
@@ -84,6 +85,9 @@
 
 /// Runs one call.
 fn serve(state: &Mutex<PlainState>, request: &Request) -> Response {
+    if request.url() == "/v1/load" {
+        return Response::json(&LoadReport::default());
+    }
     let mut body = String::new();
     let Some(mut data) = request.data() else {
         return http::status(400);
