--- a/crates/hibiscus-router/src/callers/admission.rs
+++ b/crates/hibiscus-router/src/callers/admission.rs
@@ -85,6 +85,12 @@
             "failed to take the request: this instance has no configuration yet",
         ));
     }
+    if context.config.is_outdated() {
+        return Err(RequestFailure::unadmitted(
+            RefusalReason::NotReady,
+            "failed to take the request: a newer release changed the configuration",
+        ));
+    }
     let team = identify_team(&config, &head.headers)?;
     check_target(&config, head)?;
     let budget = choose_budget(&config, team, &head.headers)?;
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -11,6 +11,7 @@
 use hibiscus_types::IncarnationId;
 
 use crate::config::ConfigCell;
+use crate::holder::sealed::SealedGrants;
 use crate::membership::FleetCell;
 use crate::servers::ServerTable;
 use crate::servers::suspects::SuspectCell;
@@ -24,7 +25,7 @@
     /// This life of the process.
     pub incarnation: IncarnationId,
     /// The event ring.
-    pub events: EventRecorder,
+    pub events: Arc<EventRecorder>,
     /// The configuration in force.
     pub config: ConfigCell,
     /// The fleet as seen from here.
@@ -39,6 +40,8 @@
     pub link: PeerLink,
     /// The log service.
     pub log: HttpLog,
+    /// Own grants that a witness or the ledger called sealed.
+    pub sealed_grants: SealedGrants,
     /// Requests in progress.
     pub in_progress: AtomicU32,
     /// Number of the next attempt at a non-idempotent call.
@@ -52,8 +55,12 @@
 
 impl RouterContext {
     /// Joins the parts of a process that starts.
-    pub fn new(settings: RouterSettings, link: PeerLink, log: HttpLog) -> Self {
-        let events = EventRecorder::new(settings.instance.name.as_str());
+    pub fn new(
+        settings: RouterSettings,
+        events: Arc<EventRecorder>,
+        link: PeerLink,
+        log: HttpLog,
+    ) -> Self {
         Self {
             settings,
             incarnation: IncarnationId::generate(),
@@ -65,6 +72,7 @@
             suspects: SuspectCell::default(),
             link,
             log,
+            sealed_grants: SealedGrants::default(),
             in_progress: AtomicU32::new(0),
             next_attempt: AtomicU32::new(1),
             draining: AtomicBool::new(false),
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -10,6 +10,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
+use hibiscus_events::EventRecorder;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -27,6 +28,7 @@
 use crate::ledger::append;
 use crate::ledger::append::AppendRings;
 use crate::ledger::broker;
+use crate::ledger::follow;
 use crate::membership;
 use crate::operators;
 use crate::operators::OperatorsError;
@@ -94,9 +96,11 @@
 /// Fails when a port cannot be opened or a key cannot be read.
 pub fn start(settings: RouterSettings) -> Result<RunningRouter> {
     let (inbox, calls) = mpsc::sync_channel(RING_CAPACITY);
-    let link = open_link(&settings, inbox)?;
+    let name = settings.instance.name.as_str();
+    let events = Arc::new(EventRecorder::new(name));
+    let link = open_link(&settings, &events, inbox)?;
     let log = HttpLog::new(&settings.platform.log, APPEND_TIMEOUT);
-    let context = Arc::new(RouterContext::new(settings, link, log));
+    let context = Arc::new(RouterContext::new(settings, events, link, log));
     let operators = operators::start(&context)?;
     let (callers_port, runtime) = open_callers(&context)?;
     let (appends, appenders) = start_appenders(&context);
@@ -105,16 +109,22 @@
     let (broker, broker_calls) = mpsc::sync_channel(RING_CAPACITY);
     let (witness, witness_calls) = mpsc::sync_channel(RING_CAPACITY);
 
-    spawn(&context, "config", config::follow);
+    spawn(&context, "config", config::follow::follow);
+    spawn(&context, "config-peers", config::peers::fetch);
+    spawn(&context, "config-snapshots", config::snapshots::run);
     spawn(&context, "instance-list", membership::follow_list);
-    spawn(&context, "heartbeat", membership::beat);
+    for thread in 0..membership::BEAT_THREADS {
+        spawn(&context, "heartbeat", move |context| {
+            membership::beat(context, thread);
+        });
+    }
     spawn(&context, "call-watch", servers::watch::run);
     spawn(&context, "load-reports", servers::reports::follow);
     spawn(&context, "suspects", servers::suspects::follow);
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
-            broker::follow(context, shard, &ring);
+            follow::run(context, shard, &ring);
         });
     }
     let rings = appends.clone();
@@ -134,10 +144,14 @@
         let ring = holder.clone();
         let wants = Arc::clone(&wants);
         spawn(&context, "grants", move |context| {
-            holder::request_grants(context, &wants, &ring);
+            holder::grants::request_grants(context, &wants, &ring);
         });
     }
-    let rings = DutyRings { witness, broker };
+    let rings = DutyRings {
+        witness,
+        broker,
+        holder: holder.clone(),
+    };
     spawn(&context, "peer-calls", move |context| {
         peer::dispatch(context, &calls, &rings);
     });
@@ -164,6 +178,7 @@
 /// Opens the peer link.
 fn open_link(
     settings: &RouterSettings,
+    events: &Arc<EventRecorder>,
     inbox: SyncSender<hibiscus_peer::PeerCall>,
 ) -> Result<PeerLink> {
     let options = LinkOptions {
@@ -173,6 +188,7 @@
             certificate: &settings.fleet.certificate,
             key: &settings.fleet.key,
         },
+        events,
     };
     Ok(PeerLink::start(&options, inbox)?)
 }
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -5,23 +5,30 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
+use std::time::Instant;
 
-use hibiscus_membership::view::InstanceHeartbeat;
+use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
 use hibiscus_peer::PendingCall;
 use hibiscus_request::quarantine::ServerDeath;
-use hibiscus_types::UnixMillis;
+use hibiscus_types::BudgetName;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::peers;
+use crate::config::peers::ConfigReply;
+use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
+use crate::holder::HolderMessage;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
 use crate::membership;
+use crate::servers::claims::ClaimAnswer;
+use crate::servers::claims::ServerClaim;
 use crate::witness::WitnessMessage;
 use crate::witness::WitnessReply;
 use crate::witness::WitnessRequest;
@@ -46,27 +53,42 @@
 /// What one instance asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Says that the sender lives.
-    Heartbeat(InstanceHeartbeat),
+    /// Says that the sender lives, and what it knows of others.
+    Heartbeat(GossipMessage),
     /// Asks a witness.
     Witness(WitnessRequest),
     /// Asks a broker.
     Broker(BrokerRequest),
+    /// Asks for configuration.
+    Config(ConfigRequest),
     /// Tells of a server that stopped while it ran a request.
     ServerDeath(ServerDeath),
+    /// Asks to keep requests off a server, for a suspect to run alone there.
+    ServerClaim(ServerClaim),
+    /// Asks the holder to give back what it does not need soon.
+    Recall {
+        /// The budget.
+        budget: BudgetName,
+    },
 }
 
 /// What an instance answers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    /// Says that the receiver lives.
-    Heartbeat(InstanceHeartbeat),
+    /// Says that the receiver lives, and what it knows of others.
+    Heartbeat(GossipMessage),
     /// A witness's answer.
     Witness(WitnessReply),
     /// A broker's answer.
     Broker(BrokerReply),
+    /// Configuration.
+    Config(ConfigReply),
     /// The death is known.
     ServerDeath,
+    /// Whether the server is kept free.
+    ServerClaim(ClaimAnswer),
+    /// The holder knows of the recall.
+    Recalled,
     /// The duty's ring is full.
     Busy,
 }
@@ -115,6 +137,8 @@
     pub witness: SyncSender<WitnessMessage>,
     /// The broker duty.
     pub broker: SyncSender<BrokerMessage>,
+    /// The holder duty.
+    pub holder: SyncSender<HolderMessage>,
 }
 
 /// Passes calls on until the process ends.
@@ -133,14 +157,20 @@
 /// Passes one call on.
 fn pass_on(context: &SharedContext, request: PeerRequest, call: PeerCall, rings: &DutyRings) {
     match request {
-        PeerRequest::Heartbeat(beat) => {
-            context.fleet.lock().hear(beat, UnixMillis::now());
-            PeerReply::Heartbeat(membership::own_heartbeat(context)).send(call);
+        PeerRequest::Heartbeat(message) => {
+            PeerReply::Heartbeat(membership::answer(context, message)).send(call);
+        }
+        PeerRequest::Config(request) => {
+            PeerReply::Config(peers::answer(context, &request)).send(call);
         }
         PeerRequest::ServerDeath(death) => {
             context.suspects.record(&death);
             PeerReply::ServerDeath.send(call);
         }
+        PeerRequest::ServerClaim(claim) => {
+            let answer = context.servers.lend(&claim, Instant::now());
+            PeerReply::ServerClaim(answer).send(call);
+        }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
             let _full = rings.witness.try_send(WitnessMessage { request, call });
@@ -148,5 +178,9 @@
         PeerRequest::Broker(request) => {
             let _full = rings.broker.try_send(BrokerMessage::Call { request, call });
         }
+        PeerRequest::Recall { budget } => {
+            let _full = rings.holder.try_send(HolderMessage::Recall { budget });
+            PeerReply::Recalled.send(call);
+        }
     }
 }
--- a/crates/hibiscus-router/src/servers/mod.rs
+++ b/crates/hibiscus-router/src/servers/mod.rs
@@ -1,6 +1,7 @@
 //! Duty: follows the backend servers: which are listed, how loaded they are,
 //! which fail, and what this process has in progress at each.
 
+pub mod claims;
 pub mod reports;
 pub mod suspects;
 pub mod watch;
@@ -12,8 +13,6 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::thread;
-use std::time::Duration;
 use std::time::Instant;
 
 use hibiscus_platform::list::ListedServer;
@@ -28,8 +27,8 @@
 use hibiscus_types::ServiceName;
 use hibiscus_types::hash::stable_hash;
 
-/// Time between looks at a server that is being emptied.
-const EMPTY_POLL: Duration = Duration::from_millis(10);
+use crate::servers::claims::ClaimAnswer;
+use crate::servers::claims::ServerClaim;
 
 /// What an attempt showed of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,8 +52,11 @@
     leaving: bool,
     load: LoadTracker,
     health: ServerHealth,
-    /// Whether a suspect has the server for itself.
+    /// Whether a suspect of this process has the server for itself.
     alone: bool,
+    /// The suspect of another process that has the server for itself, and
+    /// until when.
+    lent: Option<(u64, Instant)>,
 }
 
 /// State behind the table's lock.
@@ -123,7 +125,8 @@
         let mut usable = Vec::new();
         let mut avoided = Vec::new();
         for server in state.servers.values() {
-            if server.service != *service || tried.contains(&server.name) || server.alone {
+            if server.service != *service || tried.contains(&server.name) || server.is_claimed(now)
+            {
                 continue;
             }
             if server.health.is_usable(now) {
@@ -144,47 +147,14 @@
         Some(chosen)
     }
 
-    /// Chooses a server for a suspect and waits until `deadline` for it to be
-    /// empty of this process's requests. `seed` leads the same request to the
-    /// same server from every instance.
-    pub fn choose_alone(
+    /// Keeps other requests of this process off one server, unless that would
+    /// leave them fewer than half of the servers.
+    pub fn claim(
         &self,
         service: &ServiceName,
         tried: &[ServerName],
         seed: u64,
-        deadline: Instant,
-    ) -> Option<ServerLoad> {
-        let claimed = loop {
-            if let Some(claimed) = self.claim(service, tried, seed) {
-                break claimed;
-            }
-            if Instant::now() >= deadline {
-                return None;
-            }
-            thread::sleep(EMPTY_POLL);
-        };
-        loop {
-            {
-                let mut state = self.lock();
-                let server = state.servers.get_mut(&claimed)?;
-                if server.load.own() == 0 {
-                    let now = Instant::now();
-                    let chosen = server.view(now, 0);
-                    state.count(&claimed, now);
-                    return Some(chosen);
-                }
-                if Instant::now() >= deadline {
-                    server.alone = false;
-                    return None;
-                }
-            }
-            thread::sleep(EMPTY_POLL);
-        }
-    }
-
-    /// Keeps other requests of this process off one server, unless that would
-    /// leave them fewer than half of the servers.
-    fn claim(&self, service: &ServiceName, tried: &[ServerName], seed: u64) -> Option<ServerName> {
+    ) -> Option<ServerName> {
         let now = Instant::now();
         let mut state = self.lock();
         let mut best: Option<(u64, ServerName)> = None;
@@ -194,7 +164,7 @@
             if server.service != *service || server.leaving {
                 continue;
             }
-            if server.alone {
+            if server.is_claimed(now) {
                 claimed += 1;
                 continue;
             }
@@ -215,6 +185,52 @@
         Some(name)
     }
 
+    /// Counts a request at the claimed server, once this process has none
+    /// there.
+    pub fn take_claimed(&self, name: &ServerName) -> Option<ServerLoad> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let server = state.servers.get(name)?;
+        if server.load.own() > 0 {
+            return None;
+        }
+        let chosen = server.view(now, 0);
+        state.count(name, now);
+        Some(chosen)
+    }
+
+    /// Gives a claimed server up.
+    pub fn unclaim(&self, name: &ServerName) {
+        if let Some(server) = self.lock().servers.get_mut(name) {
+            server.alone = false;
+        }
+    }
+
+    /// Keeps this process's requests off a server for another's suspect.
+    pub fn lend(&self, claim: &ServerClaim, now: Instant) -> ClaimAnswer {
+        let mut state = self.lock();
+        let Some(server) = state.servers.get_mut(&claim.server) else {
+            return ClaimAnswer::Free;
+        };
+        let lent = server.lent.filter(|(_seed, until)| now < *until);
+        let other = lent.is_some_and(|(seed, _until)| seed != claim.seed);
+        if claim.lease.is_zero() {
+            if !other {
+                server.lent = None;
+            }
+            return ClaimAnswer::Free;
+        }
+        if server.alone || other {
+            return ClaimAnswer::Taken;
+        }
+        server.lent = Some((claim.seed, now + claim.lease));
+        if server.load.own() == 0 {
+            ClaimAnswer::Free
+        } else {
+            ClaimAnswer::Busy
+        }
+    }
+
     /// Servers whose load is asked for.
     pub fn addresses(&self) -> Vec<(ServerName, SocketAddr)> {
         let state = self.lock();
@@ -247,7 +263,6 @@
         };
         let now = Instant::now();
         server.load.note_ended(now);
-        server.alone = false;
         match end {
             AttemptEnd::Answered => server.health.note_answered(),
             AttemptEnd::Failed | AttemptEnd::Busy => server.health.note_failed(now),
@@ -281,9 +296,15 @@
             load: LoadTracker::default(),
             health: ServerHealth::default(),
             alone: false,
+            lent: None,
         }
     }
 
+    /// Whether a suspect has the server for itself.
+    fn is_claimed(&self, now: Instant) -> bool {
+        self.alone || self.lent.is_some_and(|(_seed, until)| now < until)
+    }
+
     /// The server as the policy compares it.
     fn view(&self, now: Instant, others: u32) -> ServerLoad {
         ServerLoad {
