Compare "not run" with what the ledger holds of the key

A retry of a chat that had run was refused by another router as not run: true of that sending, not of the request. Before such an answer a broker is asked: an open of another sending makes it unknown, a settlement makes it ran. A request waits up to 2 s for a death to be in the log, and not at all while the log fails. Left: an open that only a dead router's witness holds is seen once it is in the log.

--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// An earlier sending of the request may have run.
+    pub fn doubted(self) -> Self {
+        Self {
+            outcome: RequestOutcome::Unknown,
+            ..self
+        }
+    }
+
     /// What is known of the request's execution.
     pub fn outcome(&self) -> RequestOutcome {
         self.outcome
@@ -120,7 +128,11 @@
         let temporary = matches!(self.status(), 408 | 429 | 502 | 503 | 504)
             && self.reason != RefusalReason::AnswerBroken;
         let waits = self.reason == RefusalReason::InProgress;
-        waits || (temporary && self.outcome != RequestOutcome::Unknown)
+        // Sending a key again is safe; after a server's failure it may
+        // bring nothing.
+        let hopeless =
+            self.outcome == RequestOutcome::Unknown && self.reason == RefusalReason::ServerFailed;
+        waits || (temporary && !hopeless)
     }
 
     /// Milliseconds to wait before sending again. Other addresses can be
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -65,7 +65,8 @@
         Ok(reservation) => reservation,
         Err(failure) => {
             open::note(context, EventCode::RequestRefused, &request, "");
-            progress.send_failure(&failure.proved_not_run(&admitted.refuse()));
+            let failure = failure.proved_not_run(&admitted.refuse());
+            progress.send_failure(&open::check_claim(context, &request, None, failure));
             return;
         }
     };
@@ -241,6 +242,7 @@
         end: settled_end,
         answer: None,
     };
+    let grant = reservation.grant;
     let settled = open::acknowledge_settlement(context, &reservation, &settlement);
     if settled {
         open::note(context, EventCode::RequestSettled, request, "");
@@ -258,7 +260,7 @@
         RunEnd::CallerLeft => {}
         RunEnd::NotRun(failure) => {
             open::note(context, EventCode::RequestRefused, request, "");
-            progress.send_failure(&failure);
+            progress.send_failure(&open::check_claim(context, request, Some(grant), failure));
         }
         RunEnd::Failed(failure) => {
             open::note(context, EventCode::RequestFailed, request, "");
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -15,9 +15,11 @@
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::witness::WitnessAnswer;
+use hibiscus_types::GrantId;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestKey;
+use hibiscus_types::RequestOutcome;
 use hibiscus_types::TokenCount;
 
 use crate::callers::answer::RequestFailure;
@@ -27,6 +29,7 @@
 use crate::holder::ReserveRefusal;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
+use crate::ledger::broker::KeyStatus;
 use crate::ledger::client;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
@@ -38,6 +41,9 @@
 /// Time that a broker may take to read a record back.
 const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time that a broker may take to look a key up.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Result of a step. Whoever holds the proof that nothing ran adds it to the
 /// failure.
 pub type Result<T> = std::result::Result<T, RequestFailure>;
@@ -207,6 +213,30 @@
     fleet.instance_of(witness).map(|instance| instance.peers)
 }
 
+/// Compares the claim "not run" with what the brokers hold of the key: an
+/// earlier sending may have run, whatever became of this one. `own` is the
+/// grant of this sending's open.
+pub fn check_claim(
+    context: &SharedContext,
+    request: &CallerRequest,
+    own: Option<GrantId>,
+    failure: RequestFailure,
+) -> RequestFailure {
+    if failure.outcome() != RequestOutcome::NotRun {
+        return failure;
+    }
+    let shard = shard_of(&request.key.team, context.settings.budgets.shards);
+    let lookup = BrokerRequest::Lookup {
+        key: request.key.clone(),
+    };
+    match client::call(context, shard, &lookup, LOOKUP_TIMEOUT) {
+        Some(BrokerReply::Lookup(KeyStatus::Unseen)) => failure,
+        Some(BrokerReply::Lookup(KeyStatus::Open(held))) if Some(held.grant) == own => failure,
+        Some(BrokerReply::Lookup(KeyStatus::Settled(_))) => failure.proved_ran(),
+        _ => failure.doubted(),
+    }
+}
+
 /// Records an event of a request.
 pub fn note(context: &SharedContext, code: EventCode, request: &CallerRequest, server: &str) {
     let fields = EventFields {
--- a/crates/hibiscus-router/src/requests/plain.rs
+++ b/crates/hibiscus-router/src/requests/plain.rs
@@ -70,6 +70,7 @@
         Err(failure) => {
             open::note(context, EventCode::RequestRefused, &request, "");
             let failure = failure.proved_not_run(&admitted.refuse());
+            let failure = open::check_claim(context, &request, None, failure);
             let _left = head.send(answer::fail(&failure));
             return;
         }
@@ -103,7 +104,9 @@
             RepeatEnd::Answered(answered) => self.settle_ran(reservation, 0, answered, None),
             RepeatEnd::NotRun(failure) => {
                 open::note(self.context, EventCode::RequestRefused, self.request, "");
+                let grant = Some(reservation.grant);
                 self.settle_not_run(reservation, 0);
+                let failure = open::check_claim(self.context, self.request, grant, failure);
                 answer::fail(&failure)
             }
             RepeatEnd::Failed(failure) => {
--- a/crates/hibiscus-router/src/servers/suspects.rs
+++ b/crates/hibiscus-router/src/servers/suspects.rs
@@ -10,6 +10,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -39,7 +41,7 @@
 /// Time between looks at deaths to append and at the stop flag.
 const APPEND_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest time that a request waits for its death to be in the log.
-const APPEND_WAIT: Duration = Duration::from_millis(500);
+const APPEND_WAIT: Duration = Duration::from_secs(2);
 /// Time between reads of the stream.
 const READ_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between reads in the first [`READ_INTERVAL`] of a process, while not
@@ -53,6 +55,7 @@
 pub struct SuspectCell {
     table: Mutex<SuspectTable>,
     pending: Mutex<Vec<ServerDeath>>,
+    log_fails: AtomicBool,
 }
 
 impl SuspectCell {
@@ -128,6 +131,9 @@
 fn wait_appended(context: &SharedContext, death: &ServerDeath) {
     let deadline = Instant::now() + APPEND_WAIT;
     while Instant::now() < deadline && context.suspects.pending().contains(death) {
+        if context.suspects.log_fails.load(Ordering::Relaxed) {
+            return;
+        }
         thread::sleep(APPEND_INTERVAL);
     }
 }
@@ -160,7 +166,12 @@
         let Ok(data) = codec::encode(&death) else {
             continue;
         };
-        if context.log.append(DEATHS_STREAM, &data).is_ok() {
+        let appended = context.log.append(DEATHS_STREAM, &data).is_ok();
+        context
+            .suspects
+            .log_fails
+            .store(!appended, Ordering::Relaxed);
+        if appended {
             context.suspects.pending().retain(|held| *held != death);
         }
     }
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -564,3 +564,20 @@
     }
     assert_eq!(engines[0].runs().len(), before);
 }
+
+#[test]
+fn a_refused_retry_of_a_request_that_ran_is_not_called_not_run() {
+    let engines = [EngineStandin::start(EngineBehaviour::default())];
+    let (fleet, _service) = chat_fleet(3, &engines);
+    let prompt = format!("orion {PROMPT_TAIL}");
+    let first = requests::stream_chat(fleet.address(0), "told", &prompt);
+    assert_whole(&first, "orion");
+    engines[0].stop();
+    // The settlement is on its way to the log; from then on it is "ran".
+    wait_for("the truth", || {
+        let again = requests::stream_chat(fleet.address(1), "told", &prompt);
+        assert!(!again.has_end(), "{again:?}");
+        again.code() == "no_server" && again.outcome == "ran"
+    });
+    assert_eq!(engine_runs(&engines, "told").len(), 1);
+}
