--- a/crates/hibiscus-support/src/engine.rs
+++ b/crates/hibiscus-support/src/engine.rs
@@ -18,8 +18,10 @@
 use hibiscus_platform::engine::ChatChunk;
 use hibiscus_platform::engine::ChunkChoice;
 use hibiscus_platform::engine::ChunkDelta;
+use hibiscus_platform::engine::DEADLINE_HEADER;
 use hibiscus_platform::engine::FENCING_HEADER;
 use hibiscus_platform::engine::LoadReport;
+use hibiscus_platform::engine::PRIORITY_HEADER;
 use hibiscus_platform::engine::REQUEST_ID_HEADER;
 use hibiscus_platform::engine::RESUME_HEADER;
 use hibiscus_platform::engine::TokenUsage;
@@ -99,6 +101,10 @@
     pub sent: u64,
     /// The token that the run began with.
     pub resumed_from: u64,
+    /// The priority received.
+    pub priority: String,
+    /// Milliseconds to the deadline, as received.
+    pub deadline_ms: u64,
     /// Whether the end marker was sent.
     pub whole: bool,
     /// Whether the reader closed the connection before the end.
@@ -271,6 +277,8 @@
     let id = header(&request, REQUEST_ID_HEADER);
     let resume = header(&request, RESUME_HEADER).parse().unwrap_or(0);
     let fencing = u128::from_str_radix(&header(&request, FENCING_HEADER), 16).unwrap_or(0);
+    let priority = header(&request, PRIORITY_HEADER);
+    let deadline_ms = header(&request, DEADLINE_HEADER).parse().unwrap_or(0);
     let path = request.uri().path().to_owned();
     let Ok(body) = request.into_body().collect().await else {
         return Ok(plain(400, &id));
@@ -291,6 +299,7 @@
         return Ok(plain(503, &id));
     }
     let plan = start_run(&shared, chat, id, resume, behaviour);
+    note_headers(&shared, plan.index, priority, deadline_ms);
     if plan.behaviour.hanging {
         let _cancelled = HangingRun {
             shared: &shared,
@@ -335,6 +344,14 @@
     }
 }
 
+/// Records what came beside the body of a run.
+fn note_headers(shared: &EngineShared, index: usize, priority: String, deadline_ms: u64) {
+    let mut state = shared.state.lock().expect("the engine state is whole");
+    let run = &mut state.runs[index];
+    run.priority = priority;
+    run.deadline_ms = deadline_ms;
+}
+
 /// Compares the fencing number when this engine checks it.
 fn accept_fencing(shared: &EngineShared, model: &str, fencing: u128) -> bool {
     let mut state = shared.state.lock().expect("the engine state is whole");
--- a/crates/hibiscus-support/src/requests.rs
+++ b/crates/hibiscus-support/src/requests.rs
@@ -2,7 +2,9 @@
 //! whose answers tell what was claimed of the execution.
 
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,9 +13,13 @@
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
+use hibiscus_ledger::fold::LedgerFold;
+use hibiscus_ledger::record::RecordBatch;
+use hibiscus_ledger::stream_of;
 use hibiscus_platform::log::HttpLog;
 use hibiscus_platform::log::LogService;
 use hibiscus_router::settings::RouterSettings;
+use hibiscus_types::RequestKey;
 use hibiscus_types::codec;
 use serde_json::Value;
 
@@ -110,6 +116,36 @@
         Self { platform, routers }
     }
 
+    /// Tokens that the log charges `team` for the request `key`, once it is
+    /// settled.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the log cannot be read.
+    pub fn charge(&self, team: &str, key: &str) -> Option<u64> {
+        let log = HttpLog::new(&self.platform.log.url(), Duration::from_secs(2));
+        let mut fold = LedgerFold::default();
+        loop {
+            let next = fold.next_offset();
+            let page = log
+                .read(&stream_of(0), next, Duration::ZERO)
+                .expect("the log answers");
+            if page.records.is_empty() {
+                break;
+            }
+            for record in page.records {
+                match codec::decode::<RecordBatch>(&record.data) {
+                    Ok(batch) => {
+                        fold.apply(record.offset, &batch);
+                    }
+                    Err(_) => fold.skip(record.offset),
+                }
+            }
+        }
+        let key = RequestKey::new(team.into(), key);
+        Some(fold.settlement(&key)?.charge.get())
+    }
+
     /// Starts a further process and lists it.
     ///
     /// # Panics
@@ -211,6 +247,26 @@
     }
 }
 
+/// Sends a streamed chat completion and reads nothing of it: dropping the
+/// connection is leaving.
+///
+/// # Panics
+///
+/// Panics when the connection fails.
+pub fn open_stream(address: SocketAddr, key: &str, prompt: &str) -> TcpStream {
+    let body = chat_body(prompt);
+    let mut stream = TcpStream::connect(address).expect("the port is open");
+    write!(
+        stream,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: {address}\r\n\
+         authorization: Bearer {API_KEY}\r\nidempotency-key: {key}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("the request is sent");
+    stream
+}
+
 /// Sends a streamed chat completion with `prompt`.
 pub fn stream_chat(address: SocketAddr, key: &str, prompt: &str) -> CallerReply {
     stream_chat_with(address, key, prompt, &[])
@@ -223,12 +279,17 @@
     prompt: &str,
     headers: &[(&str, &str)],
 ) -> CallerReply {
+    let body = chat_body(prompt);
+    post_with(address, "/v1/chat/completions", key, &body, headers)
+}
+
+/// The body of a streamed chat completion.
+fn chat_body(prompt: &str) -> String {
     let body = serde_json::json!({
         "model": "stylist",
         "stream": true,
         "max_tokens": 2_000,
         "messages": [{ "role": "user", "content": prompt }],
     });
-    let body = body.to_string();
-    post_with(address, "/v1/chat/completions", key, &body, headers)
+    body.to_string()
 }
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -581,3 +581,73 @@
     });
     assert_eq!(engine_runs(&engines, "told").len(), 1);
 }
+
+#[test]
+fn deadline_and_priority_reach_the_engine_and_a_deadline_ends_the_run() {
+    let engines = [EngineStandin::start(EngineBehaviour {
+        token_interval: Duration::from_millis(50),
+        ..EngineBehaviour::default()
+    })];
+    let (fleet, _service) = chat_fleet(3, &engines);
+    let headers = [("x-deadline-ms", "900"), ("x-priority", "8")];
+    let address = fleet.address(0);
+    let reply = requests::stream_chat_with(address, "late", "dusk len=400", &headers);
+    assert!(!reply.has_end(), "{reply:?}");
+    let runs = engine_runs(&engines, "late");
+    assert_eq!(runs[0].priority, "8");
+    assert!((1..=900).contains(&runs[0].deadline_ms), "{runs:?}");
+    wait_for("the cancelled run", || {
+        engine_runs(&engines, "late")
+            .iter()
+            .all(|run| run.cancelled)
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_has_its_stream_cancelled_at_the_engine() {
+    let engines = [EngineStandin::start(EngineBehaviour {
+        token_interval: Duration::from_millis(20),
+        ..EngineBehaviour::default()
+    })];
+    let (fleet, _service) = chat_fleet(3, &engines);
+    let caller = requests::open_stream(fleet.address(0), "left", "gone len=1500");
+    wait_for("some tokens", || {
+        engine_runs(&engines, "left")
+            .iter()
+            .any(|run| run.sent >= 3)
+    });
+    drop(caller);
+    wait_for("the cancelled run", || {
+        engine_runs(&engines, "left")
+            .iter()
+            .all(|run| run.cancelled)
+    });
+    let sent = engine_runs(&engines, "left")[0].sent;
+    assert!(sent < 1_500, "{sent}");
+    // Charged for what was generated and no more.
+    let mut charge = None;
+    wait_for("the settlement", || {
+        charge = fleet.charge("regina-shop", "left");
+        charge.is_some()
+    });
+    let charge = charge.expect("it was charged");
+    assert!(charge > 0, "nothing was charged");
+    assert!(charge < 1_500, "{charge} tokens for {sent}");
+}
+
+#[test]
+fn engines_that_check_fencing_numbers_serve_several_routers() {
+    let checking = EngineBehaviour {
+        checks_fencing: true,
+        ..EngineBehaviour::default()
+    };
+    let engines = [EngineStandin::start(checking)];
+    let (fleet, _service) = chat_fleet(3, &engines);
+    for index in 0..9 {
+        let marker = format!("fence{index}");
+        let prompt = format!("{marker} {PROMPT_TAIL}");
+        let key = format!("fence-{index}");
+        let reply = requests::stream_chat(fleet.address(index % 3), &key, &prompt);
+        assert_whole(&reply, &marker);
+    }
+}
