--- a/crates/hibiscus-support/src/requests.rs
+++ b/crates/hibiscus-support/src/requests.rs
@@ -14,12 +14,14 @@
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
 use hibiscus_ledger::fold::LedgerFold;
+use hibiscus_ledger::fold::RecordVerdict;
+use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RecordBatch;
+use hibiscus_ledger::record::SettledEnd;
 use hibiscus_ledger::stream_of;
 use hibiscus_platform::log::HttpLog;
 use hibiscus_platform::log::LogService;
 use hibiscus_router::settings::RouterSettings;
-use hibiscus_types::RequestKey;
 use hibiscus_types::codec;
 use serde_json::Value;
 
@@ -116,34 +118,43 @@
         Self { platform, routers }
     }
 
-    /// Tokens that the log charges `team` for the request `key`, once it is
-    /// settled.
+    /// Every charge that the log holds, by key, in order.
     ///
     /// # Panics
     ///
     /// Panics when the log cannot be read.
-    pub fn charge(&self, team: &str, key: &str) -> Option<u64> {
+    pub fn charges(&self) -> Vec<(String, u64)> {
         let log = HttpLog::new(&self.platform.log.url(), Duration::from_secs(2));
         let mut fold = LedgerFold::default();
+        let mut charges = Vec::new();
         loop {
             let next = fold.next_offset();
             let page = log
                 .read(&stream_of(0), next, Duration::ZERO)
                 .expect("the log answers");
             if page.records.is_empty() {
-                break;
+                return charges;
             }
             for record in page.records {
-                match codec::decode::<RecordBatch>(&record.data) {
-                    Ok(batch) => {
-                        fold.apply(record.offset, &batch);
-                    }
-                    Err(_) => fold.skip(record.offset),
-                }
+                let Ok(batch) = codec::decode::<RecordBatch>(&record.data) else {
+                    fold.skip(record.offset);
+                    continue;
+                };
+                let verdicts = fold.apply(record.offset, &batch);
+                charges.extend(accepted_charges(&batch, &verdicts));
+            }
+        }
+    }
+
+    /// The charges of the request `key`.
+    pub fn charges_of(&self, key: &str) -> Vec<u64> {
+        let mut found = Vec::new();
+        for (charged, tokens) in self.charges() {
+            if charged == key {
+                found.push(tokens);
             }
         }
-        let key = RequestKey::new(team.into(), key);
-        Some(fold.settlement(&key)?.charge.get())
+        found
     }
 
     /// Starts a further process and lists it.
@@ -185,6 +196,20 @@
     }
 }
 
+/// The charges that took effect among the records of `batch`.
+fn accepted_charges(batch: &RecordBatch, verdicts: &[RecordVerdict]) -> Vec<(String, u64)> {
+    let mut charges = Vec::new();
+    for (record, verdict) in batch.records.iter().zip(verdicts) {
+        let LedgerRecord::Settle(settlement) = record else {
+            continue;
+        };
+        if *verdict == RecordVerdict::Accepted && settlement.end == SettledEnd::Ran {
+            charges.push((settlement.key.key.clone(), settlement.charge.get()));
+        }
+    }
+    charges
+}
+
 /// Publishes the example's configuration.
 fn publish_example(platform: &StandinPlatform) {
     let file = OperatorFile::parse(EXAMPLE).expect("the example is correct");
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -22,6 +22,8 @@
 
 /// The non-idempotent call of the example.
 const ORDER: &str = "/tailorbook/alterations";
+/// Lag of the instance list where a test needs one.
+const LIST_LAG: Duration = Duration::from_secs(1);
 /// Give-up limit of waits.
 const LIMIT: Duration = Duration::from_secs(20);
 /// Time between looks of a wait.
@@ -51,14 +53,33 @@
     impatient_fleet(count, engines, silence_ms)
 }
 
+/// A fleet whose instance list lags by `lag`.
+fn lagging_fleet(
+    count: usize,
+    engines: &[EngineStandin],
+    lag: Duration,
+) -> (RequestFleet, PlainStandin) {
+    let silence_ms = LimitSettings::default().server_silence_ms;
+    start_fleet(count, engines, silence_ms, lag)
+}
+
 /// A fleet that gives an engine up after `silence_ms` without a byte.
 fn impatient_fleet(
     count: usize,
     engines: &[EngineStandin],
     silence_ms: u64,
+) -> (RequestFleet, PlainStandin) {
+    start_fleet(count, engines, silence_ms, Duration::ZERO)
+}
+
+fn start_fleet(
+    count: usize,
+    engines: &[EngineStandin],
+    silence_ms: u64,
+    lag: Duration,
 ) -> (RequestFleet, PlainStandin) {
     let service = PlainStandin::start();
-    let fleet = RequestFleet::start(count, Duration::ZERO, |settings| {
+    let fleet = RequestFleet::start(count, lag, |settings| {
         settings.limits.server_silence_ms = silence_ms;
     });
     fleet
@@ -344,6 +365,15 @@
         });
         assert_whole(&again, &marker);
     }
+    // Each key once, by the engine's count, whichever router settled it.
+    for index in 0..6 {
+        let key = format!("stream-{index}");
+        wait_for("the settlement", || !fleet.charges_of(&key).is_empty());
+        let charges = fleet.charges_of(&key);
+        let tokens = ANSWER_LENGTH as u64;
+        assert_eq!(charges.len(), 1, "{key}: {charges:?}");
+        assert!((tokens..2 * tokens).contains(&charges[0]), "{charges:?}");
+    }
 }
 
 #[test]
@@ -360,62 +390,6 @@
     assert_eq!(engine_runs(&engines, "resumed")[0].resumed_from, 15);
 }
 
-/// Runs chats before one engine with `behaviour` and two sound ones: every
-/// caller gets its own whole answer.
-fn check_faulty_engine(behaviour: EngineBehaviour) {
-    let engines = [
-        EngineStandin::start(behaviour),
-        EngineStandin::start(EngineBehaviour::default()),
-        EngineStandin::start(EngineBehaviour::default()),
-    ];
-    let (fleet, _service) = impatient_fleet(3, &engines, SILENCE_MS);
-    let mut callers = Vec::new();
-    for index in 0..6 {
-        let address = fleet.address(0);
-        callers.push(thread::spawn(move || {
-            let marker = format!("piece{index}");
-            let prompt = format!("{marker} {PROMPT_TAIL}");
-            let reply = requests::stream_chat(address, &format!("chat-{index}"), &prompt);
-            assert_whole(&reply, &marker);
-        }));
-    }
-    for caller in callers {
-        caller.join().expect("the answer is whole");
-    }
-}
-
-#[test]
-fn answers_stay_whole_when_an_engine_truncates() {
-    check_faulty_engine(EngineBehaviour {
-        truncate_after: Some(7),
-        ..EngineBehaviour::default()
-    });
-}
-
-#[test]
-fn answers_stay_whole_when_an_engine_crosses_answers() {
-    check_faulty_engine(EngineBehaviour {
-        crossed: true,
-        ..EngineBehaviour::default()
-    });
-}
-
-#[test]
-fn answers_stay_whole_when_an_engine_hangs_after_accepting() {
-    check_faulty_engine(EngineBehaviour {
-        hanging: true,
-        ..EngineBehaviour::default()
-    });
-}
-
-#[test]
-fn answers_stay_whole_when_an_engine_refuses() {
-    check_faulty_engine(EngineBehaviour {
-        refusing: true,
-        ..EngineBehaviour::default()
-    });
-}
-
 #[test]
 fn a_stream_that_falls_silent_is_given_up_and_not_shown_as_whole() {
     let engines = [
@@ -542,7 +516,7 @@
         EngineStandin::start(EngineBehaviour::default()),
         EngineStandin::start(EngineBehaviour::default()),
     ];
-    let (fleet, _service) = chat_fleet(3, &engines);
+    let (fleet, _service) = lagging_fleet(3, &engines, LIST_LAG);
     let send = |index: usize| {
         let key = format!("leave-{index}");
         let prompt = format!("moon{index} {PROMPT_TAIL}");
@@ -556,8 +530,8 @@
         .platform
         .list
         .mark_leaving(&ServerName::from("engine-1"));
-    // What the list shows is in force within two seconds.
-    thread::sleep(Duration::from_secs(2));
+    // The list shows it after its lag, and it is in force two seconds later.
+    thread::sleep(LIST_LAG + Duration::from_secs(2));
     let before = engines[0].runs().len();
     for index in 4..12 {
         send(index);
@@ -625,14 +599,10 @@
     let sent = engine_runs(&engines, "left")[0].sent;
     assert!(sent < 1_500, "{sent}");
     // Charged for what was generated and no more.
-    let mut charge = None;
-    wait_for("the settlement", || {
-        charge = fleet.charge("regina-shop", "left");
-        charge.is_some()
-    });
-    let charge = charge.expect("it was charged");
-    assert!(charge > 0, "nothing was charged");
-    assert!(charge < 1_500, "{charge} tokens for {sent}");
+    wait_for("the settlement", || !fleet.charges_of("left").is_empty());
+    let charges = fleet.charges_of("left");
+    assert_eq!(charges.len(), 1, "{charges:?}");
+    assert!((1..1_500).contains(&charges[0]), "{charges:?} for {sent}");
 }
 
 #[test]
