--- a/crates/hibiscus-bench/src/lib.rs
+++ b/crates/hibiscus-bench/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod caller;
 pub mod commands;
+pub mod sizing;
--- a/crates/hibiscus-ledger/src/holder.rs
+++ b/crates/hibiscus-ledger/src/holder.rs
@@ -82,6 +82,12 @@
         named.map(HeldGrant::usable).sum()
     }
 
+    /// Whether one grant covers `tokens` of `budget`.
+    pub fn fits(&self, budget: &BudgetName, tokens: TokenCount) -> bool {
+        let mut held = self.grants.values();
+        held.any(|held| held.grant.budget == *budget && held.usable() >= tokens)
+    }
+
     /// Tokens of `budget` that requests in progress have set aside.
     pub fn reserved(&self, budget: &BudgetName) -> TokenCount {
         let held = self.grants.values();
--- a/crates/hibiscus-ledger/src/sizing.rs
+++ b/crates/hibiscus-ledger/src/sizing.rs
@@ -15,7 +15,7 @@
 /// Time that a holder provides for while the log is slow or failing.
 const OUTAGE_HORIZON: Duration = Duration::from_secs(1_800);
 /// Silence of the log after which it counts as failing.
-const SLOW_LOG: Duration = Duration::from_secs(2);
+const SLOW_LOG: Duration = Duration::from_millis(700);
 /// Typical requests that a holder keeps at least.
 const REQUESTS_KEPT: u64 = 4;
 /// Typical requests a holder below which a budget counts as nearly drained.
@@ -85,7 +85,12 @@
 
 impl SizingPolicy for EqualShares {
     fn decide(&self, view: &SizingView) -> SizingDecision {
-        let ledger = view.ledger.unwrap_or_default();
+        let Some(ledger) = view.ledger else {
+            return SizingDecision {
+                ask: view.wanted,
+                ..SizingDecision::NOTHING
+            };
+        };
         let share = ledger.credited.get() / u64::from(view.holders.max(1));
         let share = TokenCount::new(share).saturating_sub(view.obtained);
         let ask = if view.held < view.wanted {
--- a/crates/hibiscus-router/src/holder/desk.rs
+++ b/crates/hibiscus-router/src/holder/desk.rs
@@ -35,7 +35,7 @@
     pub(super) obtained: TokenCount,
     headroom: Option<LedgerHeadroom>,
     offset: u64,
-    unanswered_since: Option<Instant>,
+    asked_since: Option<Instant>,
     next_ask: Instant,
     next_gather: Instant,
     started: Instant,
@@ -54,7 +54,7 @@
             obtained: TokenCount::ZERO,
             headroom: None,
             offset: 0,
-            unanswered_since: None,
+            asked_since: None,
             next_ask: now,
             next_gather: now,
             started: now,
@@ -67,7 +67,12 @@
     }
 
     /// What the sizing policy decides on.
-    pub(super) fn view(&mut self, held: TokenCount, holders: usize) -> SizingView {
+    pub(super) fn view(
+        &mut self,
+        held: TokenCount,
+        holders: usize,
+        log_silence: Duration,
+    ) -> SizingView {
         let now = self.now();
         SizingView {
             demand_per_second: self.meter.rate(now),
@@ -77,16 +82,22 @@
             obtained: self.obtained,
             ledger: self.headroom,
             holders: u32::try_from(holders).unwrap_or(u32::MAX),
-            log_silence: self.log_silence(),
+            log_silence,
         }
     }
 
-    /// Time since the first question without an answer.
+    /// Age of the open question.
     pub(super) fn log_silence(&self) -> Duration {
-        self.unanswered_since
+        self.asked_since
             .map_or(Duration::ZERO, |since| since.elapsed())
     }
 
+    /// Keeps the question open until it has a verdict.
+    pub(super) fn ask(&mut self, question: GrantWanted) {
+        self.asked = Some(question);
+        self.asked_since = Some(Instant::now());
+    }
+
     /// Whether the ledger may be asked now.
     pub(super) fn may_ask(&self) -> bool {
         !self.asking && Instant::now() >= self.next_ask
@@ -107,14 +118,13 @@
     pub(super) fn unanswered(&mut self) {
         self.asking = false;
         self.next_ask = Instant::now() + ASK_AGAIN;
-        self.unanswered_since.get_or_insert_with(Instant::now);
     }
 
     /// The ledger answered the question.
     pub(super) fn answered(&mut self, headroom: LedgerHeadroom, offset: u64, accepted: bool) {
         self.asking = false;
         self.asked = None;
-        self.unanswered_since = None;
+        self.asked_since = None;
         self.headroom = Some(headroom);
         self.offset = offset;
         if !accepted {
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -198,33 +198,39 @@
     fn plan(&mut self, budget: &BudgetName) {
         let holders = self.context.fleet.lock().instances().len();
         let held = self.held.unreserved(budget);
+        let silence = self.log_silence();
         let Some(desk) = self.desks.get_mut(budget) else {
             return;
         };
+        let mut view = desk.view(held, holders, silence);
+        // What is held and serves no waiting request lies in fragments.
+        let fragments = !desk.waiting.is_empty() && !held.is_zero();
+        let joins = fragments && silence < JOIN_SILENCE && desk.asked.is_none();
+        if joins {
+            view.held = TokenCount::ZERO;
+            if let Some(ledger) = &mut view.ledger {
+                ledger.free = ledger.free + held;
+            }
+        }
+        let decision = self.policy.decide(&view);
+        // What peers give back goes through the log, so it must answer.
+        let gathers = decision.gather && silence < JOIN_SILENCE && desk.may_gather();
         if desk.asked.is_some() {
             self.ask_again(budget);
-        } else {
-            let mut view = desk.view(held, holders);
-            // What is held and serves no waiting request lies in fragments.
-            let fragments = !desk.waiting.is_empty() && !held.is_zero();
-            let joins = fragments && desk.log_silence() < JOIN_SILENCE;
-            if joins {
-                view.held = TokenCount::ZERO;
-                if let Some(ledger) = &mut view.ledger {
-                    ledger.free = ledger.free + held;
-                }
-            }
-            let decision = self.policy.decide(&view);
-            let gathers = decision.gather && desk.may_gather();
-            if !decision.ask.is_zero() && desk.may_ask() {
-                self.ask(budget, decision.ask, joins);
-            }
-            if gathers {
-                self.ask_peers(budget);
-            }
+        } else if !decision.ask.is_zero() && desk.may_ask() {
+            self.ask(budget, decision.ask, joins);
+        }
+        if gathers {
+            self.ask_peers(budget);
         }
     }
 
+    /// Age of the oldest open question of any budget.
+    fn log_silence(&self) -> Duration {
+        let ages = self.desks.values().map(BudgetDesk::log_silence);
+        ages.max().unwrap_or(Duration::ZERO)
+    }
+
     /// Asks the ledger for a new grant.
     fn ask(&mut self, budget: &BudgetName, tokens: TokenCount, joins: bool) {
         let witnesses = grants::choose_witnesses(self.context, budget);
@@ -248,7 +254,7 @@
             witnesses,
         };
         let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
-        desk.asked = Some(GrantWanted {
+        desk.ask(GrantWanted {
             shard,
             returns,
             grant,
@@ -363,10 +369,11 @@
     /// Gives back what is held beyond what the policy keeps.
     fn give_back_idle(&mut self) {
         let holders = self.context.fleet.lock().instances().len();
+        let silence = self.log_silence();
         let mut excess = Vec::new();
         for (budget, desk) in &mut self.desks {
             let held = self.held.unreserved(budget);
-            let keep = self.policy.decide(&desk.view(held, holders)).keep;
+            let keep = self.policy.decide(&desk.view(held, holders, silence)).keep;
             if held > keep {
                 excess.push((budget.clone(), keep));
             }
