--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hibiscus_request::life::NotRunProof;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hyper::Response;
@@ -49,11 +50,12 @@
     pub addresses: Vec<SocketAddr>,
 }
 
-/// A failed request: everything that its answer needs.
+/// A failed request: everything that its answer needs. What is known of its
+/// execution is private, so that "not run" needs a proof once the request is
+/// admitted.
 #[derive(Clone, Debug)]
 pub struct RequestFailure {
-    /// What is known of its execution.
-    pub outcome: RequestOutcome,
+    outcome: RequestOutcome,
     /// Why it failed.
     pub reason: RefusalReason,
     /// What went wrong, as a sentence.
@@ -67,10 +69,18 @@
 }
 
 impl RequestFailure {
-    /// A request that no server received.
-    pub fn not_run(reason: RefusalReason, message: impl Into<String>) -> Self {
+    /// A request refused before it was admitted: it did not run.
+    pub fn unadmitted(reason: RefusalReason, message: impl Into<String>) -> Self {
         Self {
             outcome: RequestOutcome::NotRun,
+            ..Self::unknown(reason, message)
+        }
+    }
+
+    /// A request of which it is not known whether it ran.
+    pub fn unknown(reason: RefusalReason, message: impl Into<String>) -> Self {
+        Self {
+            outcome: RequestOutcome::Unknown,
             reason,
             message: message.into(),
             evidence: None,
@@ -79,6 +89,27 @@
         }
     }
 
+    /// It is proved that no server ran the request.
+    pub fn proved_not_run(self, _proof: &NotRunProof) -> Self {
+        Self {
+            outcome: RequestOutcome::NotRun,
+            ..self
+        }
+    }
+
+    /// It is proved that a server ran the request.
+    pub fn proved_ran(self) -> Self {
+        Self {
+            outcome: RequestOutcome::Ran,
+            ..self
+        }
+    }
+
+    /// What is known of the request's execution.
+    pub fn outcome(&self) -> RequestOutcome {
+        self.outcome
+    }
+
     /// The HTTP status.
     pub fn status(&self) -> u16 {
         status_of(self.reason)
@@ -86,8 +117,10 @@
 
     /// Whether the same request may be sent again.
     fn retry(&self) -> bool {
-        let temporary = matches!(self.status(), 408 | 429 | 502 | 503 | 504);
-        temporary && self.outcome != RequestOutcome::Unknown
+        let temporary = matches!(self.status(), 408 | 429 | 502 | 503 | 504)
+            && self.reason != RefusalReason::AnswerBroken;
+        let waits = self.reason == RefusalReason::InProgress;
+        waits || (temporary && self.outcome != RequestOutcome::Unknown)
     }
 
     /// Milliseconds to wait before sending again. Other addresses can be
@@ -175,7 +208,8 @@
     let mut builder = Response::builder()
         .status(head.status)
         .header("content-type", &head.content_type)
-        .header(OUTCOME_HEADER, head.outcome.as_str());
+        .header(OUTCOME_HEADER, head.outcome.as_str())
+        .extension(head.outcome);
     if !head.key.is_empty() {
         builder = builder.header(KEY_HEADER, &head.key);
     }
@@ -194,6 +228,7 @@
     };
     let body = serde_json::to_vec(&failure.body()).unwrap_or_default();
     let mut response = respond(&head, AnswerBody::whole(body));
+    response.extensions_mut().insert(failure.reason);
     if let Some(wait_ms) = failure.retry_after_ms() {
         let seconds = HeaderValue::from(wait_ms.div_ceil(MILLIS_PER_SECOND));
         response.headers_mut().insert(RETRY_AFTER_HEADER, seconds);
--- a/crates/hibiscus-router/src/callers/chat_body.rs
+++ b/crates/hibiscus-router/src/callers/chat_body.rs
@@ -39,7 +39,7 @@
     };
     let Some(service) = config.service_of_model(model) else {
         let message = format!("failed to find a service for model `{model}`");
-        return Err(RequestFailure::not_run(RefusalReason::NoRoute, message));
+        return Err(RequestFailure::unadmitted(RefusalReason::NoRoute, message));
     };
     check_messages(&chat)?;
     check_choices(&chat)?;
@@ -62,6 +62,8 @@
         prompt_tokens: prompt,
         deadline: identity.deadline,
         priority: identity.priority,
+        resume_from: identity.resume_from,
+        presence: identity.presence,
     })
 }
 
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -14,6 +14,8 @@
 use crate::holder::sealed::SealedGrants;
 use crate::membership::FleetCell;
 use crate::servers::ServerTable;
+use crate::servers::suspects::SuspectCell;
+use crate::servers::watch::CallWatch;
 use crate::settings::RouterSettings;
 
 /// Views and handles that every duty may use.
@@ -23,13 +25,17 @@
     /// This life of the process.
     pub incarnation: IncarnationId,
     /// The event ring.
-    pub events: EventRecorder,
+    pub events: Arc<EventRecorder>,
     /// The configuration in force.
     pub config: ConfigCell,
     /// The fleet as seen from here.
     pub fleet: FleetCell,
     /// The backend servers as seen from here.
     pub servers: ServerTable,
+    /// The calls to servers in progress.
+    pub watch: CallWatch,
+    /// Requests that stopped a server.
+    pub suspects: SuspectCell,
     /// The link to the other instances.
     pub link: PeerLink,
     /// The log service.
@@ -38,6 +44,8 @@
     pub sealed_grants: SealedGrants,
     /// Requests in progress.
     pub in_progress: AtomicU32,
+    /// Number of the next attempt at a non-idempotent call.
+    pub next_attempt: AtomicU32,
     draining: AtomicBool,
     ended: AtomicBool,
 }
@@ -47,8 +55,12 @@
 
 impl RouterContext {
     /// Joins the parts of a process that starts.
-    pub fn new(settings: RouterSettings, link: PeerLink, log: HttpLog) -> Self {
-        let events = EventRecorder::new(settings.instance.name.as_str());
+    pub fn new(
+        settings: RouterSettings,
+        events: Arc<EventRecorder>,
+        link: PeerLink,
+        log: HttpLog,
+    ) -> Self {
         Self {
             settings,
             incarnation: IncarnationId::generate(),
@@ -56,10 +68,13 @@
             config: ConfigCell::default(),
             fleet: FleetCell::default(),
             servers: ServerTable::default(),
+            watch: CallWatch::default(),
+            suspects: SuspectCell::default(),
             link,
             log,
             sealed_grants: SealedGrants::default(),
             in_progress: AtomicU32::new(0),
+            next_attempt: AtomicU32::new(1),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
         }
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -32,6 +32,7 @@
 use crate::ledger::append::AppendRings;
 use crate::ledger::broker;
 use crate::ledger::broker::BrokerReply;
+use crate::operators::metrics;
 use crate::peer::PeerRequest;
 
 /// Time between looks at deadlines and stop flag.
@@ -155,7 +156,10 @@
             HolderMessage::Settle {
                 reservation,
                 charge,
-            } => self.settle(&reservation, charge),
+            } => {
+                self.settle(&reservation, charge);
+                metrics::count_charge(self.context, charge);
+            }
             HolderMessage::Granted { grant, reply } => self.granted(grant, reply),
             HolderMessage::Recall { budget } => self.recall(&budget),
             HolderMessage::GiveBack { done } => {
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -2,16 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::SyncSender;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
-use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
+use hibiscus_events::EventRecorder;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
@@ -35,6 +34,7 @@
 use crate::operators::OperatorsError;
 use crate::peer;
 use crate::peer::DutyRings;
+use crate::servers;
 use crate::settings::RouterSettings;
 use crate::witness;
 
@@ -44,10 +44,6 @@
 const GRANT_THREADS: usize = 2;
 /// Time after which an append counts as unanswered.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time between looks at the requests in progress during a stop.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Time that the last appends may take during a stop.
-const LAST_APPENDS: Duration = Duration::from_secs(5);
 
 /// Why a process cannot start.
 #[derive(Debug, thiserror::Error)]
@@ -88,9 +84,9 @@
     pub addresses: BoundAddresses,
     /// What its duties share.
     pub context: SharedContext,
-    holder: SyncSender<HolderMessage>,
-    appends: AppendRings,
-    appenders: Vec<JoinHandle<()>>,
+    pub(crate) holder: SyncSender<HolderMessage>,
+    pub(crate) appends: AppendRings,
+    pub(crate) appenders: Vec<JoinHandle<()>>,
 }
 
 /// Starts all duties of a process.
@@ -100,9 +96,11 @@
 /// Fails when a port cannot be opened or a key cannot be read.
 pub fn start(settings: RouterSettings) -> Result<RunningRouter> {
     let (inbox, calls) = mpsc::sync_channel(RING_CAPACITY);
-    let link = open_link(&settings, inbox)?;
+    let name = settings.instance.name.as_str();
+    let events = Arc::new(EventRecorder::new(name));
+    let link = open_link(&settings, &events, inbox)?;
     let log = HttpLog::new(&settings.platform.log, APPEND_TIMEOUT);
-    let context = Arc::new(RouterContext::new(settings, link, log));
+    let context = Arc::new(RouterContext::new(settings, events, link, log));
     let operators = operators::start(&context)?;
     let (callers_port, runtime) = open_callers(&context)?;
     let (appends, appenders) = start_appenders(&context);
@@ -111,9 +109,17 @@
     let (broker, broker_calls) = mpsc::sync_channel(RING_CAPACITY);
     let (witness, witness_calls) = mpsc::sync_channel(RING_CAPACITY);
 
-    spawn(&context, "config", config::follow);
+    spawn(&context, "config", config::follow::follow);
+    spawn(&context, "config-peers", config::peers::fetch);
+    spawn(&context, "config-snapshots", config::snapshots::run);
     spawn(&context, "instance-list", membership::follow_list);
-    spawn(&context, "heartbeat", membership::beat);
+    for thread in 0..membership::BEAT_THREADS {
+        spawn(&context, "heartbeat", move |context| {
+            membership::beat(context, thread);
+        });
+    }
+    spawn(&context, "call-watch", servers::watch::run);
+    spawn(&context, "suspects", servers::suspects::follow);
     for shard in 0..context.settings.budgets.shards {
         let ring = broker.clone();
         spawn(&context, "ledger-reader", move |context| {
@@ -168,48 +174,10 @@
     })
 }
 
-impl RunningRouter {
-    /// Stops as planned: leaves the address answers, serves for as long as
-    /// callers may keep an address, finishes all requests, returns the
-    /// allowance, and ends.
-    pub fn stop(self) {
-        let lifetime = self.context.settings.address_lifetime();
-        self.stop_within(lifetime);
-    }
-
-    /// Stops as planned with `lifetime` for callers' addresses.
-    pub fn stop_within(self, lifetime: Duration) {
-        let events = &self.context.events;
-        events.record(EventCode::InstanceStopping, EventFields::default());
-        self.context.drain();
-        let refused_until = Instant::now() + lifetime;
-        while self.context.in_progress.load(Ordering::Relaxed) > 0 || Instant::now() < refused_until
-        {
-            thread::sleep(DRAIN_POLL);
-        }
-        let (done, returned) = mpsc::sync_channel(1);
-        if self.holder.send(HolderMessage::GiveBack { done }).is_ok() {
-            let _late = returned.recv_timeout(LAST_APPENDS);
-        }
-        events.record(EventCode::InstanceStopped, EventFields::default());
-        self.context.end();
-        drop(self.appends);
-        for appender in self.appenders {
-            let _ended = appender.join();
-        }
-        self.context.link.close();
-    }
-
-    /// Ends at once, as a killed process does.
-    pub fn kill(self) {
-        self.context.end();
-        self.context.link.close();
-    }
-}
-
 /// Opens the peer link.
 fn open_link(
     settings: &RouterSettings,
+    events: &Arc<EventRecorder>,
     inbox: SyncSender<hibiscus_peer::PeerCall>,
 ) -> Result<PeerLink> {
     let options = LinkOptions {
@@ -219,6 +187,7 @@
             certificate: &settings.fleet.certificate,
             key: &settings.fleet.key,
         },
+        events,
     };
     Ok(PeerLink::start(&options, inbox)?)
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,14 @@
 //! Integration tests, a module a topic.
 
+mod addressing;
 mod callers;
+mod configuration;
+mod contracts;
 mod events;
+mod fuzz;
+mod operators;
+mod planned_stop;
+mod requests;
 mod settings;
+mod timeline;
 mod whole_path;
