--- a/crates/hibiscus-ledger/src/lib.rs
+++ b/crates/hibiscus-ledger/src/lib.rs
@@ -14,6 +14,7 @@
 //!
 //! The crate does no input or output: messages and times are arguments.
 
+pub mod audit;
 pub mod fold;
 pub mod holder;
 pub mod record;
--- a/crates/hibiscusctl/src/commands/input.rs
+++ b/crates/hibiscusctl/src/commands/input.rs
@@ -55,6 +55,14 @@
         .argument::<String>("URL")
 }
 
+/// The argument that gives the number of ledger shards.
+pub fn shards() -> impl Parser<u32> {
+    long("shards")
+        .help("Ledger shards of the deployment, as in the routers' settings")
+        .argument::<u32>("COUNT")
+        .fallback(1)
+}
+
 /// The argument that names the instance list.
 pub fn instances() -> impl Parser<String> {
     long("instances")
--- a/crates/hibiscusctl/src/commands/mod.rs
+++ b/crates/hibiscusctl/src/commands/mod.rs
@@ -1,5 +1,7 @@
 //! One file a subcommand, each with its `cli` and its `exec`.
 
+pub mod audit;
+pub mod budgets;
 pub mod check;
 pub mod diff;
 pub mod history;
--- a/crates/hibiscusctl/src/main.rs
+++ b/crates/hibiscusctl/src/main.rs
@@ -5,6 +5,8 @@
 use bpaf::OptionParser;
 use bpaf::Parser;
 use bpaf::construct;
+use hibiscusctl::commands::audit;
+use hibiscusctl::commands::budgets;
 use hibiscusctl::commands::check;
 use hibiscusctl::commands::diff;
 use hibiscusctl::commands::history;
@@ -24,6 +26,10 @@
     Status(status::StatusCommand),
     /// Shows the publications that the log still holds.
     History(history::HistoryCommand),
+    /// Shows every budget and who holds its tokens.
+    Budgets(budgets::BudgetsCommand),
+    /// Checks the ledger from the log alone.
+    Audit(audit::AuditCommand),
 }
 
 /// The parser of the command line.
@@ -53,7 +59,17 @@
         .descr("Shows the publications that the log still holds")
         .command("history")
         .map(ControlCommand::History);
-    construct!([check, diff, publish, status, history])
+    let budgets = budgets::cli()
+        .to_options()
+        .descr("Shows every budget and who holds its tokens")
+        .command("budgets")
+        .map(ControlCommand::Budgets);
+    let audit = audit::cli()
+        .to_options()
+        .descr("Checks the ledger: no budget overspent, no request charged twice")
+        .command("audit")
+        .map(ControlCommand::Audit);
+    construct!([check, diff, publish, status, history, budgets, audit])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Operates a hibiscusswitch deployment")
@@ -66,5 +82,7 @@
         ControlCommand::Publish(command) => publish::exec(&command),
         ControlCommand::Status(command) => status::exec(&command),
         ControlCommand::History(command) => history::exec(&command),
+        ControlCommand::Budgets(command) => budgets::exec(&command),
+        ControlCommand::Audit(command) => audit::exec(&command),
     }
 }
