--- a/crates/hibiscus-ledger/src/fold/grants.rs
+++ b/crates/hibiscus-ledger/src/fold/grants.rs
@@ -1,6 +1,7 @@
 //! Grants, returns, splits and reclaim.
 
 use hibiscus_types::GrantId;
+use hibiscus_types::TokenCount;
 
 use crate::fold::GrantState;
 use crate::fold::LedgerFold;
@@ -144,21 +145,40 @@
         RecordVerdict::Accepted
     }
 
-    /// Frees a grant whose reclaim was proposed, without its witnesses.
+    /// Frees a grant whose reclaim was proposed: without its witnesses, and
+    /// without the ends of its open requests.
     pub(super) fn release(&mut self, release: &GrantRelease) -> RecordVerdict {
         let Some(grant) = self.grants.get(&release.grant) else {
             return RecordVerdict::Void;
         };
-        if grant.reclaimed {
+        if grant.is_closed() {
             return RecordVerdict::Repeated;
         }
         if !grant.sealing {
             return RecordVerdict::Void;
         }
         self.reclaim(release.grant);
+        self.abandon(release.grant);
         RecordVerdict::Accepted
     }
 
+    /// Frees what opens without an end keep. A settlement that still comes
+    /// goes to the operators' list.
+    fn abandon(&mut self, id: GrantId) {
+        self.opens.retain(|_key, states| {
+            states.retain(|state| state.open.grant != id);
+            !states.is_empty()
+        });
+        let Some(grant) = self.grants.get_mut(&id) else {
+            return;
+        };
+        let Some(budget) = self.budgets.get_mut(&grant.grant.budget) else {
+            return;
+        };
+        budget.outstanding = budget.outstanding.saturating_sub(grant.outstanding);
+        grant.outstanding = TokenCount::ZERO;
+    }
+
     /// Frees what no open of the grant may still need.
     fn reclaim(&mut self, id: GrantId) {
         self.drop_charged_opens(id);
--- a/crates/hibiscus-ledger/src/fold/requests.rs
+++ b/crates/hibiscus-ledger/src/fold/requests.rs
@@ -68,6 +68,9 @@
             let more = settlement.charge.min(settlement.reserved);
             let mut more = more.saturating_sub(first.charge);
             if reclaimed && !was_open {
+                if !more.is_zero() {
+                    self.list_late(settlement);
+                }
                 more = TokenCount::ZERO;
             }
             let paid = self.drop_reservation(settlement, was_open, more);
--- a/crates/hibiscus-ledger/tests/fold.rs
+++ b/crates/hibiscus-ledger/tests/fold.rs
@@ -208,6 +208,22 @@
     assert_eq!(driver.sums(), (100, 0, 0));
 }
 
+#[test]
+fn a_release_frees_what_requests_without_an_end_keep() {
+    let mut driver = LedgerDriver::new();
+    driver.grant(1, 60);
+    let opened = open(7, first(), 10);
+    driver.append(LedgerRecord::Open(opened.clone()));
+    driver.seal(1);
+    assert_eq!(driver.sums(), (100, 0, 10));
+    let release = LedgerRecord::Release(GrantRelease { grant: first() });
+    assert_eq!(driver.append(release), RecordVerdict::Accepted);
+    assert_eq!(driver.sums(), (100, 0, 0));
+    let late = LedgerRecord::Settle(settle(&opened, 4));
+    assert_eq!(driver.append(late), RecordVerdict::Void);
+    assert_eq!(driver.fold.late().count(), 1);
+}
+
 #[test]
 fn an_exclusive_open_runs_again_only_after_a_proved_not_run() {
     let mut driver = LedgerDriver::new();
--- a/crates/hibiscus-router/src/ledger/copy.rs
+++ b/crates/hibiscus-router/src/ledger/copy.rs
@@ -62,7 +62,7 @@
         for release in config.releases.values() {
             let grant = release.grant;
             let held = fold.grants().get(&grant);
-            let frees = held.is_some_and(|state| state.sealing && !state.reclaimed);
+            let frees = held.is_some_and(|state| state.sealing && !state.is_closed());
             if frees && self.releases.insert(grant) {
                 appends.push(shard, LedgerRecord::Release(GrantRelease { grant }));
             }
--- a/crates/hibiscusctl/src/commands/budgets.rs
+++ b/crates/hibiscusctl/src/commands/budgets.rs
@@ -78,7 +78,9 @@
 /// Why a grant's tokens stay with it although its holder is gone.
 fn why_held(state: &GrantState) -> String {
     if state.reclaimed {
-        return ", reclaimed, kept for requests without a known end".to_owned();
+        return ", reclaimed, kept for requests without a known end; \
+                `releases` frees it once the holder has stopped"
+            .to_owned();
     }
     if !state.sealing {
         return String::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests, a module a topic.
 
 mod addressing;
+mod budgets;
 mod callers;
 mod configuration;
 mod contracts;
