--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -13,6 +13,7 @@
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
+use hibiscus_ledger::record::SettledEnd;
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::witness::WitnessAnswer;
 use hibiscus_types::IncarnationId;
@@ -112,6 +113,10 @@
     let answers = ask_witnesses(context, &reservation.witnesses, ask);
     if answers.contains(&WitnessAnswer::Sealed) {
         context.sealed_grants.add(reservation.grant);
+        if answers.contains(&WitnessAnswer::Acknowledged) {
+            // The other witness brings the open to the ledger: it ends there.
+            acknowledge_settlement(context, reservation, &not_run(open));
+        }
         return Err(RequestFailure::unknown(
             RefusalReason::NotRecorded,
             "failed to record the request: its grant is sealed",
@@ -123,8 +128,10 @@
     let record = LedgerRecord::Open(open.clone());
     match read_back(context, &open.key, record) {
         Some(RecordVerdict::Accepted | RecordVerdict::Repeated) => Ok(()),
-        Some(_) => {
-            context.sealed_grants.add(reservation.grant);
+        Some(verdict) => {
+            if verdict == RecordVerdict::Void {
+                context.sealed_grants.add(reservation.grant);
+            }
             Err(RequestFailure::unknown(
                 RefusalReason::NotRecorded,
                 "failed to record the request: the ledger refused its open",
@@ -137,6 +144,19 @@
     }
 }
 
+/// The end of a request that was opened and not sent.
+fn not_run(open: &RequestOpen) -> RequestSettlement {
+    RequestSettlement {
+        key: open.key.clone(),
+        grant: open.grant,
+        attempt: open.attempt,
+        reserved: open.reserved,
+        charge: TokenCount::ZERO,
+        end: SettledEnd::NotRun,
+        answer: None,
+    }
+}
+
 /// Has the settlement acknowledged by a witness, or by a broker when no
 /// witness answers; false when nobody does.
 pub fn acknowledge_settlement(
