--- a/crates/hibiscus-bench/src/lib.rs
+++ b/crates/hibiscus-bench/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod commands;
 pub mod routing_model;
 pub mod routing_run;
+pub mod sizing;
