--- a/crates/hibiscus-bench/src/lib.rs
+++ b/crates/hibiscus-bench/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod routing_model;
 pub mod routing_run;
 pub mod sizing;
+pub mod steps;
