--- a/crates/hibiscus-router/src/callers/address.rs
+++ b/crates/hibiscus-router/src/callers/address.rs
@@ -35,11 +35,11 @@
         Ok(caller) => caller,
         Err(failure) => return answer::fail(&failure),
     };
-    let nearby = &context.settings.instance.data_centre;
     let fleet = context.fleet.lock();
-    let ready = fleet.ready(UnixMillis::now());
+    let serving = fleet.serving(UnixMillis::now());
+    let nearby = &context.settings.instance.data_centre;
     let load_of = |instance: &FleetInstance| fleet.load_of(&instance.name);
-    let mut answer = address::answer_by_load(&caller, nearby, &ready, load_of);
+    let mut answer = address::answer_by_load(&caller, nearby, &serving, load_of);
     drop(fleet);
     answer.lifetime_s = context.settings.address_lifetime().as_secs();
     let head = AnswerHead {
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_peer::LinkError;
@@ -26,6 +27,8 @@
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
 use crate::membership;
+use crate::servers::claims::ClaimAnswer;
+use crate::servers::claims::ServerClaim;
 use crate::witness::WitnessMessage;
 use crate::witness::WitnessReply;
 use crate::witness::WitnessRequest;
@@ -60,6 +63,8 @@
     Config(ConfigRequest),
     /// Tells of a server that stopped while it ran a request.
     ServerDeath(ServerDeath),
+    /// Asks to keep requests off a server, for a suspect to run alone there.
+    ServerClaim(ServerClaim),
     /// Asks the holder to give back what it does not need soon.
     Recall {
         /// The budget.
@@ -80,6 +85,8 @@
     Config(ConfigReply),
     /// The death is known.
     ServerDeath,
+    /// Whether the server is kept free.
+    ServerClaim(ClaimAnswer),
     /// The holder knows of the recall.
     Recalled,
     /// The duty's ring is full.
@@ -160,6 +167,10 @@
             context.suspects.record(&death);
             PeerReply::ServerDeath.send(call);
         }
+        PeerRequest::ServerClaim(claim) => {
+            let answer = context.servers.lend(&claim, Instant::now());
+            PeerReply::ServerClaim(answer).send(call);
+        }
         PeerRequest::Witness(request) => {
             // A full ring drops the call: its sender sees no acknowledgement.
             let _full = rings.witness.try_send(WitnessMessage { request, call });
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -13,11 +13,14 @@
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
+use hibiscus_ledger::record::SettledEnd;
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::witness::WitnessAnswer;
+use hibiscus_types::GrantId;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestKey;
+use hibiscus_types::RequestOutcome;
 use hibiscus_types::TokenCount;
 
 use crate::callers::answer::RequestFailure;
@@ -27,6 +30,7 @@
 use crate::holder::ReserveRefusal;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
+use crate::ledger::broker::KeyStatus;
 use crate::ledger::client;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
@@ -38,6 +42,9 @@
 /// Time that a broker may take to read a record back.
 const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time that a broker may take to look a key up.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Result of a step. Whoever holds the proof that nothing ran adds it to the
 /// failure.
 pub type Result<T> = std::result::Result<T, RequestFailure>;
@@ -112,6 +119,10 @@
     let answers = ask_witnesses(context, &reservation.witnesses, ask);
     if answers.contains(&WitnessAnswer::Sealed) {
         context.sealed_grants.add(reservation.grant);
+        if answers.contains(&WitnessAnswer::Acknowledged) {
+            // The other witness brings the open to the ledger: it ends there.
+            acknowledge_settlement(context, reservation, &not_run(open));
+        }
         return Err(RequestFailure::unknown(
             RefusalReason::NotRecorded,
             "failed to record the request: its grant is sealed",
@@ -123,8 +134,10 @@
     let record = LedgerRecord::Open(open.clone());
     match read_back(context, &open.key, record) {
         Some(RecordVerdict::Accepted | RecordVerdict::Repeated) => Ok(()),
-        Some(_) => {
-            context.sealed_grants.add(reservation.grant);
+        Some(verdict) => {
+            if verdict == RecordVerdict::Void {
+                context.sealed_grants.add(reservation.grant);
+            }
             Err(RequestFailure::unknown(
                 RefusalReason::NotRecorded,
                 "failed to record the request: the ledger refused its open",
@@ -137,6 +150,19 @@
     }
 }
 
+/// The end of a request that was opened and not sent.
+fn not_run(open: &RequestOpen) -> RequestSettlement {
+    RequestSettlement {
+        key: open.key.clone(),
+        grant: open.grant,
+        attempt: open.attempt,
+        reserved: open.reserved,
+        charge: TokenCount::ZERO,
+        end: SettledEnd::NotRun,
+        answer: None,
+    }
+}
+
 /// Has the settlement acknowledged by a witness, or by a broker when no
 /// witness answers; false when nobody does.
 pub fn acknowledge_settlement(
@@ -207,6 +233,30 @@
     fleet.instance_of(witness).map(|instance| instance.peers)
 }
 
+/// Compares the claim "not run" with what the brokers hold of the key: an
+/// earlier sending may have run, whatever became of this one. `own` is the
+/// grant of this sending's open.
+pub fn check_claim(
+    context: &SharedContext,
+    request: &CallerRequest,
+    own: Option<GrantId>,
+    failure: RequestFailure,
+) -> RequestFailure {
+    if failure.outcome() != RequestOutcome::NotRun {
+        return failure;
+    }
+    let shard = shard_of(&request.key.team, context.settings.budgets.shards);
+    let lookup = BrokerRequest::Lookup {
+        key: request.key.clone(),
+    };
+    match client::call(context, shard, &lookup, LOOKUP_TIMEOUT) {
+        Some(BrokerReply::Lookup(KeyStatus::Unseen)) => failure,
+        Some(BrokerReply::Lookup(KeyStatus::Open(held))) if Some(held.grant) == own => failure,
+        Some(BrokerReply::Lookup(KeyStatus::Settled(_))) => failure.proved_ran(),
+        _ => failure.doubted(),
+    }
+}
+
 /// Records an event of a request.
 pub fn note(context: &SharedContext, code: EventCode, request: &CallerRequest, server: &str) {
     let fields = EventFields {
