--- a/tests/testsuite/style.rs
+++ b/tests/testsuite/style.rs
@@ -155,3 +155,54 @@
     }
     report(&faults);
 }
+
+/// Most lines of a source file.
+const LINE_LIMIT: usize = 600;
+
+/// Sources that are no tests.
+fn program_sources() -> Vec<SourceFile> {
+    let mut files = sources();
+    files.retain(|file| {
+        let path = file.path.to_string_lossy().replace('\\', "/");
+        path.contains("/src/")
+    });
+    assert!(files.len() > 30, "the sources were not found");
+    files
+}
+
+#[test]
+fn tests_live_in_test_files() {
+    let mut faults = Vec::new();
+    for file in program_sources() {
+        if file.text.contains("#[cfg(test)]") || file.text.contains("#[test]") {
+            faults.push(format!("{}: holds tests", file.path.display()));
+        }
+    }
+    report(&faults);
+}
+
+#[test]
+fn programs_do_not_unwrap() {
+    let mut faults = Vec::new();
+    for file in program_sources() {
+        for (index, line) in file.text.lines().enumerate() {
+            let code = line.split("//").next().unwrap_or(line);
+            if code.contains(".unwrap()") {
+                faults.push(format!("{}:{}: {line}", file.path.display(), index + 1));
+            }
+        }
+    }
+    report(&faults);
+}
+
+#[test]
+fn modules_are_small() {
+    let mut faults = Vec::new();
+    for file in program_sources() {
+        let lines = file.text.lines().count();
+        if lines > LINE_LIMIT {
+            faults.push(format!("{}: {lines} lines", file.path.display()));
+        }
+    }
+    report(&faults);
+}
