Run the fault cases on both deployments' settings

The cases take limits and budget settings from the deployments' own router settings files: Prairie Seam (10 and 3 servers, three data centres) and Nightsky (20 and 4 servers, four data centres, a longer wait for allowance).

--- a/crates/hibiscus-bench/src/commands/faults/deployment.rs
+++ b/crates/hibiscus-bench/src/commands/faults/deployment.rs
@@ -16,6 +16,8 @@
 use hibiscus_platform::log::HttpLog;
 use hibiscus_platform::log::LogError;
 use hibiscus_platform::log::LogService;
+use hibiscus_router::settings::RouterSettings;
+use hibiscus_router::settings::SettingsError;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::PlainStandin;
 use hibiscus_support::engine::EngineBehaviour;
@@ -54,6 +56,9 @@
     /// The operators' file is faulty.
     #[error(transparent)]
     File(#[from] FileError),
+    /// The settings are faulty.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
     /// The log failed.
     #[error(transparent)]
     Log(#[from] LogError),
@@ -92,14 +97,30 @@
     log_proxies: Vec<TcpProxy>,
     links: BTreeMap<(usize, usize), UdpProxy>,
     routers: Vec<Option<RouterProcess>>,
+    settings: RouterSettings,
     published: u128,
     seed: u64,
 }
 
+/// The plan's settings with keys in place of the example's placeholders.
+fn read_settings(plan: &DeploymentPlan, platform: &StandinPlatform) -> Result<RouterSettings> {
+    let keys = platform.authority.issue();
+    let text = plan
+        .settings
+        .replace("\"AUTHORITY\"", &Value::from(keys.authority).to_string())
+        .replace(
+            "\"CERTIFICATE\"",
+            &Value::from(keys.certificate).to_string(),
+        )
+        .replace("\"KEY\"", &Value::from(keys.key).to_string());
+    Ok(RouterSettings::parse(&text)?)
+}
+
 impl FaultDeployment {
     /// Starts all processes of `plan` and publishes its example.
     pub fn start(plan: &'static DeploymentPlan, seed: u64) -> Result<Self> {
         let platform = StandinPlatform::start(Duration::ZERO);
+        let settings = read_settings(plan, &platform)?;
         let log = HttpLog::new(&platform.log.url(), APPEND_TIMEOUT);
         let mut deployment = Self {
             plan,
@@ -113,6 +134,7 @@
             log_proxies: Vec::new(),
             links: BTreeMap::new(),
             routers: Vec::new(),
+            settings,
             published: 0,
             seed,
         };
@@ -128,6 +150,11 @@
         Ok(deployment)
     }
 
+    /// Tokens that a router reserves beyond prompt and answer.
+    pub fn margin_tokens(&self) -> u64 {
+        self.settings.budgets.margin_tokens
+    }
+
     /// The log, past every proxy.
     pub fn log(&self) -> &HttpLog {
         &self.log
@@ -194,6 +221,8 @@
     pub fn start_router(&mut self, index: usize) {
         let (name, data_centre) = self.plan.instances[index];
         let mut settings = self.platform.settings(name, data_centre, self.plan.region);
+        settings.limits = self.settings.limits.clone();
+        settings.budgets = self.settings.budgets.clone();
         settings.platform.log = format!("http://{}", self.log_proxies[index].address());
         settings.limits.address_lifetime_ms =
             u64::try_from(ADDRESS_LIFETIME.as_millis()).unwrap_or(u64::MAX);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod contracts;
 mod events;
+mod faults;
 mod fuzz;
 mod settings;
 mod timeline;
