--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -40,9 +40,11 @@
 use crate::callers::stream::TimedStream;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
+use crate::operators::metrics;
 use crate::requests;
+use crate::requests::AdmittedCall;
 use crate::requests::RequestPath;
-use crate::requests::chat::HeadSender;
+use crate::requests::progress::HeadSender;
 
 /// Bytes of a request's headers at most.
 const HEADER_LIMIT: usize = 16 * 1024;
@@ -167,18 +169,38 @@
     }
     let received = Instant::now();
     let (head, body) = request.into_parts();
-    let identity = match identify(&state, &head, received) {
-        Ok(identity) => identity,
-        Err(failure) => return Ok(answer::fail(&failure)),
+    let response = match identify(&state, &head, received) {
+        Ok(identity) => receive_and_run(&state, identity, body).await,
+        Err(failure) => answer::fail(&failure),
     };
+    count(&state.context, &response, received);
+    Ok(response)
+}
+
+/// Receives the body of an identified request and runs it.
+async fn receive_and_run(
+    state: &PortState,
+    identity: CallerIdentity,
+    body: Incoming,
+) -> Response<AnswerBody> {
     let key = identity.key.key.clone();
     let limits = &state.context.settings.limits;
     let mut response = match receive::receive(body, limits, &state.bodies).await {
-        Ok(body) => run(&state, identity, body).await,
+        Ok(body) => run(state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
     answer::stamp_key(&mut response, &key);
-    Ok(response)
+    response
+}
+
+/// Counts an answer by its outcome and reason.
+fn count(context: &SharedContext, response: &Response<AnswerBody>, received: Instant) {
+    let Some(outcome) = response.extensions().get::<RequestOutcome>() else {
+        return;
+    };
+    let reason = response.extensions().get::<RefusalReason>();
+    let reason = reason.map(|reason| reason.as_str());
+    metrics::count_request(context, *outcome, reason, received.elapsed());
 }
 
 /// Checks everything that can be checked before the body is received.
@@ -211,18 +233,18 @@
     }
     let message = format!("failed to read the headers: they are larger than {HEADER_LIMIT} bytes");
     let reason = RefusalReason::HeadersTooLarge;
-    Err(RequestFailure::not_run(reason, message))
+    Err(RequestFailure::unadmitted(reason, message))
 }
 
 /// Refuses because `limit` requests are in progress.
 fn overloaded(limit: u32) -> RequestFailure {
     let message = format!("failed to take the request: {limit} requests are in progress");
-    RequestFailure::not_run(RefusalReason::Overloaded, message)
+    RequestFailure::unadmitted(RefusalReason::Overloaded, message)
 }
 
 /// Refuses with the addresses of the instances that stay.
 fn stopping(context: &SharedContext) -> RequestFailure {
-    let mut failure = RequestFailure::not_run(
+    let mut failure = RequestFailure::unadmitted(
         RefusalReason::Stopping,
         "failed to take the request: this instance is stopping",
     );
@@ -249,6 +271,7 @@
         return answer::fail(&overloaded(limit));
     }
     let holder = state.holder.clone();
+    let mut waiting = identity.presence.hold();
     let (head, answered) = oneshot::channel();
     let spawned = thread::Builder::new()
         .name("request".to_owned())
@@ -260,17 +283,19 @@
     if spawned.is_err() {
         state.context.in_progress.fetch_sub(1, Ordering::Relaxed);
         let message = "failed to take the request: no thread can be started";
-        return answer::fail(&RequestFailure::not_run(RefusalReason::Overloaded, message));
+        return answer::fail(&RequestFailure::unadmitted(
+            RefusalReason::Overloaded,
+            message,
+        ));
     }
-    match answered.await {
+    let answered = answered.await;
+    waiting.end();
+    match answered {
         Ok(response) => response,
-        Err(_) => answer::fail(&RequestFailure {
-            outcome: RequestOutcome::Unknown,
-            ..RequestFailure::not_run(
-                RefusalReason::ServerFailed,
-                "failed to answer: the request's thread ended",
-            )
-        }),
+        Err(_) => answer::fail(&RequestFailure::unknown(
+            RefusalReason::ServerFailed,
+            "failed to answer: the request's thread ended",
+        )),
     }
 }
 
@@ -290,9 +315,10 @@
             return;
         }
     };
-    match request.path {
-        RequestPath::Chat { .. } => requests::chat::run(context, holder, request, head),
-        RequestPath::Plain { .. } => requests::plain::run(context, holder, request, head),
+    let call = AdmittedCall::new(request);
+    match call.request.path {
+        RequestPath::Chat { .. } => requests::chat::run(context, holder, call, head),
+        RequestPath::Plain { .. } => requests::plain::run(context, holder, call, head),
     }
     drop(body.memory);
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,15 @@
 //! Integration tests, a module a topic.
 
+mod addressing;
 mod callers;
+mod configuration;
 mod contracts;
 mod events;
 mod faults;
 mod fuzz;
+mod operators;
+mod planned_stop;
+mod requests;
 mod settings;
 mod timeline;
 mod whole_path;
