--- a/tests/testsuite/timeline.rs
+++ b/tests/testsuite/timeline.rs
@@ -1,5 +1,6 @@
 //! One request's life on the time line of a fleet of processes.
 
+use std::collections::BTreeSet;
 use std::process::Command;
 use std::thread;
 use std::time::Duration;
@@ -171,6 +172,7 @@
     }
     let mut arguments = vec!["--request".to_owned(), "lost".to_owned()];
     arguments.append(&mut sources);
+    shown = timeline(&arguments);
     while !shown.contains("HS4102") {
         assert!(Instant::now() < deadline, "no settlement in:\n{shown}");
         let _whole = chat(&chat_url(&fleet.routers[1]), "lost", LOST_LENGTH);
@@ -187,11 +189,37 @@
         "HS1004 instance is silent detail=router-1",
     );
     assert!(witnessed < silent, "{shown}");
-    let page = std::env::temp_dir().join(format!("hibiscus-page-{}.html", std::process::id()));
-    arguments.push("--html".to_owned());
-    arguments.push(page.display().to_string());
-    assert_eq!(timeline(&arguments), "");
+    check_page(&arguments);
+}
+
+/// The page of the same saved events has a lane for each process in the text.
+fn check_page(arguments: &[String]) {
+    let folder = std::env::temp_dir();
+    let saved = folder.join(format!("hibiscus-saved-{}.jsonl", std::process::id()));
+    let page = folder.join(format!("hibiscus-page-{}.html", std::process::id()));
+    let mut live = arguments.to_vec();
+    live.push("--save".to_owned());
+    live.push(saved.display().to_string());
+    let _shown = timeline(&live);
+    let mut offline = vec!["--request".to_owned(), "lost".to_owned()];
+    offline.push(saved.display().to_string());
+    let shown = timeline(&offline);
+    let mut lanes = BTreeSet::new();
+    for line in shown.lines().filter(|line| !line.starts_with('#')) {
+        lanes.extend(line.split_whitespace().nth(1));
+    }
+    assert!(!lanes.is_empty(), "no events in:\n{shown}");
+    let mut header = "<tr><th>ms</th>".to_owned();
+    for lane in lanes {
+        header.push_str(&format!("<th>{lane}</th>"));
+    }
+    offline.push("--html".to_owned());
+    offline.push(page.display().to_string());
+    assert_eq!(timeline(&offline), "");
     let written = std::fs::read_to_string(&page).expect("the page is written");
-    std::fs::remove_file(&page).expect("the page is there");
-    assert!(written.contains("<th>router-2</th><th>router-3</th>"));
+    for file in [&saved, &page] {
+        std::fs::remove_file(file).expect("the file is there");
+    }
+    assert!(written.contains(&format!("{header}</tr>")), "{header}");
+    assert!(written.contains("HS1004 instance is silent"));
 }
