--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! The configuration in the form that the duties read.
 
 use hibiscus_types::BudgetName;
+use hibiscus_types::GrantId;
 use hibiscus_types::ServiceName;
 use hibiscus_types::TeamName;
 use sha2::Digest;
@@ -11,6 +12,7 @@
 use crate::entry::ConfigEntry;
 use crate::entry::ConfigSection;
 use crate::entry::EntryKey;
+use crate::entry::ReleaseEntry;
 use crate::entry::RouteEntry;
 use crate::entry::ServiceEntry;
 use crate::entry::TeamEntry;
@@ -30,6 +32,8 @@
     pub budgets: SharedMap<BudgetName, BudgetEntry>,
     /// Top-ups by id.
     pub top_ups: SharedMap<String, TopUpEntry>,
+    /// Releases of held grants by grant.
+    pub releases: SharedMap<GrantId, ReleaseEntry>,
     /// Services by name.
     pub services: SharedMap<ServiceName, ServiceEntry>,
     /// Routed calls by path.
@@ -93,7 +97,10 @@
             ConfigEntry::Route(route) => {
                 self.routes.insert(route.path.clone(), route.clone());
             }
-            ConfigEntry::Brand(_) | ConfigEntry::Release(_) => {}
+            ConfigEntry::Release(release) => {
+                self.releases.insert(release.grant, release.clone());
+            }
+            ConfigEntry::Brand(_) => {}
         }
     }
 
