Charge a failed run only for the tokens received

Without the engine's usage the charge fell back on the router's own estimate of the prompt (a third of the body's bytes): a request that stopped two engines and got no token was charged 37. The fault case crashing-request sends one content under new keys now, as its caller does; before, its markers made each content another one.

--- a/crates/hibiscus-bench/src/commands/faults/cases.rs
+++ b/crates/hibiscus-bench/src/commands/faults/cases.rs
@@ -17,7 +17,6 @@
 use crate::commands::faults::deployment::Result;
 use crate::commands::faults::load::LoadCaller;
 use crate::commands::faults::records::AttemptEnd;
-use crate::commands::faults::records::CallKind;
 use crate::commands::faults::records::CallRecord;
 
 /// Instances of the side that a partition cuts off from log and peers.
@@ -302,7 +301,7 @@
     let mut calls = Vec::new();
     let mut stopped = 0;
     for _call in 0..CRASH_CALLS {
-        calls.push(caller.call(CallKind::Chat, 8, "crash"));
+        calls.push(caller.call_crashing());
         stopped += deployment.replace_stopped_engines();
     }
     if stopped > CRASH_LIMIT {
--- a/crates/hibiscus-bench/src/commands/faults/load.rs
+++ b/crates/hibiscus-bench/src/commands/faults/load.rs
@@ -39,6 +39,8 @@
 const MAX_TOKENS: u64 = 512;
 /// Tokens of a short answer, at most.
 const SHORT_LENGTH: u64 = 40;
+/// Marker of the request that stops engines.
+const CRASH_MARKER: &str = "mcrash";
 /// Tokens of a long answer.
 const LONG_LENGTH: u64 = 400;
 /// Bytes of prompt that make one token at the engine.
@@ -181,15 +183,35 @@
         } else {
             self.random.u64(1..=SHORT_LENGTH)
         };
-        self.call(kind, length, "")
+        let key = self.next_key();
+        let marker = format!("m{key}");
+        let prompt = format!("{marker} len={length} how does it fit?");
+        self.call(key, kind, length, marker, &prompt)
+    }
+
+    /// Sends the request that stops each engine that runs it: a new key, the
+    /// same content each time.
+    pub fn call_crashing(&mut self) -> CallRecord {
+        let key = self.next_key();
+        let prompt = format!("{CRASH_MARKER} len={SHORT_LENGTH} crash");
+        let marker = CRASH_MARKER.to_owned();
+        self.call(key, CallKind::Chat, SHORT_LENGTH, marker, &prompt)
     }
 
-    /// Makes a call whose prompt ends in `suffix`, and takes it to its end.
-    pub fn call(&mut self, kind: CallKind, length: u64, suffix: &str) -> CallRecord {
+    fn next_key(&mut self) -> String {
         self.sent += 1;
-        let key = format!("{}n{}", self.prefix, self.sent);
-        let marker = format!("m{key}");
-        let prompt = format!("{marker} len={length} how does it fit? {suffix}");
+        format!("{}n{}", self.prefix, self.sent)
+    }
+
+    /// Takes a call to its end.
+    fn call(
+        &mut self,
+        key: String,
+        kind: CallKind,
+        length: u64,
+        marker: String,
+        prompt: &str,
+    ) -> CallRecord {
         let chat_body = json!({
             "model": self.plan.model,
             "stream": true,
@@ -221,7 +243,7 @@
             let Some((instance, address)) = self.directory.pick(&mut self.random, avoided) else {
                 break;
             };
-            self.attempt(&mut record, instance, address, &prompt);
+            self.attempt(&mut record, instance, address, prompt);
             if !may_retry(&record) || started.elapsed() > CALL_LIMIT {
                 break;
             }
--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -149,11 +149,12 @@
         })
     }
 
-    /// Tokens used, by the engine's count or by what was received.
-    pub fn charge(&self, request: &CallerRequest) -> TokenCount {
+    /// Tokens used, by the engine's count or, without one, by what was
+    /// received: the length of a prompt in tokens is the engine's to say.
+    pub fn charge(&self) -> TokenCount {
         match self.usage {
             Some(usage) => TokenCount::new(usage.prompt_tokens + usage.completion_tokens),
-            None => request.prompt_tokens + TokenCount::new(self.tokens),
+            None => TokenCount::new(self.tokens),
         }
     }
 
