--- a/crates/hibiscus-bench/src/commands/faults/plan.rs
+++ b/crates/hibiscus-bench/src/commands/faults/plan.rs
@@ -81,7 +81,7 @@
         TeamPlan {
             api_key: "winnipeg-example-key",
             budget: "winnipeg-tokens",
-            tokens: 8_000,
+            tokens: 4_000,
         },
     ],
 };
@@ -122,7 +122,7 @@
         TeamPlan {
             api_key: "party-example-key",
             budget: "party-tokens",
-            tokens: 8_000,
+            tokens: 4_000,
         },
     ],
 };
