--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod contracts;
 mod events;
 mod exit_codes;
+mod faults;
 mod fuzz;
 mod operators;
 mod planned_stop;
