--- a/crates/hibiscus-membership/src/view.rs
+++ b/crates/hibiscus-membership/src/view.rs
@@ -32,6 +32,9 @@
 /// past the time in which a whole fleet starts.
 const WHOLE_ASK_EVERY: u32 = 2;
 
+/// Time in which messages of a replaced incarnation are passed over.
+const FORMER_TIME: Duration = Duration::from_secs(60);
+
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InstanceHeartbeat {
@@ -52,12 +55,6 @@
 }
 
 impl InstanceHeartbeat {
-    /// Whether this was said after `other`. Incarnations are ordered by the
-    /// time of their start.
-    fn is_after(&self, other: &Self) -> bool {
-        (self.incarnation, self.uptime_ms) > (other.incarnation, other.uptime_ms)
-    }
-
     /// Whether others must learn of this soon.
     fn is_news(&self, other: &Self) -> bool {
         self.incarnation != other.incarnation
@@ -93,6 +90,8 @@
     heard_at: UnixMillis,
     /// Whether it ever sent a message itself.
     direct: bool,
+    /// The incarnation before, and the time at which it was replaced.
+    former: Option<(IncarnationId, UnixMillis)>,
     /// Others that call it silent, and up to which uptime.
     reports: BTreeMap<InstanceName, u64>,
 }
@@ -182,24 +181,28 @@
     /// Takes a heartbeat from its instance or passed on by another one;
     /// whether it is news.
     fn learn(&mut self, beat: InstanceHeartbeat, now: UnixMillis) -> bool {
-        let Some(known) = self.known.get_mut(&beat.name) else {
-            self.pass_on(GossipItem::Beat(beat.clone()));
+        let Some(held) = self.known.get(&beat.name) else {
             self.incarnations
                 .insert(beat.incarnation, beat.name.clone());
             let known = KnownInstance {
                 beat: beat.clone(),
                 heard_at: now,
                 direct: false,
+                former: None,
                 reports: BTreeMap::new(),
             };
             self.known.insert(beat.name, known);
             return true;
         };
-        if !beat.is_after(&known.beat) {
+        if !self.supersedes(&beat, held, now) {
             return false;
         }
+        let Some(known) = self.known.get_mut(&beat.name) else {
+            return false;
+        };
         let mut news = beat.is_news(&known.beat);
         if beat.incarnation != known.beat.incarnation {
+            known.former = Some((known.beat.incarnation, now));
             known.reports.clear();
             known.heard_at = now;
             self.incarnations.remove(&known.beat.incarnation);
@@ -214,6 +217,23 @@
         news
     }
 
+    /// Whether `beat` replaces what is `held`. Incarnations are ordered by the
+    /// clock at their start; a clock may be behind, so an earlier one counts
+    /// too once the held one is silent, and the one that was replaced lately
+    /// does not come back.
+    fn supersedes(&self, beat: &InstanceHeartbeat, held: &KnownInstance, now: UnixMillis) -> bool {
+        if beat.incarnation == held.beat.incarnation {
+            return beat.uptime_ms > held.beat.uptime_ms;
+        }
+        let replaced = held.former.is_some_and(|(incarnation, at)| {
+            incarnation == beat.incarnation && now.since(at) < FORMER_TIME
+        });
+        if replaced {
+            return false;
+        }
+        beat.incarnation > held.beat.incarnation || self.is_silent(&beat.name, held, now)
+    }
+
     /// Takes another instance's word that one is silent.
     fn learn_silence(&mut self, report: SilenceReport) {
         let Some(known) = self.known.get_mut(&report.name) else {
--- a/crates/hibiscus-membership/tests/view.rs
+++ b/crates/hibiscus-membership/tests/view.rs
@@ -5,6 +5,7 @@
 use hibiscus_support::gossip;
 use hibiscus_support::gossip::GossipFleet;
 use hibiscus_support::gossip::GossipMember;
+use hibiscus_types::IncarnationId;
 
 /// Rounds after which every view must have settled.
 const SETTLE_ROUNDS: usize = 30;
@@ -120,6 +121,25 @@
     }
 }
 
+#[test]
+fn a_new_incarnation_whose_clock_is_behind_replaces_a_silent_one() {
+    for (count, data_centres) in [(7, 3), (60, 4)] {
+        let mut fleet = settled(count, data_centres);
+        let old = fleet.members[2].beat.incarnation;
+        let listed = fleet.members[0].view.instances().to_vec();
+        fleet.members[2] = GossipMember::new(&listed[2], &listed);
+        let new = IncarnationId::from_u128(7);
+        assert!(new < old);
+        fleet.members[2].beat.incarnation = new;
+        rounds(&mut fleet, 2 * SETTLE_ROUNDS);
+        assert_eq!(fleet.ready_range(), (count, count));
+        for member in &fleet.members {
+            assert!(member.view.instance_of(new).is_some());
+            assert!(member.view.instance_of(old).is_none());
+        }
+    }
+}
+
 #[test]
 fn a_flapping_member_ends_up_as_it_last_was() {
     let mut fleet = settled(60, 4);
