--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -56,6 +56,7 @@
     RequestSettled = "HS4004", Debug, "settlement acknowledged";
     RequestRefused = "HS4005", Info, "request refused, not run";
     RequestFailed = "HS4006", Warn, "request failed after it was sent";
+    AnswerBegun = "HS4007", Debug, "head of the answer is on its way to the caller";
     OpenWitnessed = "HS4101", Debug, "open acknowledged as witness";
     SettlementWitnessed = "HS4102", Debug, "settlement acknowledged as witness";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
--- a/crates/hibiscus-router/src/operators/status.rs
+++ b/crates/hibiscus-router/src/operators/status.rs
@@ -24,25 +24,22 @@
     pub program: &'static str,
     /// Instances that are ready, as seen from here.
     pub ready_instances: usize,
-    /// Whether it takes requests.
-    pub ready: bool,
-    /// Why it does not.
+    /// Why it takes no requests; empty when it is ready.
     pub reasons: Vec<&'static str>,
 }
 
 /// The status of this instance.
 pub fn status(context: &SharedContext) -> InstanceStatus {
-    let own = membership::own_heartbeat(context);
+    let mut own = membership::own_heartbeat(context);
+    own.ready &= !own.stopping;
     let ready_instances = context.fleet.lock().ready(UnixMillis::now()).len();
-    let reasons = unready_reasons(context);
     InstanceStatus {
         own,
         data_centre: context.settings.instance.data_centre.clone(),
         region: context.settings.instance.region.clone(),
         program: env!("CARGO_PKG_VERSION"),
         ready_instances,
-        ready: reasons.is_empty(),
-        reasons,
+        reasons: unready_reasons(context),
     }
 }
 
--- a/crates/hibiscus-router/src/requests/attempt.rs
+++ b/crates/hibiscus-router/src/requests/attempt.rs
@@ -25,6 +25,7 @@
 use crate::requests::CallerRequest;
 use crate::requests::RequestPath;
 use crate::servers::AttemptEnd;
+use crate::servers::claims;
 use crate::servers::suspects;
 use crate::servers::watch::CallWatch;
 use crate::servers::watch::WatchedCall;
@@ -132,14 +133,13 @@
         let chosen = if alone {
             let wait = ALONE_WAIT.min(self.request.remaining());
             let seed = self.fingerprint.get();
-            self.context.servers.choose_alone(
-                self.service,
-                &self.tried,
-                seed,
-                Instant::now() + wait,
-            )
+            let until = Instant::now() + wait;
+            claims::choose(self.context, self.service, &self.tried, seed, until)
         } else {
-            self.context.servers.choose(self.service, &self.tried)
+            let others = self.context.other_instances();
+            self.context
+                .servers
+                .choose(self.service, &self.tried, others)
         };
         let load = chosen.ok_or(AttemptStop::NoServer)?;
         self.tried.push(load.name.clone());
@@ -148,14 +148,12 @@
 
     /// Gives a chosen server back without an attempt.
     pub fn give_back(&self, chosen: &ChosenServer) {
-        let end = AttemptEnd::Nothing;
-        self.context.servers.release(&chosen.load.name, end);
+        self.end_attempt(chosen, AttemptEnd::Nothing);
     }
 
     /// The attempt was answered to its end.
     pub fn answered(&self, chosen: &ChosenServer) {
-        let servers = &self.context.servers;
-        servers.release(&chosen.load.name, AttemptEnd::Answered);
+        self.end_attempt(chosen, AttemptEnd::Answered);
         if chosen.alone {
             self.context.suspects.clear(self.fingerprint);
         }
@@ -168,17 +166,16 @@
         dispatched: DispatchedRequest,
         error: &EngineError,
     ) -> ReadyRequest {
-        let servers = &self.context.servers;
         if let Some(evidence) = self.evidence(error) {
             let end = match evidence.status() {
                 Some(_) => AttemptEnd::Busy,
                 None => AttemptEnd::Failed,
             };
-            servers.release(&chosen.load.name, end);
+            self.end_attempt(chosen, end);
             return ReadyRequest::Opened(dispatched.not_begun(evidence));
         }
         let stopped = suspects::has_stopped(chosen.load.address, error);
-        servers.release(&chosen.load.name, AttemptEnd::Failed);
+        self.end_attempt(chosen, AttemptEnd::Failed);
         if stopped {
             let death = ServerDeath {
                 fingerprint: self.fingerprint,
@@ -192,6 +189,15 @@
         ReadyRequest::Failed(dispatched.failed())
     }
 
+    /// Ends the count of an attempt, and the claim of a suspect.
+    fn end_attempt(&self, chosen: &ChosenServer, end: AttemptEnd) {
+        self.context.servers.release(&chosen.load.name, end);
+        if chosen.alone {
+            self.context.servers.unclaim(&chosen.load.name);
+            claims::end(self.context, &chosen.load.name, self.fingerprint.get());
+        }
+    }
+
     /// Why the request ends without an answer, given the state it is in.
     pub fn failure(&self, stop: AttemptStop, ready: Option<ReadyRequest>) -> RequestFailure {
         let failure = RequestFailure::unknown(self.reason(stop), self.message(stop));
