--- a/crates/hibiscus-config/src/snapshot.rs
+++ b/crates/hibiscus-config/src/snapshot.rs
@@ -4,6 +4,7 @@
 use hibiscus_types::GrantId;
 use hibiscus_types::ServiceName;
 use hibiscus_types::TeamName;
+use hibiscus_types::TokenCount;
 use sha2::Digest;
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
@@ -41,6 +42,7 @@
     team_keys: SharedMap<String, TeamName>,
     team_budgets: SharedMap<TeamName, Vec<BudgetName>>,
     service_versions: SharedMap<ServiceName, u64>,
+    credits: SharedMap<BudgetName, TokenCount>,
 }
 
 impl ConfigSnapshot {
@@ -88,7 +90,11 @@
                 self.budgets.insert(budget.name.clone(), budget.clone());
             }
             ConfigEntry::TopUp(top_up) => {
-                self.top_ups.insert(top_up.id.clone(), top_up.clone());
+                let held = self.top_ups.insert(top_up.id.clone(), top_up.clone());
+                if held.is_none() {
+                    let sum = self.credited(&top_up.budget) + top_up.tokens;
+                    self.credits.insert(top_up.budget.clone(), sum);
+                }
             }
             ConfigEntry::Service(service) => {
                 self.services.insert(service.name.clone(), service.clone());
@@ -114,9 +120,6 @@
                 }
             }
             ConfigSection::Budgets => self.remove_budget(&BudgetName::from(name)),
-            ConfigSection::TopUps => {
-                self.top_ups.remove(&key.name);
-            }
             ConfigSection::Services => {
                 self.services.remove(&ServiceName::from(name));
                 self.service_versions.remove(&ServiceName::from(name));
@@ -124,7 +127,8 @@
             ConfigSection::Routes => {
                 self.routes.remove(&key.name);
             }
-            ConfigSection::Brands | ConfigSection::Releases => {}
+            // Top-ups and releases stay for good.
+            ConfigSection::Brands | ConfigSection::TopUps | ConfigSection::Releases => {}
         }
     }
 
@@ -163,6 +167,11 @@
         self.budgets.get(names.first()?)
     }
 
+    /// Sum of the top-ups of `budget`.
+    pub fn credited(&self, budget: &BudgetName) -> TokenCount {
+        self.credits.get(budget).copied().unwrap_or_default()
+    }
+
     /// The service that answers for `model`.
     pub fn service_of_model(&self, model: &str) -> Option<&ServiceEntry> {
         self.services
--- a/crates/hibiscus-config/tests/fold.rs
+++ b/crates/hibiscus-config/tests/fold.rs
@@ -249,6 +249,7 @@
         .budget_of(&"lab".into())
         .map(|budget| budget.name.as_str());
     assert_eq!(held, Some("gold"));
+    assert_eq!(snapshot.credited(&"gold".into()), TokenCount::new(100));
     let copy = snapshot.clone();
     snapshot.apply(9, &[remove(ConfigSection::Budgets, "gold", 1)]);
     assert!(snapshot.budget_of(&"lab".into()).is_none());
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -317,13 +317,7 @@
             return;
         }
         let config = self.context.config.get();
-        let mut promised = TokenCount::ZERO;
-        for top_up in config.top_ups.values() {
-            if top_up.budget == *budget {
-                promised = promised + top_up.tokens;
-            }
-        }
-        desk.refuse_exhausted(promised);
+        desk.refuse_exhausted(config.credited(budget));
     }
 
     /// Serves the waiting requests in order of arrival.
--- a/crates/hibiscus-types/src/id.rs
+++ b/crates/hibiscus-types/src/id.rs
@@ -2,24 +2,25 @@
 
 use std::fmt;
 use std::ops::Add;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 
-/// Declares a name type: an owned string that orders, hashes and serialises
-/// as the string it wraps.
+/// Declares a name type: a shared string that orders, hashes and serialises
+/// as the string it wraps. Its copies share their text.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
-        pub struct $name(String);
+        pub struct $name(Arc<str>);
 
         impl $name {
             /// Wraps `text` without checking it.
             pub fn new(text: impl Into<String>) -> Self {
-                Self(text.into())
+                Self(Arc::from(text.into()))
             }
 
             /// The name as text.
