--- a/crates/hibiscus-bench/src/commands/faults/cases.rs
+++ b/crates/hibiscus-bench/src/commands/faults/cases.rs
@@ -17,7 +17,6 @@
 use crate::commands::faults::deployment::Result;
 use crate::commands::faults::load::LoadCaller;
 use crate::commands::faults::records::AttemptEnd;
-use crate::commands::faults::records::CallKind;
 use crate::commands::faults::records::CallRecord;
 
 /// Instances of the side that a partition cuts off from log and peers.
@@ -292,11 +291,17 @@
 /// A caller sends a crashing request again and again, under new keys.
 fn crash_engines(deployment: &mut FaultDeployment, seed: u64) -> Vec<CallRecord> {
     let directory = std::sync::Arc::clone(&deployment.directory);
-    let mut caller = LoadCaller::new(deployment.plan, directory, seed, CRASH_CALLER);
+    let mut caller = LoadCaller::new(
+        deployment.plan,
+        directory,
+        deployment.margin_tokens(),
+        seed,
+        CRASH_CALLER,
+    );
     let mut calls = Vec::new();
     let mut stopped = 0;
     for _call in 0..CRASH_CALLS {
-        calls.push(caller.call(CallKind::Chat, 8, "crash"));
+        calls.push(caller.call_crashing());
         stopped += deployment.replace_stopped_engines();
     }
     if stopped > CRASH_LIMIT {
--- a/crates/hibiscus-router/src/operators/status.rs
+++ b/crates/hibiscus-router/src/operators/status.rs
@@ -26,16 +26,17 @@
     pub ready_instances: usize,
     /// Whether it takes requests.
     pub ready: bool,
-    /// Why it takes none; empty when it is ready.
+    /// Why it does not.
     pub reasons: Vec<&'static str>,
 }
 
 /// The status of this instance.
 pub fn status(context: &SharedContext) -> InstanceStatus {
+    let own = membership::own_heartbeat(context);
     let ready_instances = context.fleet.lock().ready(UnixMillis::now()).len();
     let reasons = unready_reasons(context);
     InstanceStatus {
-        own: membership::own_heartbeat(context),
+        own,
         data_centre: context.settings.instance.data_centre.clone(),
         region: context.settings.instance.region.clone(),
         program: env!("CARGO_PKG_VERSION"),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod contracts;
 mod events;
+mod faults;
 mod fuzz;
 mod operators;
 mod planned_stop;
