Test that a request finishes and is charged after its team was removed

A chat of 200 tokens runs while its team and budget leave the configuration: new requests of the team get 401, the running one comes whole, its tokens are charged to its own budget and nothing to the others.

--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -8,12 +8,20 @@
 use hibiscus_config::SNAPSHOT_STREAM;
 use hibiscus_config::entry::BrandEntry;
 use hibiscus_config::entry::ConfigEntry;
+use hibiscus_config::file::OperatorFile;
+use hibiscus_config::load;
 use hibiscus_config::record::ConfigRecord;
 use hibiscus_config::record::EntryChange;
+use hibiscus_ledger::fold::LedgerFold;
+use hibiscus_ledger::record::RecordBatch;
+use hibiscus_ledger::stream_of;
 use hibiscus_platform::log::HttpLog;
 use hibiscus_platform::log::LogService;
 use hibiscus_router::config::snapshots;
 use hibiscus_router::ops::RunningRouter;
+use hibiscus_router::settings::LimitSettings;
+use hibiscus_support::engine::EngineBehaviour;
+use hibiscus_support::example::ExampleFleet;
 use hibiscus_support::fleet;
 use hibiscus_support::fleet::StandinPlatform;
 use hibiscus_support::log::LogFaults;
@@ -223,3 +231,63 @@
     assert!(config.wait_for(1, GIVE_UP));
     router.kill();
 }
+
+/// Sends a chat of the Regina shop; its status and body.
+fn chat(fleet: &ExampleFleet, length: u64) -> (u16, String) {
+    let url = format!(
+        "http://{}/v1/chat/completions",
+        fleet.routers[0].addresses.callers
+    );
+    let body = format!(
+        r#"{{"model":"stylist","stream":true,"max_tokens":{length},"messages":[{{"role":"user","content":"fit len={length}"}}]}}"#
+    );
+    let sent = ureq::post(&url)
+        .header("authorization", "Bearer regina-example-key")
+        .config()
+        .http_status_as_error(false)
+        .build()
+        .send(body);
+    let mut response = sent.expect("the instance answers");
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    (response.status().as_u16(), text)
+}
+
+#[test]
+fn a_request_finishes_and_is_charged_to_its_team_after_the_team_was_removed() {
+    let fleet = ExampleFleet::start(&LimitSettings::default());
+    fleet.engine.set_behaviour(EngineBehaviour {
+        token_interval: Duration::from_millis(10),
+        ..EngineBehaviour::default()
+    });
+    thread::scope(|scope| {
+        let running = scope.spawn(|| chat(&fleet, 200));
+        assert!(wait_until(|| fleet.engine.running() > 0));
+        let log = HttpLog::new(&fleet.platform.log.url(), Duration::from_secs(2));
+        let fold = load::load(&log).expect("the log answers");
+        let mut file = OperatorFile::parse(include_str!("../../examples/prairie-seam.jsonc"))
+            .expect("the example is correct");
+        file.entries
+            .retain(|key, _entry| key.name != "regina-shop" && key.name != "regina-tokens");
+        let record = ConfigRecord::proposal(fold.version(), file.changes(&fold));
+        let data = codec::encode(&record.expect("it encodes")).expect("it encodes");
+        append(&fleet.platform, &data);
+        assert!(wait_until(|| chat(&fleet, 4).0 == 401));
+        let (status, text) = running.join().expect("the caller ends");
+        assert_eq!(status, 200);
+        assert!(text.contains("data: [DONE]"), "{text}");
+    });
+    let log = HttpLog::new(&fleet.platform.log.url(), Duration::from_secs(2));
+    let charged = |budget: &str| {
+        let mut ledger = LedgerFold::default();
+        let page = log.read(&stream_of(0), 0, Duration::ZERO);
+        for record in page.expect("the log answers").records {
+            let batch: RecordBatch = codec::decode(&record.data).expect("it decodes");
+            ledger.apply(record.offset, &batch);
+        }
+        let held = ledger.budgets().get(&budget.into());
+        held.map_or(0, |held| held.charged.get())
+    };
+    assert!(wait_until(|| charged("regina-tokens") >= 200));
+    assert_eq!(charged("saskatoon-tokens"), 0);
+    assert_eq!(charged("winnipeg-tokens"), 0);
+}
