--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -228,10 +228,9 @@
 ) {
     let (settled_end, charge) = match &end {
         RunEnd::NotRun(_) => (SettledEnd::NotRun, TokenCount::ZERO),
-        RunEnd::Whole | RunEnd::CallerLeft | RunEnd::Failed(_) => (
-            SettledEnd::Ran,
-            progress.charge(request).min(reservation.tokens),
-        ),
+        RunEnd::Whole | RunEnd::CallerLeft | RunEnd::Failed(_) => {
+            (SettledEnd::Ran, progress.charge().min(reservation.tokens))
+        }
     };
     let settlement = RequestSettlement {
         key: request.key.clone(),
--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -149,13 +149,12 @@
         })
     }
 
-    /// Tokens used, by the engine's count or by what was received: nothing
-    /// before the first token.
-    pub fn charge(&self, request: &CallerRequest) -> TokenCount {
+    /// Tokens used, by the engine's count or, without one, by what was
+    /// received: the length of a prompt in tokens is the engine's to say.
+    pub fn charge(&self) -> TokenCount {
         match self.usage {
             Some(usage) => TokenCount::new(usage.prompt_tokens + usage.completion_tokens),
-            None if self.tokens == request.resume_from => TokenCount::ZERO,
-            None => request.prompt_tokens + TokenCount::new(self.tokens),
+            None => TokenCount::new(self.tokens),
         }
     }
 
