--- a/crates/hibiscus-router/src/operators/status.rs
+++ b/crates/hibiscus-router/src/operators/status.rs
@@ -24,22 +24,25 @@
     pub program: &'static str,
     /// Instances that are ready, as seen from here.
     pub ready_instances: usize,
-    /// Why it takes no requests; empty when it is ready.
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Why it does not.
     pub reasons: Vec<&'static str>,
 }
 
 /// The status of this instance.
 pub fn status(context: &SharedContext) -> InstanceStatus {
-    let mut own = membership::own_heartbeat(context);
-    own.ready &= !own.stopping;
+    let own = membership::own_heartbeat(context);
     let ready_instances = context.fleet.lock().ready(UnixMillis::now()).len();
+    let reasons = unready_reasons(context);
     InstanceStatus {
         own,
         data_centre: context.settings.instance.data_centre.clone(),
         region: context.settings.instance.region.clone(),
         program: env!("CARGO_PKG_VERSION"),
         ready_instances,
-        reasons: unready_reasons(context),
+        ready: reasons.is_empty(),
+        reasons,
     }
 }
 
--- a/crates/hibiscus-router/src/requests/attempt.rs
+++ b/crates/hibiscus-router/src/requests/attempt.rs
@@ -175,7 +175,15 @@
             return ReadyRequest::Opened(dispatched.not_begun(evidence));
         }
         let stopped = suspects::has_stopped(chosen.load.address, error);
-        self.end_attempt(chosen, AttemptEnd::Failed);
+        // A call that was ended for its caller's sake shows nothing of the
+        // server.
+        let ended_here = self.request.remaining().is_zero() || self.request.presence.has_left();
+        let end = if ended_here && !stopped {
+            AttemptEnd::Nothing
+        } else {
+            AttemptEnd::Failed
+        };
+        self.end_attempt(chosen, end);
         if stopped {
             let death = ServerDeath {
                 fingerprint: self.fingerprint,
