--- a/crates/hibiscus-bench/src/commands/faults/load.rs
+++ b/crates/hibiscus-bench/src/commands/faults/load.rs
@@ -29,8 +29,8 @@
 const CALLERS: u64 = 16;
 /// Time between two calls of a caller, at most.
 const THINK_MS: u64 = 60;
-/// Time after which a caller gives an attempt up.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time after which a call is not sent again.
+const CALL_LIMIT: Duration = Duration::from_secs(6);
 /// Attempts of one call.
 const ATTEMPT_LIMIT: u64 = 5;
 /// Delay before the second attempt; it grows by as much with each.
@@ -39,14 +39,14 @@
 const MAX_TOKENS: u64 = 512;
 /// Tokens of a short answer, at most.
 const SHORT_LENGTH: u64 = 40;
+/// Marker of the request that stops engines.
+const CRASH_MARKER: &str = "mcrash";
 /// Tokens of a long answer.
 const LONG_LENGTH: u64 = 400;
 /// Bytes of prompt that make one token at the engine.
 const ENGINE_BYTES_PER_TOKEN: u64 = 4;
 /// Bytes of body that make at least one token at the router.
 const ROUTER_BYTES_PER_TOKEN: u64 = 3;
-/// Tokens that the router reserves beyond prompt and answer.
-const MARGIN_TOKENS: u64 = 16;
 
 /// Where callers reach the instances.
 #[derive(Debug, Default)]
@@ -94,10 +94,12 @@
 }
 
 impl CallerLoad {
-    /// Starts the callers of `plan`.
+    /// Starts the callers of `plan`, whose routers reserve `margin` tokens
+    /// beyond prompt and answer.
     pub fn start(
         plan: &'static DeploymentPlan,
         directory: &Arc<AddressDirectory>,
+        margin: u64,
         seed: u64,
     ) -> Self {
         let stopping = Arc::new(AtomicBool::new(false));
@@ -105,7 +107,7 @@
         for index in 0..CALLERS {
             let directory = Arc::clone(directory);
             let stopping = Arc::clone(&stopping);
-            let mut caller = LoadCaller::new(plan, directory, seed, index);
+            let mut caller = LoadCaller::new(plan, directory, margin, seed, index);
             threads.push(thread::spawn(move || {
                 let mut records = Vec::new();
                 while !stopping.load(Ordering::Relaxed) {
@@ -134,6 +136,7 @@
 pub struct LoadCaller {
     plan: &'static DeploymentPlan,
     directory: Arc<AddressDirectory>,
+    margin: u64,
     random: Rng,
     team: usize,
     client: FleetCaller,
@@ -146,6 +149,7 @@
     pub fn new(
         plan: &'static DeploymentPlan,
         directory: Arc<AddressDirectory>,
+        margin: u64,
         seed: u64,
         index: u64,
     ) -> Self {
@@ -154,9 +158,10 @@
         Self {
             plan,
             directory,
+            margin,
             random: Rng::with_seed(seed.wrapping_mul(1_000).wrapping_add(index)),
             team,
-            client: FleetCaller::with_timeout(plan.teams[team].api_key, ATTEMPT_TIMEOUT),
+            client: FleetCaller::with_timeout(plan.teams[team].api_key, plan.attempt_timeout),
             prefix: format!("c{index}"),
             sent: 0,
         }
@@ -178,15 +183,35 @@
         } else {
             self.random.u64(1..=SHORT_LENGTH)
         };
-        self.call(kind, length, "")
+        let key = self.next_key();
+        let marker = format!("m{key}");
+        let prompt = format!("{marker} len={length} how does it fit?");
+        self.call(key, kind, length, marker, &prompt)
+    }
+
+    /// Sends the request that stops each engine that runs it: a new key, the
+    /// same content each time.
+    pub fn call_crashing(&mut self) -> CallRecord {
+        let key = self.next_key();
+        let prompt = format!("{CRASH_MARKER} len={SHORT_LENGTH} crash");
+        let marker = CRASH_MARKER.to_owned();
+        self.call(key, CallKind::Chat, SHORT_LENGTH, marker, &prompt)
     }
 
-    /// Makes a call whose prompt ends in `suffix`, and takes it to its end.
-    pub fn call(&mut self, kind: CallKind, length: u64, suffix: &str) -> CallRecord {
+    fn next_key(&mut self) -> String {
         self.sent += 1;
-        let key = format!("{}n{}", self.prefix, self.sent);
-        let marker = format!("m{key}");
-        let prompt = format!("{marker} len={length} how does it fit? {suffix}");
+        format!("{}n{}", self.prefix, self.sent)
+    }
+
+    /// Takes a call to its end.
+    fn call(
+        &mut self,
+        key: String,
+        kind: CallKind,
+        length: u64,
+        marker: String,
+        prompt: &str,
+    ) -> CallRecord {
         let chat_body = json!({
             "model": self.plan.model,
             "stream": true,
@@ -196,7 +221,7 @@
         let body_bytes = chat_body.to_string().len() as u64;
         let cost = match kind {
             CallKind::Chat => {
-                body_bytes.div_ceil(ROUTER_BYTES_PER_TOKEN) + MAX_TOKENS + MARGIN_TOKENS
+                body_bytes.div_ceil(ROUTER_BYTES_PER_TOKEN) + MAX_TOKENS + self.margin
             }
             CallKind::Repeatable | CallKind::Exclusive => self.plan.plain_cost,
         };
@@ -218,8 +243,8 @@
             let Some((instance, address)) = self.directory.pick(&mut self.random, avoided) else {
                 break;
             };
-            self.attempt(&mut record, instance, address, &prompt);
-            if !may_retry(&record) {
+            self.attempt(&mut record, instance, address, prompt);
+            if !may_retry(&record) || started.elapsed() > CALL_LIMIT {
                 break;
             }
             thread::sleep(RETRY_DELAY.saturating_mul(u32::try_from(attempt).unwrap_or(1)));
