Read the stream of deaths after each death, and wait longer for peers

Likely cause: a report to a busy instance timed out after 400 ms, and that instance read the stream only every 5 s. It now has 1 s, and an instance that sees a death reads what others appended before it tries the request again.

--- a/crates/hibiscus-router/src/servers/suspects.rs
+++ b/crates/hibiscus-router/src/servers/suspects.rs
@@ -11,6 +11,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -34,7 +35,7 @@
 /// Time that a connection to a server that may have stopped may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time that an instance may take to hear of a death.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The stream that keeps the deaths.
 pub const DEATHS_STREAM: &str = "deaths";
@@ -56,6 +57,8 @@
     table: Mutex<SuspectTable>,
     pending: Mutex<Vec<ServerDeath>>,
     log_fails: AtomicBool,
+    /// Offset of the stream to read next.
+    next: AtomicU64,
 }
 
 impl SuspectCell {
@@ -124,6 +127,8 @@
         let _heard = PeerReply::receive(call);
     }
     wait_appended(context, death);
+    // Another instance's report may have been lost on its way here.
+    read_new(context);
 }
 
 /// Waits until the death is in the log, so that an instance that starts now
@@ -141,7 +146,6 @@
 /// Appends deaths to the stream and reads those of others until the process
 /// ends.
 pub fn follow(context: &SharedContext) {
-    let mut next = 0;
     let started = Instant::now();
     let mut last_read: Option<Instant> = None;
     while !context.is_ended() {
@@ -153,7 +157,7 @@
         };
         if last_read.is_none_or(|last| last.elapsed() >= interval) {
             last_read = Some(Instant::now());
-            next = read_from(context, next);
+            read_new(context);
         }
         thread::sleep(APPEND_INTERVAL);
     }
@@ -177,17 +181,20 @@
     }
 }
 
-/// Takes the deaths from offset `next` over; the offset to read next.
-fn read_from(context: &SharedContext, next: u64) -> u64 {
+/// Takes the deaths over that the stream holds beyond what was read.
+fn read_new(context: &SharedContext) {
+    let suspects = &context.suspects;
+    let next = suspects.next.load(Ordering::Relaxed);
     let Ok(page) = context.log.read(DEATHS_STREAM, next, Duration::ZERO) else {
-        return next;
+        return;
     };
-    let mut next = next;
     for record in page.records {
-        next = next.max(record.offset + 1);
+        // A record that two threads read is recorded twice, to no effect.
+        suspects
+            .next
+            .fetch_max(record.offset + 1, Ordering::Relaxed);
         if let Ok(death) = codec::decode::<ServerDeath>(&record.data) {
-            context.suspects.record(&death);
+            suspects.record(&death);
         }
     }
-    next
 }
