Split grants between peers while the log is silent

Cause: a holder without allowance refused in an outage or partition though its peers held tokens. It asks them in turn; a peer splits off half of what it can spare, a witness acknowledges, both sides hand the record to the log, and a repeated question gets the same split.

--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -1,7 +1,9 @@
 //! Duty: keeps this process's allowance and asks brokers for more.
 
 pub mod grants;
+pub mod message;
 pub mod sealed;
+pub mod splits;
 
 mod desk;
 
@@ -16,23 +18,32 @@
 use hibiscus_ledger::holder::HeldAllowance;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::AllowanceGrant;
+use hibiscus_ledger::record::AllowanceSplit;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::sizing::HorizonShares;
 use hibiscus_ledger::sizing::SizingPolicy;
+use hibiscus_peer::PeerCall;
 use hibiscus_types::BudgetName;
 use hibiscus_types::GrantId;
-use hibiscus_types::TeamName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::UnixMillis;
 
 use crate::context::SharedContext;
 use crate::holder::desk::BudgetDesk;
 use crate::holder::grants::GrantWanted;
+pub use crate::holder::message::HolderMessage;
+pub use crate::holder::message::ReserveAnswer;
+pub use crate::holder::message::ReserveCall;
+pub use crate::holder::message::ReserveRefusal;
+use crate::holder::splits::SplitAsk;
+use crate::holder::splits::SplitJob;
+use crate::holder::splits::SplitShelf;
 use crate::ledger::append::AppendRings;
 use crate::ledger::broker;
 use crate::ledger::broker::BrokerReply;
 use crate::operators::metrics;
+use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
 /// Time between looks at deadlines and stop flag.
@@ -42,73 +53,16 @@
 /// Time that a peer may take to hear of a recall.
 const RECALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Silence of the log after which fragments are kept and not joined.
-const JOIN_SILENCE: Duration = Duration::from_secs(1);
+const JOIN_SILENCE: Duration = Duration::from_millis(700);
 /// Seconds of its own demand that a holder keeps when a peer runs dry.
 const RECALL_KEPT_SECONDS: f64 = 2.0;
 
-/// Why a reservation was refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReserveRefusal {
-    /// The ledger proves at this offset that the budget does not cover it.
-    Exhausted {
-        /// The offset.
-        offset: u64,
-    },
-    /// No broker answered in time.
-    Unconfirmed,
-}
-
-/// Answer to a reservation.
-pub type ReserveAnswer = std::result::Result<TokenReservation, ReserveRefusal>;
-
-/// A request that waits for allowance.
-pub struct ReserveCall {
-    /// The team that pays.
-    pub team: TeamName,
-    /// The budget drawn on.
-    pub budget: BudgetName,
-    /// Tokens to set aside.
-    pub tokens: TokenCount,
-    /// When the wait ends.
-    pub deadline: Instant,
-    /// Where the answer goes.
-    pub reply: SyncSender<ReserveAnswer>,
-}
-
-/// Input of the holder duty.
-pub enum HolderMessage {
-    /// Set tokens aside.
-    Reserve(ReserveCall),
-    /// End a reservation.
-    Settle {
-        /// The reservation.
-        reservation: TokenReservation,
-        /// Tokens used.
-        charge: TokenCount,
-    },
-    /// A broker's answer to a grant.
-    Granted {
-        /// The grant asked for.
-        grant: AllowanceGrant,
-        /// The answer, `None` when no broker answered.
-        reply: Option<BrokerReply>,
-    },
-    /// A peer runs dry: give back what is not needed soon.
-    Recall {
-        /// The budget.
-        budget: BudgetName,
-    },
-    /// Give all unreserved tokens back.
-    GiveBack {
-        /// Told once the returns are on their way to the log.
-        done: SyncSender<()>,
-    },
-}
-
 /// State of the duty.
 struct HolderState<'a> {
     context: &'a SharedContext,
     wanted: &'a SyncSender<GrantWanted>,
+    splits: &'a SyncSender<SplitJob>,
+    shelf: SplitShelf,
     appends: &'a AppendRings,
     policy: HorizonShares,
     held: HeldAllowance,
@@ -121,11 +75,14 @@
     context: &SharedContext,
     ring: &Receiver<HolderMessage>,
     wanted: &SyncSender<GrantWanted>,
+    splits: &SyncSender<SplitJob>,
     appends: &AppendRings,
 ) {
     let mut state = HolderState {
         context,
         wanted,
+        splits,
+        shelf: SplitShelf::default(),
         appends,
         policy: HorizonShares,
         held: HeldAllowance::default(),
@@ -162,6 +119,8 @@
             }
             HolderMessage::Granted { grant, reply } => self.granted(grant, reply),
             HolderMessage::Recall { budget } => self.recall(&budget),
+            HolderMessage::Share { ask, call } => self.share(ask, call),
+            HolderMessage::Obtained { split } => self.obtained(split),
             HolderMessage::GiveBack { done } => {
                 self.give_back();
                 let _gone = done.try_send(());
@@ -217,15 +176,19 @@
             }
         }
         let decision = self.policy.decide(&view);
-        // What peers give back goes through the log, so it must answer.
-        let gathers = decision.gather && silence < JOIN_SILENCE && desk.may_gather();
+        let wanted = view.wanted.saturating_sub(view.held);
+        let gathers = decision.gather && desk.may_gather();
         if desk.asked.is_some() {
             self.ask_again(budget);
         } else if !decision.ask.is_zero() && desk.may_ask() {
             self.ask(budget, decision.ask, joins);
         }
-        if gathers {
+        // What peers give back goes through the log, so it must answer;
+        // otherwise they split something off.
+        if gathers && silence < JOIN_SILENCE {
             self.ask_peers(budget);
+        } else if gathers {
+            self.ask_split(budget, wanted);
         }
     }
 
@@ -358,6 +321,52 @@
         }
     }
 
+    /// Asks the peers, one after the other, to split `tokens` off.
+    fn ask_split(&self, budget: &BudgetName, tokens: TokenCount) {
+        let ask = SplitAsk {
+            budget: budget.clone(),
+            tokens,
+            child: GrantId::generate(),
+            holder: self.context.incarnation,
+            instance: self.context.settings.instance.name.clone(),
+        };
+        // With a full ring the next look asks again.
+        let _full = self.splits.try_send(SplitJob::Gather { ask });
+    }
+
+    /// Splits something off for a peer, unless a request waits here too.
+    fn share(&mut self, ask: SplitAsk, call: PeerCall) {
+        let Some(desk) = self.desks.get_mut(&ask.budget) else {
+            PeerReply::Split(None).send(call);
+            return;
+        };
+        let now = desk.now();
+        let kept = TokenCount::new((desk.meter.rate(now) * RECALL_KEPT_SECONDS) as u64);
+        let waits = !desk.waiting.is_empty();
+        let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
+        let made = self.shelf.make(&mut self.held, &ask, kept, waits);
+        let Some(made) = made else {
+            PeerReply::Split(None).send(call);
+            return;
+        };
+        let job = SplitJob::Confirm { shard, made, call };
+        // With a full ring the peer asks again for the same split.
+        let _full = self.splits.try_send(job);
+    }
+
+    /// Takes a split over. Its record goes to the log from here as well.
+    fn obtained(&mut self, split: AllowanceSplit) {
+        let budget = split.child.budget.clone();
+        let Some(desk) = self.desks.get(&budget) else {
+            return;
+        };
+        let shard = shard_of(&desk.team, self.context.settings.budgets.shards);
+        self.budgets.insert(split.child.id, budget.clone());
+        self.held.add(split.child.clone());
+        self.appends.push(shard, LedgerRecord::Split(split));
+        self.serve_waiting(&budget);
+    }
+
     fn recall(&mut self, budget: &BudgetName) {
         let Some(desk) = self.desks.get_mut(budget) else {
             return;
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -42,6 +42,8 @@
 const RING_CAPACITY: usize = 8_192;
 /// Threads that ask brokers for grants.
 const GRANT_THREADS: usize = 2;
+/// Threads that split grants between peers.
+const SPLIT_THREADS: usize = 2;
 /// Time after which an append counts as unanswered.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -106,6 +108,7 @@
     let (appends, appenders) = start_appenders(&context);
     let (holder, reservations) = mpsc::sync_channel(RING_CAPACITY);
     let (wanted, wants) = mpsc::sync_channel(RING_CAPACITY);
+    let (splits, jobs) = mpsc::sync_channel(RING_CAPACITY);
     let (broker, broker_calls) = mpsc::sync_channel(RING_CAPACITY);
     let (witness, witness_calls) = mpsc::sync_channel(RING_CAPACITY);
 
@@ -136,8 +139,16 @@
     });
     let rings = appends.clone();
     spawn(&context, "holder", move |context| {
-        holder::run(context, &reservations, &wanted, &rings);
+        holder::run(context, &reservations, &wanted, &splits, &rings);
     });
+    let jobs = Arc::new(std::sync::Mutex::new(jobs));
+    for _thread in 0..SPLIT_THREADS {
+        let ring = holder.clone();
+        let jobs = Arc::clone(&jobs);
+        spawn(&context, "splits", move |context| {
+            holder::splits::run(context, &jobs, &ring);
+        });
+    }
     let wants = Arc::new(std::sync::Mutex::new(wants));
     for _thread in 0..GRANT_THREADS {
         let ring = holder.clone();
--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 
+use hibiscus_ledger::record::AllowanceSplit;
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
@@ -22,6 +23,7 @@
 use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
+use crate::holder::splits::SplitAsk;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
@@ -65,6 +67,8 @@
         /// The budget.
         budget: BudgetName,
     },
+    /// Asks the holder to split something off.
+    Split(SplitAsk),
 }
 
 /// What an instance answers.
@@ -80,6 +84,8 @@
     Config(ConfigReply),
     /// The death is known.
     ServerDeath,
+    /// The split, when there was something to spare.
+    Split(Option<AllowanceSplit>),
     /// The holder knows of the recall.
     Recalled,
     /// The duty's ring is full.
@@ -171,5 +177,8 @@
             let _full = rings.holder.try_send(HolderMessage::Recall { budget });
             PeerReply::Recalled.send(call);
         }
+        PeerRequest::Split(ask) => {
+            let _full = rings.holder.try_send(HolderMessage::Share { ask, call });
+        }
     }
 }
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -192,7 +192,7 @@
 }
 
 /// Asks all witnesses at once and collects the answers that come.
-fn ask_witnesses<F>(
+pub fn ask_witnesses<F>(
     context: &SharedContext,
     witnesses: &[IncarnationId],
     ask: F,
--- a/crates/hibiscus-router/src/witness/mod.rs
+++ b/crates/hibiscus-router/src/witness/mod.rs
@@ -6,6 +6,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
+use hibiscus_ledger::record::AllowanceSplit;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::shard_of;
@@ -43,6 +44,15 @@
         /// The settlement.
         settlement: RequestSettlement,
     },
+    /// Acknowledge a split.
+    Split {
+        /// The incarnation meant.
+        witness: IncarnationId,
+        /// The shard of the grant's budget.
+        shard: u32,
+        /// The split.
+        split: AllowanceSplit,
+    },
     /// Acknowledge no more opens under a grant.
     Seal {
         /// The incarnation meant.
@@ -94,6 +104,11 @@
                 grant,
                 shard,
             } => (*shard, buffer.seal(*witness, *grant)),
+            WitnessRequest::Split {
+                witness,
+                shard,
+                split,
+            } => (*shard, buffer.split(*witness, split)),
         };
         for record in buffer.take(HAND_OVER) {
             appends.push(shard, record);
@@ -121,7 +136,7 @@
             settlement.grant,
             "",
         ),
-        WitnessRequest::Seal { .. } => return,
+        WitnessRequest::Seal { .. } | WitnessRequest::Split { .. } => return,
     };
     let fields = EventFields {
         request: key.to_string(),
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -163,3 +163,25 @@
     fleet.platform.log.set_faults(LogFaults::default());
     wait_for("all charges", || charges(&fleet, &keys));
 }
+
+#[test]
+fn a_holder_without_allowance_gets_a_split_from_a_peer_while_the_log_is_down() {
+    let (fleet, _engine, _service) = budget_fleet();
+    for index in 0..8 {
+        chat(&fleet, 0, &format!("before-{index}"));
+    }
+    wait_for("allowance", || !open_grants(&ledger(&fleet)).is_empty());
+    fleet.platform.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    chat(&fleet, 2, "split");
+    fleet.platform.log.set_faults(LogFaults::default());
+    wait_for("the charge", || charges(&fleet, &["split".to_owned()]));
+    let audit = ledger(&fleet);
+    let fold = audit.fold().expect("the ledger is whole");
+    let key = RequestKey::new("regina-shop".into(), "split");
+    let settlement = fold.settlement(&key).expect("the request is charged");
+    let paying = &fold.grants()[&settlement.grant].grant;
+    assert_eq!(paying.instance.as_str(), "router-3");
+}
