--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -10,6 +10,7 @@
 use hyper::http::HeaderValue;
 use serde::Serialize;
 
+use crate::callers::admission::CONFIG_HEADER;
 use crate::callers::body::AnswerBody;
 
 /// Header that tells whether the request ran.
@@ -105,6 +106,14 @@
         }
     }
 
+    /// An earlier sending of the request may have run.
+    pub fn doubted(self) -> Self {
+        Self {
+            outcome: RequestOutcome::Unknown,
+            ..self
+        }
+    }
+
     /// What is known of the request's execution.
     pub fn outcome(&self) -> RequestOutcome {
         self.outcome
@@ -120,7 +129,11 @@
         let temporary = matches!(self.status(), 408 | 429 | 502 | 503 | 504)
             && self.reason != RefusalReason::AnswerBroken;
         let waits = self.reason == RefusalReason::InProgress;
-        waits || (temporary && self.outcome != RequestOutcome::Unknown)
+        // Sending a key again is safe; after a server's failure it may
+        // bring nothing.
+        let hopeless =
+            self.outcome == RequestOutcome::Unknown && self.reason == RefusalReason::ServerFailed;
+        waits || (temporary && !hopeless)
     }
 
     /// Milliseconds to wait before sending again. Other addresses can be
@@ -240,6 +253,12 @@
     response
 }
 
+/// Names the configuration version in force.
+pub fn stamp_config(response: &mut Response<AnswerBody>, version: u64) {
+    let version = HeaderValue::from(version);
+    response.headers_mut().insert(CONFIG_HEADER, version);
+}
+
 /// Names the request's key in an answer that does not name it yet.
 pub fn stamp_key(response: &mut Response<AnswerBody>, key: &str) {
     let Ok(value) = HeaderValue::from_str(key) else {
--- a/crates/hibiscus-router/src/holder/desk.rs
+++ b/crates/hibiscus-router/src/holder/desk.rs
@@ -132,11 +132,24 @@
         }
     }
 
-    /// Refuses the waiting requests that the ledger proves uncovered.
-    pub(super) fn refuse_exhausted(&mut self) {
+    /// Whether the ledger covers less than a waiting request needs.
+    pub(super) fn is_short(&self) -> bool {
+        self.headroom.is_some_and(|headroom| {
+            self.waiting
+                .iter()
+                .any(|call| call.tokens > headroom.remaining)
+        })
+    }
+
+    /// Refuses the waiting requests that the ledger proves uncovered, once it
+    /// holds the `promised` credit of the configuration in force.
+    pub(super) fn refuse_exhausted(&mut self, promised: TokenCount) {
         let Some(headroom) = self.headroom else {
             return;
         };
+        if headroom.credited < promised {
+            return;
+        }
         let offset = self.offset;
         self.waiting.retain(|call| {
             let covered = call.tokens <= headroom.remaining;
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -266,12 +266,29 @@
         };
         broker::note_grant(self.context, code, &budget, detail);
         self.serve_waiting(&budget);
-        if let Some(desk) = self.desks.get_mut(&budget) {
-            desk.refuse_exhausted();
-        }
+        self.refuse_exhausted(&budget);
         self.plan(&budget);
     }
 
+    /// Refuses what the ledger proves uncovered. A top-up that is in force and
+    /// not yet in the ledger proves nothing: its request waits.
+    fn refuse_exhausted(&mut self, budget: &BudgetName) {
+        let Some(desk) = self.desks.get_mut(budget) else {
+            return;
+        };
+        if !desk.is_short() {
+            return;
+        }
+        let config = self.context.config.get();
+        let mut promised = TokenCount::ZERO;
+        for top_up in config.top_ups.values() {
+            if top_up.budget == *budget {
+                promised = promised + top_up.tokens;
+            }
+        }
+        desk.refuse_exhausted(promised);
+    }
+
     /// Serves the waiting requests in order of arrival.
     fn serve_waiting(&mut self, budget: &BudgetName) {
         let Some(desk) = self.desks.get_mut(budget) else {
--- a/crates/hibiscus-support/src/requests.rs
+++ b/crates/hibiscus-support/src/requests.rs
@@ -2,7 +2,9 @@
 //! whose answers tell what was claimed of the execution.
 
 use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -11,6 +13,12 @@
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
+use hibiscus_ledger::fold::LedgerFold;
+use hibiscus_ledger::fold::RecordVerdict;
+use hibiscus_ledger::record::LedgerRecord;
+use hibiscus_ledger::record::RecordBatch;
+use hibiscus_ledger::record::SettledEnd;
+use hibiscus_ledger::stream_of;
 use hibiscus_platform::log::HttpLog;
 use hibiscus_platform::log::LogService;
 use hibiscus_router::settings::RouterSettings;
@@ -110,6 +118,45 @@
         Self { platform, routers }
     }
 
+    /// Every charge that the log holds, by key, in order.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the log cannot be read.
+    pub fn charges(&self) -> Vec<(String, u64)> {
+        let log = HttpLog::new(&self.platform.log.url(), Duration::from_secs(2));
+        let mut fold = LedgerFold::default();
+        let mut charges = Vec::new();
+        loop {
+            let next = fold.next_offset();
+            let page = log
+                .read(&stream_of(0), next, Duration::ZERO)
+                .expect("the log answers");
+            if page.records.is_empty() {
+                return charges;
+            }
+            for record in page.records {
+                let Ok(batch) = codec::decode::<RecordBatch>(&record.data) else {
+                    fold.skip(record.offset);
+                    continue;
+                };
+                let verdicts = fold.apply(record.offset, &batch);
+                charges.extend(accepted_charges(&batch, &verdicts));
+            }
+        }
+    }
+
+    /// The charges of the request `key`.
+    pub fn charges_of(&self, key: &str) -> Vec<u64> {
+        let mut found = Vec::new();
+        for (charged, tokens) in self.charges() {
+            if charged == key {
+                found.push(tokens);
+            }
+        }
+        found
+    }
+
     /// Starts a further process and lists it.
     ///
     /// # Panics
@@ -149,6 +196,20 @@
     }
 }
 
+/// The charges that took effect among the records of `batch`.
+fn accepted_charges(batch: &RecordBatch, verdicts: &[RecordVerdict]) -> Vec<(String, u64)> {
+    let mut charges = Vec::new();
+    for (record, verdict) in batch.records.iter().zip(verdicts) {
+        let LedgerRecord::Settle(settlement) = record else {
+            continue;
+        };
+        if *verdict == RecordVerdict::Accepted && settlement.end == SettledEnd::Ran {
+            charges.push((settlement.key.key.clone(), settlement.charge.get()));
+        }
+    }
+    charges
+}
+
 /// Publishes the example's configuration.
 fn publish_example(platform: &StandinPlatform) {
     let file = OperatorFile::parse(EXAMPLE).expect("the example is correct");
@@ -211,6 +272,26 @@
     }
 }
 
+/// Sends a streamed chat completion and reads nothing of it: dropping the
+/// connection is leaving.
+///
+/// # Panics
+///
+/// Panics when the connection fails.
+pub fn open_stream(address: SocketAddr, key: &str, prompt: &str) -> TcpStream {
+    let body = chat_body(prompt);
+    let mut stream = TcpStream::connect(address).expect("the port is open");
+    write!(
+        stream,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: {address}\r\n\
+         authorization: Bearer {API_KEY}\r\nidempotency-key: {key}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .expect("the request is sent");
+    stream
+}
+
 /// Sends a streamed chat completion with `prompt`.
 pub fn stream_chat(address: SocketAddr, key: &str, prompt: &str) -> CallerReply {
     stream_chat_with(address, key, prompt, &[])
@@ -223,12 +304,17 @@
     prompt: &str,
     headers: &[(&str, &str)],
 ) -> CallerReply {
+    let body = chat_body(prompt);
+    post_with(address, "/v1/chat/completions", key, &body, headers)
+}
+
+/// The body of a streamed chat completion.
+fn chat_body(prompt: &str) -> String {
     let body = serde_json::json!({
         "model": "stylist",
         "stream": true,
         "max_tokens": 2_000,
         "messages": [{ "role": "user", "content": prompt }],
     });
-    let body = body.to_string();
-    post_with(address, "/v1/chat/completions", key, &body, headers)
+    body.to_string()
 }
