--- a/crates/hibiscus-router/src/holder/desk.rs
+++ b/crates/hibiscus-router/src/holder/desk.rs
@@ -15,9 +15,9 @@
 use crate::holder::grants::GrantWanted;
 
 /// Delay before an unanswered or refused question is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(150);
+const ASK_AGAIN: Duration = Duration::from_millis(80);
 /// Time between two questions to the peers.
-const GATHER_AGAIN: Duration = Duration::from_millis(300);
+const GATHER_AGAIN: Duration = Duration::from_millis(150);
 
 /// One budget at its holder.
 pub(super) struct BudgetDesk {
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -155,6 +155,22 @@
             desk.meter.spend(charge, now);
         }
         self.serve_waiting(&budget);
+        self.return_idle(&budget);
+    }
+
+    /// Gives back at once what the policy does not keep, so that the last
+    /// tokens of a budget are where every holder reaches them.
+    fn return_idle(&mut self, budget: &BudgetName) {
+        let holders = self.context.fleet.lock().instances().len();
+        let held = self.held.unreserved(budget);
+        let silence = self.log_silence();
+        let Some(desk) = self.desks.get_mut(budget) else {
+            return;
+        };
+        let keep = self.policy.decide(&desk.view(held, holders, silence)).keep;
+        if held > keep {
+            self.return_beyond(budget, keep);
+        }
     }
 
     /// Does what the sizing policy decides for `budget`.
@@ -398,18 +414,9 @@
 
     /// Gives back what is held beyond what the policy keeps.
     fn give_back_idle(&mut self) {
-        let holders = self.context.fleet.lock().instances().len();
-        let silence = self.log_silence();
-        let mut excess = Vec::new();
-        for (budget, desk) in &mut self.desks {
-            let held = self.held.unreserved(budget);
-            let keep = self.policy.decide(&desk.view(held, holders, silence)).keep;
-            if held > keep {
-                excess.push((budget.clone(), keep));
-            }
-        }
-        for (budget, keep) in excess {
-            self.return_beyond(&budget, keep);
+        let budgets: Vec<BudgetName> = self.desks.keys().cloned().collect();
+        for budget in budgets {
+            self.return_idle(&budget);
         }
         let held = &self.held;
         self.budgets.retain(|grant, _budget| held.holds(*grant));
