--- a/crates/hibiscus-ledger/src/lib.rs
+++ b/crates/hibiscus-ledger/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`witness::WitnessBuffer`] acknowledges opens and settlements on their
 //!   way to the log, and promises to acknowledge no more under a sealed grant.
 //! - [`sizing::SizingPolicy`] says how much a holder asks for.
+//! - [`recovery::LedgerReplay`] starts a reader from a snapshot, and
+//!   [`audit::LedgerAudit`] checks a stream from its records alone.
 //!
 //! The crate does no input or output: messages and times are arguments.
 
