--- a/crates/hibiscus-router/src/peer/mod.rs
+++ b/crates/hibiscus-router/src/peer/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_ledger::record::AllowanceSplit;
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_peer::LinkError;
 use hibiscus_peer::PeerCall;
@@ -23,6 +24,7 @@
 use crate::config::peers::ConfigRequest;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
+use crate::holder::splits::SplitAsk;
 use crate::ledger::broker::BrokerMessage;
 use crate::ledger::broker::BrokerReply;
 use crate::ledger::broker::BrokerRequest;
@@ -70,6 +72,8 @@
         /// The budget.
         budget: BudgetName,
     },
+    /// Asks the holder to split something off.
+    Split(SplitAsk),
 }
 
 /// What an instance answers.
@@ -85,6 +89,8 @@
     Config(ConfigReply),
     /// The death is known.
     ServerDeath,
+    /// The split, when there was something to spare.
+    Split(Option<AllowanceSplit>),
     /// Whether the server is kept free.
     ServerClaim(ClaimAnswer),
     /// The holder knows of the recall.
@@ -182,5 +188,8 @@
             let _full = rings.holder.try_send(HolderMessage::Recall { budget });
             PeerReply::Recalled.send(call);
         }
+        PeerRequest::Split(ask) => {
+            let _full = rings.holder.try_send(HolderMessage::Share { ask, call });
+        }
     }
 }
