--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod contracts;
 mod events;
+mod exit_codes;
 mod faults;
 mod fuzz;
 mod operators;
