--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -9,7 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::EventFields;
+use hibiscus_types::BudgetName;
 use hibiscus_types::RefusalReason;
+use hibiscus_types::RequestKey;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::UnixMillis;
 use hyper::Method;
@@ -38,6 +42,7 @@
 use crate::callers::receive::BodyMemory;
 use crate::callers::receive::ReceivedBody;
 use crate::callers::stream::TimedStream;
+use crate::context::RouterContext;
 use crate::context::SharedContext;
 use crate::holder::HolderMessage;
 use crate::operators::metrics;
@@ -169,10 +174,11 @@
     }
     let received = Instant::now();
     let (head, body) = request.into_parts();
-    let response = match identify(&state, &head, received) {
+    let mut response = match identify(&state, &head, received) {
         Ok(identity) => receive_and_run(&state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
+    answer::stamp_config(&mut response, state.context.config.get().version);
     count(&state.context, &response, received);
     Ok(response)
 }
@@ -183,16 +189,33 @@
     identity: CallerIdentity,
     body: Incoming,
 ) -> Response<AnswerBody> {
-    let key = identity.key.key.clone();
-    let limits = &state.context.settings.limits;
+    let context = &state.context;
+    let key = identity.key.clone();
+    let budget = identity.budget.clone();
+    let limits = &context.settings.limits;
     let mut response = match receive::receive(body, limits, &state.bodies).await {
         Ok(body) => run(state, identity, body).await,
         Err(failure) => answer::fail(&failure),
     };
-    answer::stamp_key(&mut response, &key);
+    answer::stamp_key(&mut response, &key.key);
+    if response.extensions().get() == Some(&RequestOutcome::Ran) {
+        note(context, EventCode::AnswerBegun, &key, &budget);
+    }
     response
 }
 
+/// Records an event of a request that no server has received yet, or whose
+/// server is known from an earlier one.
+fn note(context: &RouterContext, code: EventCode, key: &RequestKey, budget: &BudgetName) {
+    let fields = EventFields {
+        request: key.to_string(),
+        team: key.team.to_string(),
+        budget: budget.to_string(),
+        ..EventFields::default()
+    };
+    context.events.record(code, fields);
+}
+
 /// Counts an answer by its outcome and reason.
 fn count(context: &SharedContext, response: &Response<AnswerBody>, received: Instant) {
     let Some(outcome) = response.extensions().get::<RequestOutcome>() else {
@@ -248,7 +271,7 @@
         RefusalReason::Stopping,
         "failed to take the request: this instance is stopping",
     );
-    let ready = context.fleet.lock().ready(UnixMillis::now());
+    let ready = context.fleet.lock().serving(UnixMillis::now());
     for instance in ready {
         if instance.name != context.settings.instance.name {
             failure.addresses.push(instance.callers);
@@ -315,6 +338,8 @@
             return;
         }
     };
+    let code = EventCode::RequestAdmitted;
+    note(context, code, &request.key, &request.budget);
     let call = AdmittedCall::new(request);
     match call.request.path {
         RequestPath::Chat { .. } => requests::chat::run(context, holder, call, head),
--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -150,10 +150,12 @@
     }
 
     /// Tokens used, by the engine's count or, without one, by what was
-    /// received: the length of a prompt in tokens is the engine's to say.
-    pub fn charge(&self) -> TokenCount {
+    /// received: the length of a prompt in tokens is the engine's to say, and
+    /// nothing is charged before the first token.
+    pub fn charge(&self, request: &CallerRequest) -> TokenCount {
         match self.usage {
             Some(usage) => TokenCount::new(usage.prompt_tokens + usage.completion_tokens),
+            None if self.tokens == request.resume_from => TokenCount::ZERO,
             None => TokenCount::new(self.tokens),
         }
     }
--- a/crates/hibiscus-routing/src/health.rs
+++ b/crates/hibiscus-routing/src/health.rs
@@ -4,11 +4,11 @@
 use std::time::Instant;
 
 /// Time for which a server is avoided after its first failure.
-const FIRST_EJECTION: Duration = Duration::from_secs(1);
+const FIRST_EJECTION: Duration = Duration::from_secs(2);
 /// Longest time for which a server is avoided.
 const LAST_EJECTION: Duration = Duration::from_secs(30);
 /// Doublings after which the time grows no more.
-const DOUBLINGS: u32 = 5;
+const DOUBLINGS: u32 = 4;
 
 /// What the last requests showed of one server.
 #[derive(Clone, Copy, Debug, Default)]
