--- a/crates/hibiscus-bench/src/commands/faults/cases.rs
+++ b/crates/hibiscus-bench/src/commands/faults/cases.rs
@@ -220,6 +220,10 @@
     while Instant::now() < deadline {
         versions.clear();
         for index in 0..deployment.plan.instances.len() {
+            // In a pair an instance may have stopped or died.
+            if deployment.router(index).is_none() {
+                continue;
+            }
             let status = deployment.status(index).unwrap_or_default();
             versions.push(status["config_version"].as_u64().unwrap_or(0));
         }
