Repeat the settlement of a whole answer while nobody acknowledges it

The cause is not shown. A settlement that no witness and no broker acknowledges in time withholds the end marker, so it is now repeated for up to 10 s while the caller waits; failures are answered at once as before.

--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -242,7 +242,12 @@
         answer: None,
     };
     let grant = reservation.grant;
-    let settled = open::acknowledge_settlement(context, &reservation, &settlement);
+    // A failure is answered at once; only a whole answer waits for its record.
+    let settled = if matches!(end, RunEnd::Whole) {
+        open::settle_answer(context, request, &reservation, &settlement)
+    } else {
+        open::acknowledge_settlement(context, &reservation, &settlement)
+    };
     if settled {
         open::note(context, EventCode::RequestSettled, request, "");
         open::end_reservation(holder, reservation, charge);
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -42,6 +42,10 @@
 /// Time that a broker may take to read a record back.
 const BROKER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time for which the settlement of a whole answer is repeated.
+const SETTLE_LIMIT: Duration = Duration::from_secs(10);
+/// Delay before it is repeated.
+const SETTLE_DELAY: Duration = Duration::from_millis(100);
 /// Time that a broker may take to look a key up.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -233,6 +237,26 @@
     fleet.instance_of(witness).map(|instance| instance.peers)
 }
 
+/// As [`acknowledge_settlement`], repeated while nobody answers: without it a
+/// whole answer would be withheld from a caller that still waits.
+pub fn settle_answer(
+    context: &SharedContext,
+    request: &CallerRequest,
+    reservation: &TokenReservation,
+    settlement: &RequestSettlement,
+) -> bool {
+    let deadline = Instant::now() + SETTLE_LIMIT.min(request.remaining());
+    loop {
+        if acknowledge_settlement(context, reservation, settlement) {
+            return true;
+        }
+        if Instant::now() >= deadline || request.presence.has_left() {
+            return false;
+        }
+        std::thread::sleep(SETTLE_DELAY);
+    }
+}
+
 /// Compares the claim "not run" with what the brokers hold of the key: an
 /// earlier sending may have run, whatever became of this one. `own` is the
 /// grant of this sending's open.
