Refuse a charged key whose free runs are used up

Cause: a charged chat key could be sent again without end and ran free each time; the design limits free reruns. Runs of one key under one grant also shared the attempt number 0, so a copy of a settlement and a second run looked alike, and the end of one could close the open of the other.

Before: no limit. The question to the broker is on its way while the open is acknowledged. What can be forgotten is looked for once in 4,096 records instead of at each batch, since the look reads all grants.

Conclusion: free use of a key is bounded. The body of a rerun is still not compared with the first.

--- a/crates/hibiscus-ledger/src/fold.rs
+++ b/crates/hibiscus-ledger/src/fold.rs
@@ -31,6 +31,9 @@
 use crate::record::RequestSettlement;
 use crate::record::TopUpId;
 
+/// Runs of a charged key that are counted.
+pub const RERUNS_COUNTED: usize = 16;
+
 /// The ledger of one shard at one offset.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LedgerFold {
@@ -44,6 +47,8 @@
     opens: BTreeMap<RequestKey, Vec<OpenState>>,
     settled: BTreeMap<RequestKey, RequestSettlement>,
     settled_order: VecDeque<(u64, RequestKey)>,
+    reruns: BTreeMap<RequestKey, BTreeSet<(GrantId, u32)>>,
+    since_forgetting: usize,
     frozen: Option<u64>,
     not_run: BTreeSet<(RequestKey, GrantId, u32)>,
     not_run_order: VecDeque<(u64, RequestKey, GrantId, u32)>,
@@ -107,6 +112,12 @@
         self.settled.get(key)
     }
 
+    /// Runs of `key` that ended after the one that charged it, counted up to
+    /// [`RERUNS_COUNTED`].
+    pub fn reruns(&self, key: &RequestKey) -> usize {
+        self.reruns.get(key).map_or(0, BTreeSet::len)
+    }
+
     /// Settlements that could not be charged, for operators.
     pub fn late(&self) -> impl Iterator<Item = &RequestSettlement> {
         self.late.iter()
@@ -150,8 +161,12 @@
         for record in &batch.records {
             verdicts.push(self.apply_record(offset, record));
         }
-        self.forget_keys();
-        self.forget_grants();
+        self.since_forgetting += batch.records.len();
+        if self.since_forgetting >= self.limits.forget_every {
+            self.since_forgetting = 0;
+            self.forget_keys();
+            self.forget_grants();
+        }
         verdicts
     }
 
@@ -232,6 +247,7 @@
                 self.frozen = Some(*offset);
             }
             self.settled.remove(key);
+            self.reruns.remove(key);
             self.settled_order.pop_front();
         }
         while let Some((offset, key, grant, attempt)) = self.not_run_order.front() {
--- a/crates/hibiscus-ledger/src/fold/requests.rs
+++ b/crates/hibiscus-ledger/src/fold/requests.rs
@@ -5,6 +5,7 @@
 
 use crate::fold::LedgerFold;
 use crate::fold::OpenState;
+use crate::fold::RERUNS_COUNTED;
 use crate::fold::RecordVerdict;
 use crate::record::LedgerRecord;
 use crate::record::RequestOpen;
@@ -63,6 +64,13 @@
             return self.settle_not_run(offset, settlement, was_open);
         }
         if let Some(first) = self.settled.get(&settlement.key) {
+            let run = (settlement.grant, settlement.attempt);
+            if run != (first.grant, first.attempt) {
+                let reruns = self.reruns.entry(settlement.key.clone()).or_default();
+                if reruns.len() < RERUNS_COUNTED {
+                    reruns.insert(run);
+                }
+            }
             // A run that got further than the one charged raises the charge:
             // the key still costs once, what its largest run used.
             let more = settlement.charge.min(settlement.reserved);
--- a/crates/hibiscus-ledger/src/fold/state.rs
+++ b/crates/hibiscus-ledger/src/fold/state.rs
@@ -46,6 +46,8 @@
     pub orphans: usize,
     /// Settlements on the operators' list.
     pub late: usize,
+    /// Records applied between two looks for what can be forgotten.
+    pub forget_every: usize,
 }
 
 impl Default for FoldLimits {
@@ -57,6 +59,7 @@
             incarnations: 10_000,
             orphans: 10_000,
             late: 10_000,
+            forget_every: 4_096,
         }
     }
 }
--- a/crates/hibiscus-ledger/tests/fold.rs
+++ b/crates/hibiscus-ledger/tests/fold.rs
@@ -267,11 +267,29 @@
     assert_eq!(driver.sums(), (100, 9, 51));
 }
 
+#[test]
+fn runs_of_a_charged_key_are_counted_once_each() {
+    let mut driver = LedgerDriver::new();
+    driver.grant(1, 50);
+    let opened = open(0, first(), 5);
+    driver.append(LedgerRecord::Settle(settle(&opened, 5)));
+    driver.append(LedgerRecord::Settle(settle(&opened, 5)));
+    assert_eq!(driver.fold.reruns(&opened.key), 0, "a copy is no run");
+    for attempt in [1, 2, 2] {
+        let mut again = settle(&opened, 5);
+        again.attempt = attempt;
+        driver.append(LedgerRecord::Settle(again));
+    }
+    assert_eq!(driver.fold.reruns(&opened.key), 2);
+    assert_eq!(driver.sums(), (100, 5, 45));
+}
+
 #[test]
 fn keys_are_forgotten_only_when_no_open_grant_can_bring_a_copy() {
     let limits = FoldLimits {
         keys: 2,
         keys_bound: 4,
+        forget_every: 1,
         ..FoldLimits::default()
     };
     let mut driver = LedgerDriver::with_limits(limits);
--- a/crates/hibiscus-router/src/callers/admission.rs
+++ b/crates/hibiscus-router/src/callers/admission.rs
@@ -62,6 +62,8 @@
 pub struct CallerIdentity {
     /// The request's key.
     pub key: RequestKey,
+    /// Whether the caller named the key.
+    pub named: bool,
     /// The budget that pays.
     pub budget: BudgetName,
     /// When the caller stops waiting.
@@ -109,6 +111,7 @@
     let resume_from = number(&head.headers, RESUME_HEADER, 0, RESUME_LIMIT)?;
     Ok(CallerIdentity {
         key,
+        named: head.headers.contains_key(IDEMPOTENCY_HEADER),
         budget,
         deadline: received + Duration::from_millis(deadline_ms.unwrap_or(default)),
         priority: u8::try_from(priority).unwrap_or(u8::MAX),
@@ -133,6 +136,7 @@
     };
     Ok(CallerRequest {
         key: identity.key,
+        named: identity.named,
         budget: identity.budget,
         path: RequestPath::Plain {
             route: route.clone(),
--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -188,7 +188,7 @@
         RefusalReason::NoRoute => 404,
         RefusalReason::MethodNotAllowed => 405,
         RefusalReason::ReceiveTimeout => 408,
-        RefusalReason::InProgress => 409,
+        RefusalReason::InProgress | RefusalReason::KeySpent => 409,
         RefusalReason::BodyTooLarge => 413,
         RefusalReason::Quarantined => 422,
         RefusalReason::Overloaded => 429,
--- a/crates/hibiscus-router/src/callers/chat_body.rs
+++ b/crates/hibiscus-router/src/callers/chat_body.rs
@@ -52,6 +52,7 @@
     bound_engine(&mut chat, completion);
     Ok(CallerRequest {
         key: identity.key,
+        named: identity.named,
         budget: identity.budget,
         path: RequestPath::Chat {
             service: service.clone(),
--- a/crates/hibiscus-router/src/ledger/broker.rs
+++ b/crates/hibiscus-router/src/ledger/broker.rs
@@ -246,7 +246,10 @@
             return KeyStatus::Unseen;
         };
         if let Some(settlement) = fold.settlement(key) {
-            return KeyStatus::Settled(settlement.clone());
+            return KeyStatus::Settled {
+                settlement: settlement.clone(),
+                reruns: fold.reruns(key),
+            };
         }
         match fold.open_requests(key).first() {
             Some(state) => KeyStatus::Open(state.open.clone()),
--- a/crates/hibiscus-router/src/ledger/client.rs
+++ b/crates/hibiscus-router/src/ledger/client.rs
@@ -4,6 +4,7 @@
 
 use hibiscus_membership::ranking;
 use hibiscus_membership::view::FleetInstance;
+use hibiscus_peer::PendingCall;
 use hibiscus_types::UnixMillis;
 
 use crate::context::SharedContext;
@@ -50,3 +51,15 @@
     }
     None
 }
+
+/// Asks the first broker of `shard`; the reply is waited for later.
+pub fn start_first(
+    context: &SharedContext,
+    shard: u32,
+    request: BrokerRequest,
+    timeout: Duration,
+) -> Option<PendingCall> {
+    let brokers = brokers(context, shard);
+    let request = PeerRequest::Broker(request);
+    request.start(context, brokers.first()?.peers, timeout).ok()
+}
--- a/crates/hibiscus-router/src/ledger/message.rs
+++ b/crates/hibiscus-router/src/ledger/message.rs
@@ -59,7 +59,12 @@
     /// An open without its settlement.
     Open(RequestOpen),
     /// A settlement.
-    Settled(RequestSettlement),
+    Settled {
+        /// The settlement that charged the key.
+        settlement: RequestSettlement,
+        /// Runs that ended after it.
+        reruns: usize,
+    },
 }
 
 /// A broker's answer.
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -1,6 +1,7 @@
 //! Chat completions: streamed or whole, resumed at another server when one
 //! fails.
 
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
@@ -32,6 +33,7 @@
 use crate::requests::open;
 use crate::requests::progress::AnswerProgress;
 use crate::requests::progress::HeadSender;
+use crate::requests::rerun::RerunCheck;
 use crate::servers::reports::TokenPace;
 
 /// The path of chat completions, at callers' port and engines alike.
@@ -61,6 +63,7 @@
         return;
     };
     let mut progress = AnswerProgress::new(&request, *stream, head);
+    let rerun = RerunCheck::start(context, &request);
     let reservation = match open::reserve(context, holder, &request) {
         Ok(reservation) => reservation,
         Err(failure) => {
@@ -70,26 +73,50 @@
             return;
         }
     };
-    let end = attempt_all(
+    let call = ReservedChat {
         context,
+        request: &request,
+        service: &service.name,
+        reservation: &reservation,
+        attempt: context.next_attempt.fetch_add(1, Ordering::Relaxed),
+        rerun,
+    };
+    let attempt = call.attempt;
+    let end = attempt_all(call, admitted, &mut progress);
+    finish(
+        context,
+        holder,
         &request,
-        &service.name,
-        &reservation,
-        admitted,
-        &mut progress,
+        reservation,
+        attempt,
+        progress,
+        end,
     );
-    finish(context, holder, &request, reservation, progress, end);
+}
+
+/// A chat completion whose maximum cost is set aside.
+struct ReservedChat<'a> {
+    context: &'a SharedContext,
+    request: &'a CallerRequest,
+    service: &'a ServiceName,
+    reservation: &'a TokenReservation,
+    /// Number of its open, unique in the process.
+    attempt: u32,
+    rerun: RerunCheck,
 }
 
 /// Opens the request and sends it to servers until one finishes it.
 fn attempt_all(
-    context: &SharedContext,
-    request: &CallerRequest,
-    service: &ServiceName,
-    reservation: &TokenReservation,
+    call: ReservedChat<'_>,
     admitted: AdmittedRequest,
     progress: &mut AnswerProgress,
 ) -> RunEnd {
+    let ReservedChat {
+        context,
+        request,
+        service,
+        ..
+    } = call;
     let mut attempts = RequestAttempts::new(context, request, service, CHAT_PATH);
     let first = match attempts.next_server() {
         Ok(first) => first,
@@ -101,7 +128,8 @@
             };
         }
     };
-    let opened = match open_request(context, request, reservation, &first.load, admitted) {
+    let opened = open_request(&call, &first.load, admitted);
+    let opened = match call.rerun.verdict().and(opened) {
         Ok(opened) => opened,
         Err(failure) => {
             attempts.give_back(&first);
@@ -159,19 +187,24 @@
 
 /// Has the open acknowledged.
 fn open_request(
-    context: &SharedContext,
-    request: &CallerRequest,
-    reservation: &TokenReservation,
+    call: &ReservedChat<'_>,
     server: &ServerLoad,
     admitted: AdmittedRequest,
 ) -> open::Result<OpenedRequest> {
+    let ReservedChat {
+        context,
+        request,
+        reservation,
+        attempt,
+        ..
+    } = *call;
     let record = RequestOpen {
         key: request.key.clone(),
         grant: reservation.grant,
         reserved: reservation.tokens,
         server: server.name.clone(),
         exclusive: false,
-        attempt: 0,
+        attempt,
         opened: UnixMillis::now(),
     };
     if let Err(failure) = open::acknowledge_open(context, reservation, &record) {
@@ -183,7 +216,7 @@
         request,
         server.name.as_str(),
     );
-    Ok(admitted.opened(reservation.grant, reservation.tokens, 0))
+    Ok(admitted.opened(reservation.grant, reservation.tokens, attempt))
 }
 
 /// Streams from one server; false when the caller has left.
@@ -223,6 +256,7 @@
     holder: &SyncSender<HolderMessage>,
     request: &CallerRequest,
     reservation: TokenReservation,
+    attempt: u32,
     progress: AnswerProgress,
     end: RunEnd,
 ) {
@@ -236,7 +270,7 @@
     let settlement = RequestSettlement {
         key: request.key.clone(),
         grant: reservation.grant,
-        attempt: 0,
+        attempt,
         reserved: reservation.tokens,
         charge,
         end: settled_end,
--- a/crates/hibiscus-router/src/requests/exclusive.rs
+++ b/crates/hibiscus-router/src/requests/exclusive.rs
@@ -8,7 +8,6 @@
 //! opened and not sent is settled as not run by the process that knows it;
 //! only then does the ledger accept another open of the key.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hibiscus_events::EventCode;
@@ -85,13 +84,13 @@
             return;
         }
     };
-    let attempt = call.context.next_attempt.fetch_add(1, Ordering::Relaxed);
-    let record = call.open_record(&reservation, &chosen, attempt);
+    let attempt = call.attempt;
+    let record = call.open_record(&reservation, &chosen);
     let opened = match open_first(call, record) {
         OpenEnd::First => admitted.opened(reservation.grant, reservation.tokens, attempt),
         end => {
             attempts.give_back(&chosen);
-            refuse(call, reservation, attempt, admitted, end, head);
+            refuse(call, reservation, admitted, end, head);
             return;
         }
     };
@@ -104,13 +103,13 @@
     match send(call, &mut attempts, chosen, opened) {
         SendEnd::Answered(answered) => {
             let kept = kept_answer(&answered);
-            let response = call.settle_ran(reservation, attempt, answered, kept);
+            let response = call.settle_ran(reservation, answered, kept);
             let _left = head.send(response);
         }
         SendEnd::NotRun(failure) => {
             open::note(call.context, EventCode::RequestRefused, call.request, "");
             let _left = head.send(answer::fail(&failure));
-            call.settle_not_run(reservation, attempt);
+            call.settle_not_run(reservation);
         }
         SendEnd::Unknown(failure) => {
             // The reservation stays: the ledger has the open until somebody
@@ -125,7 +124,6 @@
 fn refuse(
     call: &PlainCall<'_>,
     reservation: TokenReservation,
-    attempt: u32,
     admitted: AdmittedRequest,
     end: OpenEnd,
     head: HeadSender,
@@ -146,7 +144,7 @@
             let _left = head.send(answer::fail(&failure));
             // The open may still reach the log: it is settled as not run, so
             // that a retry is not taken for a second run.
-            call.settle_not_run(reservation, attempt);
+            call.settle_not_run(reservation);
             return;
         }
     };
@@ -168,7 +166,7 @@
         return OpenEnd::First;
     }
     match status {
-        KeyStatus::Settled(settlement) => settled_end(settlement),
+        KeyStatus::Settled { settlement, .. } => settled_end(settlement),
         KeyStatus::Open(held) => OpenEnd::Taken(taken(call, &held)),
         KeyStatus::Unseen => OpenEnd::Refused,
     }
--- a/crates/hibiscus-router/src/requests/mod.rs
+++ b/crates/hibiscus-router/src/requests/mod.rs
@@ -15,6 +15,7 @@
 pub mod plain;
 pub mod presence;
 pub mod progress;
+pub mod rerun;
 
 use std::time::Duration;
 use std::time::Instant;
@@ -66,6 +67,8 @@
 pub struct CallerRequest {
     /// Its key.
     pub key: RequestKey,
+    /// Whether the caller named the key.
+    pub named: bool,
     /// The budget that pays.
     pub budget: BudgetName,
     /// What it asks for.
--- a/crates/hibiscus-router/src/requests/open.rs
+++ b/crates/hibiscus-router/src/requests/open.rs
@@ -276,7 +276,7 @@
     match client::call(context, shard, &lookup, LOOKUP_TIMEOUT) {
         Some(BrokerReply::Lookup(KeyStatus::Unseen)) => failure,
         Some(BrokerReply::Lookup(KeyStatus::Open(held))) if Some(held.grant) == own => failure,
-        Some(BrokerReply::Lookup(KeyStatus::Settled(_))) => failure.proved_ran(),
+        Some(BrokerReply::Lookup(KeyStatus::Settled { .. })) => failure.proved_ran(),
         _ => failure.doubted(),
     }
 }
--- a/crates/hibiscus-router/src/requests/plain.rs
+++ b/crates/hibiscus-router/src/requests/plain.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services that may run again: sent to another server when
 //! one fails. Calls that may not are in [`super::exclusive`].
 
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
 
 use hibiscus_config::entry::RouteEntry;
@@ -36,6 +37,7 @@
 use crate::requests::exclusive;
 use crate::requests::open;
 use crate::requests::progress::HeadSender;
+use crate::requests::rerun::RerunCheck;
 
 /// Status from which on an answer says that the server failed.
 const SERVER_ERROR: u16 = 500;
@@ -46,6 +48,8 @@
     pub(super) holder: &'a SyncSender<HolderMessage>,
     pub(super) request: &'a CallerRequest,
     pub(super) route: &'a RouteEntry,
+    /// Number of this call's open, unique in the process.
+    pub(super) attempt: u32,
 }
 
 /// Runs one call.
@@ -64,6 +68,7 @@
         holder,
         request: &request,
         route,
+        attempt: context.next_attempt.fetch_add(1, Ordering::Relaxed),
     };
     let reservation = match open::reserve(context, holder, &request) {
         Ok(reservation) => reservation,
@@ -101,11 +106,11 @@
         admitted: AdmittedRequest,
     ) -> Response<AnswerBody> {
         match self.attempt_all(&reservation, admitted) {
-            RepeatEnd::Answered(answered) => self.settle_ran(reservation, 0, answered, None),
+            RepeatEnd::Answered(answered) => self.settle_ran(reservation, answered, None),
             RepeatEnd::NotRun(failure) => {
                 open::note(self.context, EventCode::RequestRefused, self.request, "");
                 let grant = Some(reservation.grant);
-                self.settle_not_run(reservation, 0);
+                self.settle_not_run(reservation);
                 let failure = open::check_claim(self.context, self.request, grant, failure);
                 answer::fail(&failure)
             }
@@ -119,6 +124,10 @@
 
     /// Sends the call to servers until one answers.
     fn attempt_all(&self, reservation: &TokenReservation, admitted: AdmittedRequest) -> RepeatEnd {
+        let rerun = RerunCheck::start(self.context, self.request).verdict();
+        if let Err(failure) = rerun {
+            return RepeatEnd::NotRun(failure);
+        }
         let mut attempts = self.attempts();
         let first = match attempts.next_server() {
             Ok(first) => first,
@@ -167,12 +176,11 @@
         )
     }
 
-    /// The open of this call's attempt `attempt`.
+    /// The open of this call.
     pub(super) fn open_record(
         &self,
         reservation: &TokenReservation,
         chosen: &ChosenServer,
-        attempt: u32,
     ) -> RequestOpen {
         RequestOpen {
             key: self.request.key.clone(),
@@ -180,7 +188,7 @@
             reserved: reservation.tokens,
             server: chosen.load.name.clone(),
             exclusive: !self.route.idempotent,
-            attempt,
+            attempt: self.attempt,
             opened: UnixMillis::now(),
         }
     }
@@ -192,9 +200,9 @@
         chosen: &ChosenServer,
         admitted: AdmittedRequest,
     ) -> open::Result<OpenedRequest> {
-        let record = self.open_record(reservation, chosen, 0);
+        let record = self.open_record(reservation, chosen);
         match open::acknowledge_open(self.context, reservation, &record) {
-            Ok(()) => Ok(admitted.opened(reservation.grant, reservation.tokens, 0)),
+            Ok(()) => Ok(admitted.opened(reservation.grant, reservation.tokens, self.attempt)),
             Err(failure) => Err(failure.proved_not_run(&admitted.refuse())),
         }
     }
@@ -221,14 +229,13 @@
     pub(super) fn settle_ran(
         &self,
         reservation: TokenReservation,
-        attempt: u32,
         answered: PlainAnswer,
         kept: Option<RecordedAnswer>,
     ) -> Response<AnswerBody> {
         let charge = reservation.tokens;
         let settlement = RequestSettlement {
             answer: kept,
-            ..self.settlement(&reservation, attempt, SettledEnd::Ran, charge)
+            ..self.settlement(&reservation, SettledEnd::Ran, charge)
         };
         if !open::acknowledge_settlement(self.context, &reservation, &settlement) {
             let failure = RequestFailure::unknown(
@@ -248,9 +255,8 @@
     }
 
     /// Records that the call did not run.
-    pub(super) fn settle_not_run(&self, reservation: TokenReservation, attempt: u32) {
-        let settlement =
-            self.settlement(&reservation, attempt, SettledEnd::NotRun, TokenCount::ZERO);
+    pub(super) fn settle_not_run(&self, reservation: TokenReservation) {
+        let settlement = self.settlement(&reservation, SettledEnd::NotRun, TokenCount::ZERO);
         if open::acknowledge_settlement(self.context, &reservation, &settlement) {
             open::end_reservation(self.holder, reservation, TokenCount::ZERO);
         }
@@ -258,7 +264,7 @@
 
     /// Ends a repeatable call that brought no answer: it costs nothing.
     fn settle_not_charged(&self, reservation: TokenReservation) {
-        let settlement = self.settlement(&reservation, 0, SettledEnd::Ran, TokenCount::ZERO);
+        let settlement = self.settlement(&reservation, SettledEnd::Ran, TokenCount::ZERO);
         if open::acknowledge_settlement(self.context, &reservation, &settlement) {
             open::end_reservation(self.holder, reservation, TokenCount::ZERO);
         }
@@ -267,14 +273,13 @@
     fn settlement(
         &self,
         reservation: &TokenReservation,
-        attempt: u32,
         end: SettledEnd,
         charge: TokenCount,
     ) -> RequestSettlement {
         RequestSettlement {
             key: self.request.key.clone(),
             grant: reservation.grant,
-            attempt,
+            attempt: self.attempt,
             reserved: reservation.tokens,
             charge,
             end,
--- a/crates/hibiscus-types/src/outcome.rs
+++ b/crates/hibiscus-types/src/outcome.rs
@@ -52,6 +52,8 @@
     NoServer,
     /// The idempotency key is older than the window.
     KeyExpired,
+    /// The key was charged and its free runs are used up.
+    KeySpent,
     /// A request with the same key was started and its end is not known.
     InProgress,
     /// The request stopped each server that ran it.
@@ -74,7 +76,7 @@
 
 impl RefusalReason {
     /// All reasons.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::BadRequest,
         Self::Unauthenticated,
         Self::NoRoute,
@@ -86,6 +88,7 @@
         Self::NotReady,
         Self::NoServer,
         Self::KeyExpired,
+        Self::KeySpent,
         Self::InProgress,
         Self::Quarantined,
         Self::DeadlineExceeded,
@@ -111,6 +114,7 @@
             Self::NotReady => "not_ready",
             Self::NoServer => "no_server",
             Self::KeyExpired => "key_expired",
+            Self::KeySpent => "key_spent",
             Self::InProgress => "in_progress",
             Self::Quarantined => "quarantined",
             Self::DeadlineExceeded => "deadline_exceeded",
--- a/tests/testsuite/requests.rs
+++ b/tests/testsuite/requests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_router::requests::rerun::FREE_RERUNS;
 use hibiscus_router::settings::LimitSettings;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::PlainStandin;
@@ -621,3 +622,20 @@
         assert_whole(&reply, &marker);
     }
 }
+
+#[test]
+fn a_charged_key_runs_again_a_few_times_and_is_then_refused_as_spent() {
+    let engines = [EngineStandin::start(EngineBehaviour::default())];
+    let (fleet, _service) = chat_fleet(3, &engines);
+    let mut answered = 0;
+    let mut last = CallerReply::default();
+    wait_for("a refusal", || {
+        last = requests::stream_chat(fleet.address(0), "again", "nebula len=3");
+        answered += usize::from(last.has_end());
+        last.code() == "key_spent"
+    });
+    assert_eq!((last.status, last.outcome.as_str()), (409, "ran"));
+    assert!(answered > FREE_RERUNS, "{answered} runs before the refusal");
+    let other = requests::stream_chat(fleet.address(0), "fresh", "nebula len=3");
+    assert!(other.has_end(), "{other:?}");
+}
