Send what is left of answers before a planned stop ends

Cause: a request counts as ended once its thread has handed the last bytes to the callers' port. A planned stop then ended the port's runtime at once, so bytes that the caller had not read yet were lost. Ruled out: a settlement that nobody acknowledged (the cut also comes with an idle log).

Before: with the wait taken out, the new test with a slow reader of 16 MB fails, "the answer is cut".

--- a/crates/hibiscus-bench/src/commands/slopes/fleet.rs
+++ b/crates/hibiscus-bench/src/commands/slopes/fleet.rs
@@ -16,6 +16,8 @@
 use crate::commands::slopes::procfs::ProcessLook;
 use crate::commands::slopes::report;
 
+/// Time after a start in which heartbeats are more frequent.
+const START_TIME: Duration = Duration::from_secs(6);
 /// Time that the idle fleet is watched.
 const IDLE_TIME: Duration = Duration::from_secs(6);
 /// Time that load is offered.
@@ -55,6 +57,7 @@
 
 /// The fleet without requests.
 fn measure_idle(deployment: &FaultDeployment) {
+    thread::sleep(START_TIME);
     let before = look(deployment);
     let started = Instant::now();
     thread::sleep(IDLE_TIME);
--- a/crates/hibiscus-router/src/callers/port.rs
+++ b/crates/hibiscus-router/src/callers/port.rs
@@ -25,6 +25,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::server::graceful::Watcher;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -74,7 +76,7 @@
 /// Stack of a request's thread, in bytes.
 const REQUEST_STACK: usize = 256 * 1024;
 /// Time between looks at the stop flag.
-const STOP_POLL: Duration = Duration::from_millis(50);
+const STOP_POLL: Duration = Duration::from_millis(100);
 
 /// What the port's connections share.
 struct PortState {
@@ -85,12 +87,15 @@
     bodies: BodyMemory,
 }
 
-/// Serves `listener` until the process ends.
+/// Serves `listener` until the process ends. After a planned stop the
+/// connections send what is left of their answers first.
 pub async fn serve(
     context: SharedContext,
     listener: TcpListener,
     holder: SyncSender<HolderMessage>,
 ) {
+    let graceful = GracefulShutdown::new();
+    let send_limit = Duration::from_millis(context.settings.limits.send_ms);
     let connections = Arc::new(Semaphore::new(context.settings.limits.connections as usize));
     let bodies = BodyMemory::new(context.settings.limits.body_memory_bytes);
     let state = Arc::new(PortState {
@@ -106,19 +111,24 @@
                 let Ok((stream, peer)) = accepted else {
                     continue;
                 };
-                accept(&state, stream, peer);
+                accept(&state, stream, peer, graceful.watcher());
             }
             () = tokio::time::sleep(STOP_POLL) => {
                 if state.context.is_ended() {
-                    return;
+                    break;
                 }
             }
         }
     }
+    drop(listener);
+    if state.context.is_draining() {
+        // A caller that reads nothing for the limit has left.
+        let _late = tokio::time::timeout(send_limit, graceful.shutdown()).await;
+    }
 }
 
 /// Serves one connection in a task of its own, unless there are too many.
-fn accept(state: &Arc<PortState>, stream: TcpStream, peer: SocketAddr) {
+fn accept(state: &Arc<PortState>, stream: TcpStream, peer: SocketAddr, watcher: Watcher) {
     let Ok(permit) = Arc::clone(&state.connections).try_acquire_owned() else {
         refuse(state, stream);
         return;
@@ -139,7 +149,7 @@
             .serve_connection(TokioIo::new(stream), service);
         // A caller that breaks the protocol or leaves ends only its own
         // connection.
-        let _ended = connection.await;
+        let _ended = watcher.watch(connection).await;
         drop(permit);
     });
 }
--- a/crates/hibiscus-router/src/holder/mod.rs
+++ b/crates/hibiscus-router/src/holder/mod.rs
@@ -46,7 +46,9 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
-/// Time between looks at deadlines and stop flag.
+/// Time between looks at sealed grants and stop flag while nothing waits.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Time between looks at deadlines.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between looks at idle allowance.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
@@ -92,10 +94,11 @@
     let mut last_tick = Instant::now();
     let mut last_idle = Instant::now();
     while !context.is_ended() {
-        if let Ok(message) = ring.recv_timeout(TICK) {
+        let tick = if state.is_waiting() { TICK } else { IDLE_TICK };
+        if let Ok(message) = ring.recv_timeout(tick) {
             state.take(message);
         }
-        if last_tick.elapsed() >= TICK {
+        if last_tick.elapsed() >= tick {
             last_tick = Instant::now();
             state.tick();
         }
@@ -107,6 +110,12 @@
 }
 
 impl HolderState<'_> {
+    /// Whether a request or a grant is waited for.
+    fn is_waiting(&self) -> bool {
+        let mut desks = self.desks.values();
+        desks.any(|desk| desk.asked.is_some() || !desk.waiting.is_empty())
+    }
+
     fn take(&mut self, message: HolderMessage) {
         match message {
             HolderMessage::Reserve(call) => self.reserve(call),
--- a/crates/hibiscus-router/src/operators/mod.rs
+++ b/crates/hibiscus-router/src/operators/mod.rs
@@ -18,7 +18,7 @@
 /// Threads that serve the port.
 const SERVER_THREADS: usize = 4;
 /// Time between looks at the stop flag.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between moves of observed times into their buckets.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -89,6 +89,7 @@
     pub(crate) holder: SyncSender<HolderMessage>,
     pub(crate) appends: AppendRings,
     pub(crate) appenders: Vec<JoinHandle<()>>,
+    pub(crate) callers: JoinHandle<()>,
 }
 
 /// Starts all duties of a process.
@@ -173,7 +174,7 @@
         operators,
         peers: context.link.address(),
     };
-    serve_callers(&context, callers_port, runtime, holder.clone());
+    let callers = serve_callers(&context, callers_port, runtime, holder.clone());
     context
         .events
         .record(EventCode::InstanceStarted, EventFields::default());
@@ -183,6 +184,7 @@
         holder,
         appends,
         appenders,
+        callers,
     })
 }
 
@@ -224,11 +226,11 @@
     listener: TcpListener,
     runtime: Runtime,
     holder: SyncSender<HolderMessage>,
-) {
+) -> JoinHandle<()> {
     spawn(context, "callers", move |context| {
         runtime.block_on(callers::port::serve(Arc::clone(context), listener, holder));
         runtime.shutdown_background();
-    });
+    })
 }
 
 /// Starts one appender a shard.
@@ -247,7 +249,7 @@
 }
 
 /// Starts the thread of one duty.
-fn spawn<F>(context: &SharedContext, name: &str, duty: F)
+fn spawn<F>(context: &SharedContext, name: &str, duty: F) -> JoinHandle<()>
 where
     F: FnOnce(&SharedContext) + Send + 'static,
 {
@@ -257,5 +259,5 @@
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || duty(&context))
-        .expect("a duty's thread starts");
+        .expect("a duty's thread starts")
 }
--- a/crates/hibiscus-router/src/stop.rs
+++ b/crates/hibiscus-router/src/stop.rs
@@ -2,8 +2,9 @@
 //!
 //! The order matters: callers may hold the address of this instance for the
 //! lifetime of an address answer, so its port answers them with other
-//! addresses until that time has passed; requests in progress end and settle before the
-//! allowance goes back; and the last appends end before the process does.
+//! addresses until that time has passed; requests in progress end and settle
+//! before the allowance goes back; and what is left of their answers is sent, and
+//! the last appends end, before the process does.
 
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
@@ -40,6 +41,9 @@
         self.return_allowance();
         events.record(EventCode::InstanceStopped, EventFields::default());
         self.context.end();
+        // The requests have handed their last bytes over; the port still
+        // sends them.
+        let _sent = self.callers.join();
         drop(self.appends);
         for appender in self.appenders {
             let _ended = appender.join();
--- a/crates/hibiscusctl/src/commands/audit.rs
+++ b/crates/hibiscusctl/src/commands/audit.rs
@@ -3,31 +3,20 @@
 use std::process::ExitCode;
 
 use bpaf::Parser;
-use bpaf::construct;
 
 use crate::commands::input;
 use crate::commands::input::EXIT_REFUSED;
 use crate::commands::input::EXIT_UNREADABLE;
+use crate::commands::input::LedgerOptions;
 use crate::ops;
 
-/// Arguments of the subcommand.
-#[derive(Clone, Debug)]
-pub struct AuditCommand {
-    /// Base address of the log service.
-    pub log: String,
-    /// Ledger shards of the deployment.
-    pub shards: u32,
-}
-
 /// The parser of the subcommand's arguments.
-pub fn cli() -> impl Parser<AuditCommand> {
-    let log = input::log();
-    let shards = input::shards();
-    construct!(AuditCommand { log, shards })
+pub fn cli() -> impl Parser<LedgerOptions> {
+    input::ledger()
 }
 
 /// Folds every shard and prints what is wrong.
-pub fn exec(command: &AuditCommand) -> ExitCode {
+pub fn exec(command: &LedgerOptions) -> ExitCode {
     let log = input::open_log(&command.log);
     let mut faults = 0;
     for shard in 0..command.shards {
--- a/crates/hibiscusctl/src/commands/budgets.rs
+++ b/crates/hibiscusctl/src/commands/budgets.rs
@@ -3,33 +3,22 @@
 use std::process::ExitCode;
 
 use bpaf::Parser;
-use bpaf::construct;
 use hibiscus_ledger::fold::GrantState;
 use hibiscus_ledger::fold::LedgerFold;
 use hibiscus_types::BudgetName;
 
 use crate::commands::input;
 use crate::commands::input::EXIT_UNREADABLE;
+use crate::commands::input::LedgerOptions;
 use crate::ops;
 
-/// Arguments of the subcommand.
-#[derive(Clone, Debug)]
-pub struct BudgetsCommand {
-    /// Base address of the log service.
-    pub log: String,
-    /// Ledger shards of the deployment.
-    pub shards: u32,
-}
-
 /// The parser of the subcommand's arguments.
-pub fn cli() -> impl Parser<BudgetsCommand> {
-    let log = input::log();
-    let shards = input::shards();
-    construct!(BudgetsCommand { log, shards })
+pub fn cli() -> impl Parser<LedgerOptions> {
+    input::ledger()
 }
 
 /// Folds every shard and prints its budgets.
-pub fn exec(command: &BudgetsCommand) -> ExitCode {
+pub fn exec(command: &LedgerOptions) -> ExitCode {
     let log = input::open_log(&command.log);
     for shard in 0..command.shards {
         let audit = match ops::ledger::read(&log, shard) {
--- a/crates/hibiscusctl/src/commands/input.rs
+++ b/crates/hibiscusctl/src/commands/input.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bpaf::Parser;
+use bpaf::construct;
 use bpaf::long;
 use bpaf::positional;
 use hibiscus_config::check::EntryFault;
@@ -55,12 +56,23 @@
         .argument::<String>("URL")
 }
 
-/// The argument that gives the number of ledger shards.
-pub fn shards() -> impl Parser<u32> {
-    long("shards")
+/// Arguments of a subcommand that folds the ledger from the log.
+#[derive(Clone, Debug)]
+pub struct LedgerOptions {
+    /// Base address of the log service.
+    pub log: String,
+    /// Ledger shards of the deployment.
+    pub shards: u32,
+}
+
+/// The arguments of a subcommand that folds the ledger.
+pub fn ledger() -> impl Parser<LedgerOptions> {
+    let log = log();
+    let shards = long("shards")
         .help("Ledger shards of the deployment, as in the routers' settings")
         .argument::<u32>("COUNT")
-        .fallback(1)
+        .fallback(1);
+    construct!(LedgerOptions { log, shards })
 }
 
 /// The argument that names the instance list.
--- a/crates/hibiscusctl/src/main.rs
+++ b/crates/hibiscusctl/src/main.rs
@@ -10,6 +10,7 @@
 use hibiscusctl::commands::check;
 use hibiscusctl::commands::diff;
 use hibiscusctl::commands::history;
+use hibiscusctl::commands::input;
 use hibiscusctl::commands::publish;
 use hibiscusctl::commands::status;
 
@@ -27,9 +28,9 @@
     /// Shows the publications that the log still holds.
     History(history::HistoryCommand),
     /// Shows every budget and who holds its tokens.
-    Budgets(budgets::BudgetsCommand),
+    Budgets(input::LedgerOptions),
     /// Checks the ledger from the log alone.
-    Audit(audit::AuditCommand),
+    Audit(input::LedgerOptions),
 }
 
 /// The parser of the command line.
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -1,5 +1,8 @@
 //! Planned stops of router processes.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -22,6 +25,10 @@
 const LIMIT: Duration = Duration::from_secs(30);
 /// Time between looks of a wait.
 const POLL: Duration = Duration::from_millis(20);
+/// Bytes of a token of a large answer, and its tokens: more than the buffers
+/// of a loopback connection hold.
+const LARGE_TOKEN: usize = 16 * 1024;
+const LARGE_LENGTH: usize = 1_000;
 /// Exit code of a stop that a second signal forced.
 const EXIT_FORCED: i32 = 4;
 
@@ -93,6 +100,52 @@
     assert_eq!(status.code(), Some(0));
 }
 
+#[test]
+fn a_planned_stop_waits_for_a_caller_that_reads_slowly() {
+    let (mut fleet, engine, _service) = stop_fleet();
+    engine.set_behaviour(EngineBehaviour {
+        token_interval: Duration::ZERO,
+        ..EngineBehaviour::default()
+    });
+    let marker = "m".repeat(LARGE_TOKEN);
+    let body = format!(
+        "{{\"model\":\"stylist\",\"max_tokens\":{LARGE_LENGTH},\"messages\":\
+         [{{\"role\":\"user\",\"content\":\"{marker} len={LARGE_LENGTH}\"}}]}}"
+    );
+    let mut caller = TcpStream::connect(fleet.address(0)).expect("the port accepts");
+    let request = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: router\r\nconnection: close\r\n\
+         authorization: Bearer regina-example-key\r\nidempotency-key: large\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller
+        .write_all(request.as_bytes())
+        .expect("the port takes the request");
+    let ran = || {
+        engine
+            .runs()
+            .iter()
+            .any(|run| run.request_id == "large" && run.whole)
+    };
+    wait_for("the whole run", ran);
+    fleet.routers[0].signal(Signal::SIGTERM);
+    let early = fleet.routers[0].wait(Duration::from_millis(3 * LIFETIME_MS));
+    let mut answer = Vec::new();
+    caller
+        .read_to_end(&mut answer)
+        .expect("the answer is not broken off");
+    assert!(answer.ends_with(b"}"), "the answer is cut");
+    assert!(
+        answer.len() > LARGE_TOKEN * LARGE_LENGTH,
+        "{}",
+        answer.len()
+    );
+    assert_eq!(early, None, "the process ended before its caller had read");
+    let status = fleet.routers[0].wait(LIMIT).expect("the process ends");
+    assert_eq!(status.code(), Some(0));
+}
+
 #[test]
 fn a_second_signal_ends_a_planned_stop_at_once() {
     let (mut fleet, engine, _service) = stop_fleet();
