Hand a stopping witness's records to other instances

Ruled out: lost settlements (the callers' answers were whole and both witnesses had acknowledged).

The new test with both witnesses stopped in a log outage gives up waiting for the charge without the hand-over, and passes with it.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -49,7 +49,7 @@
     LedgerUnreadable = "HS3004", Warn, "ledger stream cannot be read";
     AppendFailed = "HS3005", Warn, "append failed and will be repeated";
     GrantReclaimed = "HS3006", Warn, "reclaim of a grant proposed";
-    RecordsLost = "HS3007", Warn, "records lost at the stop, the log did not answer";
+    RecordsHandedOver = "HS3007", Info, "records that the log did not take were handed to other instances";
     RequestAdmitted = "HS4001", Debug, "request admitted";
     RequestOpened = "HS4002", Debug, "open acknowledged";
     RequestDispatched = "HS4003", Debug, "request sent to a server";
--- a/crates/hibiscus-router/src/ledger/append.rs
+++ b/crates/hibiscus-router/src/ledger/append.rs
@@ -20,6 +20,7 @@
 use hibiscus_types::codec;
 
 use crate::context::SharedContext;
+use crate::witness::hand_over;
 
 /// Records that wait for a shard's appender.
 pub const RING_CAPACITY: usize = 100_000;
@@ -29,8 +30,6 @@
 const IDLE_WAIT: Duration = Duration::from_millis(100);
 /// Delay before a failed append is first repeated.
 const FIRST_DELAY: Duration = Duration::from_millis(50);
-/// Time that a stopping process waits for the log to take its records.
-const LAST_APPENDS: Duration = Duration::from_secs(20);
 /// Longest delay before a failed append is repeated.
 const LAST_DELAY: Duration = Duration::from_secs(2);
 
@@ -72,28 +71,28 @@
             sequence,
             records,
         };
-        append_batch(context, &stream, &batch);
+        append_batch(context, shard, &stream, &batch);
         thread::sleep(interval.saturating_sub(started.elapsed()));
     }
 }
 
-/// Appends one batch, repeating it until the log acknowledges it.
-fn append_batch(context: &SharedContext, stream: &str, batch: &RecordBatch) {
+/// Appends one batch, repeating it until the log acknowledges it. After a
+/// planned stop the records may go to other instances instead; a process that
+/// was killed appends nothing more.
+fn append_batch(context: &SharedContext, shard: u32, stream: &str, batch: &RecordBatch) {
     let Ok(data) = codec::encode(batch) else {
         return;
     };
     let mut delay = FIRST_DELAY;
-    let mut ended = None;
     while let Err(error) = context.log.append(stream, &data) {
-        let fields = EventFields {
-            detail: error.to_string(),
-            ..EventFields::default()
-        };
-        context.events.record(EventCode::AppendFailed, fields);
+        note(context, EventCode::AppendFailed, error.to_string());
         if context.is_ended() {
-            let since = *ended.get_or_insert_with(Instant::now);
-            if since.elapsed() >= LAST_APPENDS {
-                note_lost(context, batch);
+            if !context.is_draining() {
+                return;
+            }
+            if hand_over::to_peers(context, shard, &batch.records) {
+                let count = format!("{} records", batch.records.len());
+                note(context, EventCode::RecordsHandedOver, count);
                 return;
             }
         }
@@ -102,15 +101,11 @@
     }
 }
 
-/// Says how many records the log did not take before the process ended.
-fn note_lost(context: &SharedContext, batch: &RecordBatch) {
+/// Records an event of the appender.
+fn note(context: &SharedContext, code: EventCode, detail: String) {
     let fields = EventFields {
-        detail: format!(
-            "{} records of sequence {}",
-            batch.records.len(),
-            batch.sequence
-        ),
+        detail,
         ..EventFields::default()
     };
-    context.events.record(EventCode::RecordsLost, fields);
+    context.events.record(code, fields);
 }
--- a/crates/hibiscus-router/src/witness/mod.rs
+++ b/crates/hibiscus-router/src/witness/mod.rs
@@ -1,12 +1,15 @@
 //! Duty: acknowledges opens and settlements of other instances and hands
 //! them over to the log.
 
+pub mod hand_over;
+
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_ledger::record::AllowanceSplit;
+use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::shard_of;
@@ -62,6 +65,13 @@
         /// The shard of the grant's budget.
         shard: u32,
     },
+    /// Take over what a stopping process could not append.
+    HandOver {
+        /// The shard of the records.
+        shard: u32,
+        /// The records, in order.
+        records: Vec<LedgerRecord>,
+    },
 }
 
 /// A witness's answer.
@@ -109,6 +119,9 @@
                 shard,
                 split,
             } => (*shard, buffer.split(*witness, split)),
+            WitnessRequest::HandOver { shard, records } => {
+                (*shard, take_over(context, *shard, records, appends))
+            }
         };
         for record in buffer.take(HAND_OVER) {
             appends.push(shard, record);
@@ -120,6 +133,22 @@
     }
 }
 
+/// Takes the records of a stopping process, unless this one stops too.
+fn take_over(
+    context: &SharedContext,
+    shard: u32,
+    records: &[LedgerRecord],
+    appends: &AppendRings,
+) -> WitnessAnswer {
+    if context.is_draining() {
+        return WitnessAnswer::Refused;
+    }
+    for record in records {
+        appends.push(shard, record.clone());
+    }
+    WitnessAnswer::Acknowledged
+}
+
 /// Records what was acknowledged, so that a request's life can be read off
 /// here when its router is gone.
 fn note(context: &SharedContext, request: &WitnessRequest) {
@@ -136,7 +165,9 @@
             settlement.grant,
             "",
         ),
-        WitnessRequest::Seal { .. } | WitnessRequest::Split { .. } => return,
+        WitnessRequest::Seal { .. }
+        | WitnessRequest::Split { .. }
+        | WitnessRequest::HandOver { .. } => return,
     };
     let fields = EventFields {
         request: key.to_string(),
--- a/tests/testsuite/planned_stop.rs
+++ b/tests/testsuite/planned_stop.rs
@@ -10,6 +10,7 @@
 use hibiscus_support::EngineStandin;
 use hibiscus_support::PlainStandin;
 use hibiscus_support::engine::EngineBehaviour;
+use hibiscus_support::log::LogFaults;
 use hibiscus_support::requests;
 use hibiscus_support::requests::CallerReply;
 use hibiscus_support::requests::RequestFleet;
@@ -146,6 +147,31 @@
     assert_eq!(status.code(), Some(0));
 }
 
+#[test]
+fn charges_survive_planned_stops_of_both_witnesses_while_the_log_is_down() {
+    let (mut fleet, _engine, _service) = stop_fleet();
+    let address = fleet.address(0);
+    let answer = |key: &str| {
+        wait_for("an answer", || {
+            requests::stream_chat(address, key, "fit len=4").has_end()
+        });
+    };
+    answer("before");
+    fleet.platform.log.set_faults(LogFaults {
+        outage: true,
+        ..LogFaults::default()
+    });
+    answer("during");
+    for index in [1, 2] {
+        fleet.routers[index].signal(Signal::SIGTERM);
+        let status = fleet.routers[index].wait(LIMIT).expect("the process ends");
+        assert_eq!(status.code(), Some(0));
+    }
+    fleet.platform.log.set_faults(LogFaults::default());
+    wait_for("the charge", || !fleet.charges_of("during").is_empty());
+    assert_eq!(fleet.charges_of("during").len(), 1);
+}
+
 #[test]
 fn a_second_signal_ends_a_planned_stop_at_once() {
     let (mut fleet, engine, _service) = stop_fleet();
