Let the quickstart use the fault bench's plan of the deployment

Cause: the read-through: instances, data centres and example of Prairie Seam stood twice, in the quickstart and in the plan of the fault bench.

Before: two lists to keep equal.

Conclusion: no behaviour changed. Left: the proxies' handles, the programs' version tests and the error lists of quickstart and deployment still look alike.

--- a/crates/hibiscus-bench/src/commands/quickstart.rs
+++ b/crates/hibiscus-bench/src/commands/quickstart.rs
@@ -29,20 +29,9 @@
 use hibiscus_types::codec::CodecError;
 
 use crate::caller::FleetCaller;
+use crate::commands::faults::plan::PRAIRIE_SEAM;
 use crate::steps;
 
-/// The example that is published.
-const EXAMPLE: &str = include_str!("../../../../examples/prairie-seam.jsonc");
-/// Instances and their data centres.
-const INSTANCES: [(&str, &str); 7] = [
-    ("router-1", "regina"),
-    ("router-2", "regina"),
-    ("router-3", "regina"),
-    ("router-4", "saskatoon"),
-    ("router-5", "saskatoon"),
-    ("router-6", "winnipeg"),
-    ("router-7", "winnipeg"),
-];
 /// API keys of the example's teams.
 const API_KEYS: [&str; 3] = [
     "regina-example-key",
@@ -108,9 +97,9 @@
     platform.list_server("tailorbook-1", "tailorbook", "regina", plain.address());
     let log = HttpLog::new(&platform.log.url(), Duration::from_secs(2));
     publish(&log)?;
-    let mut routers = Vec::with_capacity(INSTANCES.len());
-    for (name, data_centre) in INSTANCES {
-        let settings = platform.settings(name, data_centre, "prairie");
+    let mut routers = Vec::with_capacity(PRAIRIE_SEAM.instances.len());
+    for (name, data_centre) in PRAIRIE_SEAM.instances {
+        let settings = platform.settings(name, data_centre, PRAIRIE_SEAM.region);
         routers.push(platform.start_router(settings));
     }
     if !fleet::wait_ready(&routers, READY_LIMIT) {
@@ -127,7 +116,7 @@
 
 /// Publishes the example.
 fn publish(log: &HttpLog) -> Result<()> {
-    let file = OperatorFile::parse(EXAMPLE)?;
+    let file = OperatorFile::parse(PRAIRIE_SEAM.example)?;
     let record = ConfigRecord {
         publication: 1,
         changes: file.changes(&ConfigFold::default()),
