--- a/crates/hibiscus-bench/src/commands/config/load.rs
+++ b/crates/hibiscus-bench/src/commands/config/load.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::entry::ConfigEntry;
 use hibiscus_config::entry::EntryKey;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 use hibiscus_router::ops::RunningRouter;
 use hibiscus_support::fleet::StandinPlatform;
 use hibiscus_types::codec;
--- a/crates/hibiscus-bench/src/commands/faults/ledger.rs
+++ b/crates/hibiscus-bench/src/commands/faults/ledger.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_ledger::fold::LedgerFold;
 use hibiscus_ledger::fold::RecordVerdict;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::record::SettledEnd;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
--- a/crates/hibiscus-platform/tests/list.rs
+++ b/crates/hibiscus-clients/tests/list.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hibiscus_platform::list::InstanceList;
-use hibiscus_platform::list::ListChanges;
-use hibiscus_platform::list::ListClient;
-use hibiscus_platform::list::ListedInstance;
-use hibiscus_platform::list::ListedServer;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::InstanceList;
+use hibiscus_clients::list::ListChanges;
+use hibiscus_clients::list::ListClient;
+use hibiscus_clients::list::ListedInstance;
+use hibiscus_clients::list::ListedServer;
+use hibiscus_clients::list::ListedState;
 use hibiscus_support::ListStandin;
 
 fn address() -> SocketAddr {
--- a/crates/hibiscus-events/src/logging.rs
+++ b/crates/hibiscus-events/src/logging.rs
@@ -16,3 +16,27 @@
     std::mem::forget(handle);
     Ok(())
 }
+
+/// Writes lines of at least `level` to standard output.
+///
+/// # Errors
+///
+/// Fails when `level` names no level or a logger was started before.
+pub fn start_stdout(level: &str) -> Result<()> {
+    let handle = Logger::try_with_str(level)?
+        .log_to_stdout()
+        .format(plain_line)
+        .start()?;
+    // The logger must outlive the process's threads.
+    std::mem::forget(handle);
+    Ok(())
+}
+
+/// One line: level and text; the platform adds the time and the process.
+fn plain_line(
+    out: &mut dyn std::io::Write,
+    _now: &mut flexi_logger::DeferredNow,
+    record: &log::Record<'_>,
+) -> std::io::Result<()> {
+    write!(out, "{} {}", record.level(), record.args())
+}
--- /dev/null
+++ b/crates/hibiscus-front/src/follow.rs
@@ -0,0 +1,305 @@
+//! Threads that follow topics of the metadata store.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use hibiscus_ledger::account;
+use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_traffic::updates::UpdateSender;
+use hibiscus_types::ServerName;
+use hibiscus_types::codec;
+use platform::config;
+use platform::records;
+use platform::records::KeyedRecord;
+use platform::servers;
+use platform::store::StoreClient;
+use platform::store::StoreError;
+
+/// Topic of the instances' announcements.
+const INSTANCES_TOPIC: &str = "keyed.instances";
+/// Time for which a read waits for a record. A connection that fell silent
+/// shows after it.
+const READ_WAIT: Duration = Duration::from_secs(5);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between reads of the servers' entries, which are written all the
+/// time: a leaving server is known well within the 2 s that it may take.
+const SERVERS_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between reads of the accounts, so that one read brings the records
+/// of several instances.
+const ACCOUNTS_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a thread does with the records of a keyed topic.
+trait TopicReader {
+    /// The topic.
+    fn topic(&self) -> &'static str;
+
+    /// Pause after each read.
+    fn pause(&self) -> Duration;
+
+    /// Takes over the newest record of each key.
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender);
+
+    /// Takes over a record that was appended.
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender);
+
+    /// A call failed, or succeeded.
+    fn reached(&mut self, _reached: bool, _updates: &UpdateSender) {}
+}
+
+/// Sends news to the traffic thread, waiting for room. It fails only when
+/// that thread has ended, and the process with it.
+fn tell(updates: &UpdateSender, update: TrafficUpdate) {
+    if updates.blocking_send(update).is_err() {
+        log::debug!("HS1104 news after the end of the traffic thread");
+    }
+}
+
+/// Logs the loss and the return of a topic.
+#[derive(Default)]
+struct ReachLog {
+    lost: bool,
+}
+
+impl ReachLog {
+    fn failed(&mut self, topic: &str, error: &StoreError) {
+        if !self.lost {
+            log::warn!("HS2003 topic cannot be read topic={topic} cause={error}");
+        }
+        self.lost = true;
+    }
+
+    fn succeeded(&mut self, topic: &str) {
+        if self.lost {
+            log::info!("HS2004 topic is read again topic={topic}");
+        }
+        self.lost = false;
+    }
+}
+
+/// Follows a keyed topic: the newest records first, then what is appended;
+/// after a gap, the newest records again.
+fn follow_keyed<R: TopicReader>(store: &StoreClient, updates: &UpdateSender, mut reader: R) {
+    let topic = reader.topic();
+    let mut reach = ReachLog::default();
+    let mut next: Option<u64> = None;
+    loop {
+        let step = match next {
+            None => store.newest(topic).map(|newest| {
+                reader.reached(true, updates);
+                reader.reset(newest.records, updates);
+                newest.next
+            }),
+            Some(from) => store.read(topic, from, READ_WAIT).map(|page| {
+                reader.reached(true, updates);
+                let count = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
+                for record in &page.records {
+                    match records::decode_keyed(record) {
+                        Some(record) => reader.take(record, updates),
+                        None => log::warn!("HS2005 record without a key topic={topic}"),
+                    }
+                }
+                from + count
+            }),
+        };
+        match step {
+            Ok(offset) => {
+                reach.succeeded(topic);
+                next = Some(offset);
+                thread::sleep(reader.pause());
+            }
+            Err(StoreError::Expired { first }) => {
+                log::info!("HS2006 history was dropped topic={topic} first={first}");
+                next = None;
+            }
+            Err(error) => {
+                reach.failed(topic, &error);
+                reader.reached(false, updates);
+                thread::sleep(FAILURE_PAUSE);
+            }
+        }
+    }
+}
+
+/// Reads the configuration.
+struct ConfigReader;
+
+impl ConfigReader {
+    fn publish(record: &KeyedRecord, updates: &UpdateSender) {
+        let Some(value) = record
+            .value
+            .as_ref()
+            .filter(|_value| record.key == config::KEY)
+        else {
+            return;
+        };
+        match config::decode(value) {
+            Ok(config) => tell(updates, TrafficUpdate::Config(Arc::new(config))),
+            Err(error) => log::error!("HS2002 configuration cannot be read cause={error}"),
+        }
+    }
+}
+
+impl TopicReader for ConfigReader {
+    fn topic(&self) -> &'static str {
+        config::TOPIC
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in &records {
+            Self::publish(record, updates);
+        }
+    }
+
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
+        Self::publish(&record, updates);
+    }
+}
+
+/// Follows the configuration.
+pub(crate) fn follow_config(store: &StoreClient, updates: &UpdateSender) {
+    follow_keyed(store, updates, ConfigReader);
+}
+
+/// Reads the servers' entries.
+struct ServersReader;
+
+impl TopicReader for ServersReader {
+    fn topic(&self) -> &'static str {
+        servers::TOPIC
+    }
+
+    fn pause(&self) -> Duration {
+        SERVERS_PAUSE
+    }
+
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        let mut entries = Vec::new();
+        for record in records {
+            let value = record.value.unwrap_or_default();
+            match servers::decode(&record.key, &value) {
+                Some(entry) => entries.push(entry),
+                None => log::info!("HS5103 entry names no server key={}", record.key),
+            }
+        }
+        tell(updates, TrafficUpdate::AllServers(entries));
+    }
+
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
+        let entry = record.value.as_ref();
+        let entry = entry.and_then(|value| servers::decode(&record.key, value));
+        let update = match entry {
+            Some(entry) => TrafficUpdate::Server(entry),
+            None => TrafficUpdate::ServerGone(ServerName::new(record.key)),
+        };
+        tell(updates, update);
+    }
+
+    fn reached(&mut self, reached: bool, updates: &UpdateSender) {
+        let update = if reached {
+            TrafficUpdate::ServersRead
+        } else {
+            TrafficUpdate::ServersLost
+        };
+        tell(updates, update);
+    }
+}
+
+/// Follows the servers' entries.
+pub(crate) fn follow_servers(store: &StoreClient, updates: &UpdateSender) {
+    follow_keyed(store, updates, ServersReader);
+}
+
+/// Reads the instances' announcements.
+struct InstancesReader;
+
+impl InstancesReader {
+    fn publish(record: &KeyedRecord, updates: &UpdateSender) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        match codec::decode::<InstanceEntry>(value) {
+            Ok(entry) => tell(updates, TrafficUpdate::Instance(entry)),
+            Err(error) => log::warn!(
+                "HS1105 announcement cannot be read key={} cause={error}",
+                record.key
+            ),
+        }
+    }
+}
+
+impl TopicReader for InstancesReader {
+    fn topic(&self) -> &'static str {
+        INSTANCES_TOPIC
+    }
+
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in &records {
+            Self::publish(record, updates);
+        }
+    }
+
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
+        Self::publish(&record, updates);
+    }
+}
+
+/// Follows the instances' announcements, after making the own one.
+pub(crate) fn follow_instances(store: &StoreClient, updates: &UpdateSender, own: &InstanceEntry) {
+    announce(store, own);
+    follow_keyed(store, updates, InstancesReader);
+}
+
+/// Writes the announcement of `own`, however often it takes. Copies change
+/// nothing, and a late one of an ended process is older than its successor's.
+pub(crate) fn announce(store: &StoreClient, own: &InstanceEntry) {
+    let value = match codec::encode(own) {
+        Ok(value) => value,
+        Err(error) => {
+            log::error!("HS1106 announcement not encoded cause={error}");
+            return;
+        }
+    };
+    let record = records::encode_keyed(own.name.as_str(), &value);
+    while let Err(error) = store.append(INSTANCES_TOPIC, std::slice::from_ref(&record)) {
+        log::warn!("HS1107 announcement not appended, will be repeated cause={error}");
+        thread::sleep(FAILURE_PAUSE);
+    }
+}
+
+/// Follows the account stream from its oldest record.
+pub(crate) fn follow_accounts(store: &StoreClient, updates: &UpdateSender) {
+    let mut reach = ReachLog::default();
+    let mut next = 0;
+    loop {
+        match store.read(account::STREAM, next, READ_WAIT) {
+            Ok(page) => {
+                reach.succeeded(account::STREAM);
+                for record in page.records {
+                    let offset = next;
+                    next += 1;
+                    tell(updates, TrafficUpdate::Account { offset, record });
+                }
+                thread::sleep(ACCOUNTS_PAUSE);
+            }
+            Err(StoreError::Expired { first }) => {
+                log::error!("HS3104 account records have expired first={first} next={next}");
+                next = first;
+            }
+            Err(error) => {
+                reach.failed(account::STREAM, &error);
+                thread::sleep(FAILURE_PAUSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-front/src/main.rs
@@ -0,0 +1,18 @@
+//! The router daemon on the users' platform.
+//!
+//! The traffic thread serves callers and decides; the other threads only move
+//! records between it and the metadata store: [`follow`] reads topics,
+//! [`append`] writes, [`signals`] waits for signals. [`serve`] builds the
+//! traffic thread.
+
+mod append;
+mod cli;
+mod follow;
+mod serve;
+mod signals;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::exec(&cli::cli().run())
+}
--- /dev/null
+++ b/crates/hibiscus-front/src/serve.rs
@@ -0,0 +1,302 @@
+//! Builds the daemon: the traffic thread and the threads around it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use hibiscus_traffic::answer;
+use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::port;
+use hibiscus_traffic::probe;
+use hibiscus_traffic::relay::AnswerBody;
+use hibiscus_traffic::retries::RetryBound;
+use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::updates;
+use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_traffic::updates::UpdateReceiver;
+use hibiscus_types::IncarnationId;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use platform::answers;
+use platform::headers::PlatformDialect;
+use platform::settings::ProcessSettings;
+use platform::store::StoreClient;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+use crate::append;
+use crate::follow;
+use crate::signals;
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Time for which a caller keeps an address answer: an instance that died is
+/// forgotten within it.
+const ADDRESS_LIFETIME: Duration = Duration::from_secs(2);
+/// Time between two looks at budgets and servers.
+const TICK: Duration = Duration::from_millis(250);
+/// Time after the begin of a planned stop during which new requests are still
+/// served: callers keep addresses for up to three lifetimes, and streams need
+/// their time before the process is killed.
+const SERVING_STOP: Duration = Duration::from_millis(3_000);
+/// Part of the time between SIGTERM and SIGKILL that is used.
+const STOP_PART: f64 = 0.95;
+/// Stack of the threads that only move records, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Why the daemon did not start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum ServeError {
+    /// A port cannot be opened.
+    #[error("failed to open the port {address}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The system refuses a runtime, a thread or a signal handler.
+    #[error("failed to start a thread or a handler")]
+    Start(#[from] io::Error),
+    /// The metrics cannot be recorded.
+    #[error("failed to start the metrics")]
+    Metrics(#[from] metrics_exporter_prometheus::BuildError),
+}
+
+/// Result of running the daemon.
+pub(crate) type Result<T> = std::result::Result<T, ServeError>;
+
+/// State of this daemon's request path.
+type FrontState = TrafficState<PlatformDialect>;
+
+/// Runs the daemon until a planned stop is complete.
+///
+/// # Errors
+///
+/// Fails when a port, a thread or a signal handler cannot be had.
+pub(crate) fn run(settings: ProcessSettings) -> Result<()> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let metrics = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        log::warn!("HS1109 metrics were started before");
+    }
+    let mut signals = signals::register()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let own = InstanceEntry {
+        name: settings.instance.clone(),
+        incarnation: IncarnationId::generate(),
+        callers: settings.callers,
+        readiness: settings.readiness,
+        data_centre: settings.data_centre.clone(),
+        leaving: false,
+    };
+    log::info!(
+        "HS1001 instance started instance={} incarnation={} callers={}",
+        own.name,
+        own.incarnation,
+        own.callers
+    );
+    let store = StoreClient::new(settings.store);
+    let (sender, receiver) = updates::ring();
+    let (outbox, batches) = mpsc::sync_channel(append::RING_CAPACITY);
+    spawn("signals", {
+        let sender = sender.clone();
+        move || signals::run(&mut signals, &sender)
+    })?;
+    spawn("config", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || follow::follow_config(&store, &sender)
+    })?;
+    spawn("servers", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || follow::follow_servers(&store, &sender)
+    })?;
+    spawn("accounts", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || follow::follow_accounts(&store, &sender)
+    })?;
+    spawn("instances", {
+        let (store, sender, own) = (store.clone(), sender.clone(), own.clone());
+        move || follow::follow_instances(&store, &sender, &own)
+    })?;
+    let appender = spawn("append", {
+        let store = store.clone();
+        move || append::run(&store, &batches)
+    })?;
+    let desk = BudgetDesk::new(own.incarnation, outbox);
+    let retries = RetryCounter::new(RetryBound {
+        share: settings.retry_share,
+        slack: settings.retry_slack,
+        window: settings.retry_window,
+    });
+    let state = Rc::new(TrafficState::new(
+        PlatformDialect,
+        settings.data_centre.clone(),
+        desk,
+        retries,
+        InstanceDirectory::new(own.clone()),
+    ));
+    let tasks = LocalSet::new();
+    tasks.block_on(
+        &runtime,
+        serve(&settings, state, receiver, metrics, (store, own)),
+    )?;
+    drop(tasks);
+    drop(runtime);
+    // The outbox went with the state: the appender ends with its last record.
+    let _ended = appender.join();
+    log::info!("HS1003 instance stopped");
+    Ok(())
+}
+
+/// Starts a thread that only moves records.
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<thread::JoinHandle<()>> {
+    thread::Builder::new()
+        .name(name.to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(work)
+}
+
+/// Opens the ports and serves until a planned stop is complete.
+async fn serve(
+    settings: &ProcessSettings,
+    state: Rc<FrontState>,
+    mut updates: UpdateReceiver,
+    metrics: PrometheusHandle,
+    (store, own): (StoreClient, InstanceEntry),
+) -> Result<()> {
+    let callers = bind(settings.callers).await?;
+    let readiness = bind(settings.readiness).await?;
+    let directory = bind(settings.directory).await?;
+    let operators = bind(settings.metrics).await?;
+    tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
+    tokio::task::spawn_local(port::serve_calls(
+        readiness,
+        Rc::clone(&state),
+        answer_ready,
+    ));
+    tokio::task::spawn_local(port::serve_calls(
+        directory,
+        Rc::clone(&state),
+        answer_addresses,
+    ));
+    tokio::task::spawn_local(port::serve_calls(
+        operators,
+        Rc::clone(&state),
+        move |_state: &FrontState, request| answer_metrics(&metrics, request),
+    ));
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    while state.stopping().is_none() {
+        tokio::select! {
+            update = updates.recv() => {
+                if let Some(update) = update {
+                    take(&state, update);
+                }
+            }
+            _at = tick.tick() => {
+                state.expire_servers();
+                state.review_budgets();
+            }
+        }
+    }
+    spawn("announce", move || {
+        let leaving = InstanceEntry {
+            leaving: true,
+            ..own
+        };
+        follow::announce(&store, &leaving);
+    })?;
+    stop(settings, &state, &mut updates).await;
+    Ok(())
+}
+
+/// Takes news over, and watches an instance that was not known.
+fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
+    if let TrafficUpdate::Instance(entry) = &update
+        && state.directory.borrow_mut().announce(entry.clone())
+    {
+        let watch = probe::watch(Rc::clone(state), entry.clone(), answers::READINESS_PATH);
+        tokio::task::spawn_local(watch);
+    }
+    state.apply(update);
+}
+
+/// Serves on while callers learn of the stop, then refuses what is new and
+/// waits for what is in progress.
+async fn stop(settings: &ProcessSettings, state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
+    let begun = tokio::time::Instant::now();
+    let limit = begun + settings.stop_limit.mul_f64(STOP_PART);
+    let mut tick = tokio::time::interval(TICK);
+    loop {
+        tokio::select! {
+            update = updates.recv() => {
+                if let Some(update) = update {
+                    take(state, update);
+                }
+            }
+            _at = tick.tick() => state.review_budgets(),
+        }
+        if begun.elapsed() < SERVING_STOP {
+            continue;
+        }
+        if !state.is_closing() {
+            state.close_idle();
+        }
+        let busy = state.in_progress() > 0 || state.connections() > 0;
+        if !busy || tokio::time::Instant::now() >= limit {
+            break;
+        }
+    }
+    state.budgets.give_all_back();
+}
+
+/// Opens a port.
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = port::bind(address).await;
+    listener.map_err(|source| ServeError::Bind { address, source })
+}
+
+/// Answers the readiness check.
+fn answer_ready(state: &FrontState, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != answers::READINESS_PATH {
+        return answer::status_answer(http::StatusCode::NOT_FOUND);
+    }
+    if state.directory.borrow().is_ready() {
+        answer::status_answer(http::StatusCode::OK)
+    } else {
+        answer::status_answer(http::StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+/// Answers a caller that asks which instances to use.
+fn answer_addresses(state: &FrontState, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != answers::DIRECTORY_PATH {
+        return answer::status_answer(http::StatusCode::NOT_FOUND);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let data_centre = answers::caller_data_centre(query);
+    let directory = state.directory.borrow();
+    let addresses = directory.addresses(data_centre.as_ref());
+    let body = answers::addresses_body(&addresses, ADDRESS_LIFETIME);
+    answer::json_answer(body)
+}
+
+/// Answers a call for the metrics.
+fn answer_metrics(metrics: &PrometheusHandle, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != METRICS_PATH {
+        return answer::status_answer(http::StatusCode::NOT_FOUND);
+    }
+    answer::text_answer(metrics.render())
+}
--- a/crates/hibiscus-ledger/src/lib.rs
+++ b/crates/hibiscus-ledger/src/lib.rs
@@ -14,8 +14,12 @@
 //! - [`recovery::LedgerReplay`] starts a reader from a snapshot, and
 //!   [`audit::LedgerAudit`] checks a stream from its records alone.
 //!
+//! [`account`] is the smaller ledger of instances that keep nothing and whose
+//! store carries neither opens nor settlements.
+//!
 //! The crate does no input or output: messages and times are arguments.
 
+pub mod account;
 pub mod audit;
 pub mod fold;
 pub mod holder;
--- a/crates/hibiscus-router/src/config/follow.rs
+++ b/crates/hibiscus-router/src/config/follow.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::fold::FoldError;
 use hibiscus_config::load;
@@ -11,8 +13,6 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_membership::ranking;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::UnixMillis;
 
 use crate::config::cell::AcceptedRecord;
--- a/crates/hibiscus-router/src/config/snapshots.rs
+++ b/crates/hibiscus-router/src/config/snapshots.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::SNAPSHOT_STREAM;
 use hibiscus_config::state;
 use hibiscus_config::state::StateError;
@@ -13,8 +15,6 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_membership::ranking;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
--- a/crates/hibiscus-router/src/context.rs
+++ b/crates/hibiscus-router/src/context.rs
@@ -5,9 +5,9 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use hibiscus_clients::log::HttpLog;
 use hibiscus_events::EventRecorder;
 use hibiscus_peer::PeerLink;
-use hibiscus_platform::log::HttpLog;
 use hibiscus_types::IncarnationId;
 
 use crate::config::ConfigCell;
--- a/crates/hibiscus-router/src/ledger/append.rs
+++ b/crates/hibiscus-router/src/ledger/append.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::LogService;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_ledger::record::LedgerRecord;
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::codec;
 
 use crate::context::SharedContext;
--- a/crates/hibiscus-router/src/ledger/broker.rs
+++ b/crates/hibiscus-router/src/ledger/broker.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::LogRecord;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_ledger::fold::BudgetState;
@@ -18,7 +19,6 @@
 use hibiscus_ledger::shard_of;
 use hibiscus_ledger::sizing::LedgerHeadroom;
 use hibiscus_peer::PeerCall;
-use hibiscus_platform::log::LogRecord;
 use hibiscus_types::BudgetName;
 use hibiscus_types::GrantId;
 use hibiscus_types::RequestKey;
--- a/crates/hibiscus-router/src/ledger/follow.rs
+++ b/crates/hibiscus-router/src/ledger/follow.rs
@@ -4,11 +4,11 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 
 use crate::context::SharedContext;
 use crate::ledger::broker::BrokerMessage;
--- a/crates/hibiscus-router/src/membership/mod.rs
+++ b/crates/hibiscus-router/src/membership/mod.rs
@@ -10,15 +10,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::list::InstanceList;
+use hibiscus_clients::list::ListClient;
+use hibiscus_clients::list::ListedState;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_membership::view::FleetInstance;
 use hibiscus_membership::view::FleetView;
 use hibiscus_membership::view::InstanceHeartbeat;
-use hibiscus_platform::list::InstanceList;
-use hibiscus_platform::list::ListClient;
-use hibiscus_platform::list::ListedState;
 use hibiscus_types::InstanceName;
 use hibiscus_types::UnixMillis;
 
--- a/crates/hibiscus-router/src/ops.rs
+++ b/crates/hibiscus-router/src/ops.rs
@@ -8,6 +8,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use hibiscus_clients::log::HttpLog;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
 use hibiscus_events::EventRecorder;
@@ -15,7 +16,6 @@
 use hibiscus_peer::LinkKeys;
 use hibiscus_peer::LinkOptions;
 use hibiscus_peer::PeerLink;
-use hibiscus_platform::log::HttpLog;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 
--- a/crates/hibiscus-router/src/requests/attempt.rs
+++ b/crates/hibiscus-router/src/requests/attempt.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::engine::CallHeaders;
-use hibiscus_platform::engine::EngineClient;
-use hibiscus_platform::engine::EngineError;
+use hibiscus_clients::engine::CallHeaders;
+use hibiscus_clients::engine::EngineClient;
+use hibiscus_clients::engine::EngineError;
 use hibiscus_request::life::DispatchedRequest;
 use hibiscus_request::life::FailedRequest;
 use hibiscus_request::life::NotBegunEvidence;
--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -5,12 +5,12 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
+use hibiscus_clients::engine::StreamStep;
 use hibiscus_events::EventCode;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::record::SettledEnd;
-use hibiscus_platform::engine::StreamStep;
 use hibiscus_request::life::AdmittedRequest;
 use hibiscus_request::life::OpenedRequest;
 use hibiscus_routing::load::ServerLoad;
@@ -226,7 +226,7 @@
     service: &ServiceName,
     chosen: &ChosenServer,
     progress: &mut AnswerProgress,
-) -> hibiscus_platform::engine::Result<bool> {
+) -> hibiscus_clients::engine::Result<bool> {
     let (client, watched) = attempt::watched_client(context, request);
     let fencing = attempt::fencing_number(context, service);
     let headers = attempt::headers(request, &fencing, progress.tokens());
--- a/crates/hibiscus-router/src/requests/exclusive.rs
+++ b/crates/hibiscus-router/src/requests/exclusive.rs
@@ -10,14 +10,14 @@
 
 use std::time::Duration;
 
+use hibiscus_clients::engine::EngineError;
+use hibiscus_clients::engine::PlainAnswer;
 use hibiscus_events::EventCode;
 use hibiscus_ledger::holder::TokenReservation;
 use hibiscus_ledger::record::RecordedAnswer;
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::shard_of;
-use hibiscus_platform::engine::EngineError;
-use hibiscus_platform::engine::PlainAnswer;
 use hibiscus_request::life::AdmittedRequest;
 use hibiscus_request::life::OpenedRequest;
 use hibiscus_types::RefusalReason;
--- a/crates/hibiscus-router/src/requests/plain.rs
+++ b/crates/hibiscus-router/src/requests/plain.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::SyncSender;
 
+use hibiscus_clients::engine::PlainAnswer;
 use hibiscus_config::entry::RouteEntry;
 use hibiscus_events::EventCode;
 use hibiscus_ledger::holder::TokenReservation;
@@ -11,7 +12,6 @@
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_ledger::record::RequestSettlement;
 use hibiscus_ledger::record::SettledEnd;
-use hibiscus_platform::engine::PlainAnswer;
 use hibiscus_request::life::AdmittedRequest;
 use hibiscus_request::life::OpenedRequest;
 use hibiscus_types::RefusalReason;
@@ -157,7 +157,7 @@
                 Ok(answered) => {
                     let status = answered.status;
                     last_answer = Some(answered);
-                    hibiscus_platform::engine::EngineError::Refused { status }
+                    hibiscus_clients::engine::EngineError::Refused { status }
                 }
                 Err(error) => error,
             };
@@ -211,7 +211,7 @@
     pub(super) fn call(
         &self,
         chosen: &ChosenServer,
-    ) -> hibiscus_platform::engine::Result<PlainAnswer> {
+    ) -> hibiscus_clients::engine::Result<PlainAnswer> {
         open::note(
             self.context,
             EventCode::RequestDispatched,
--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -1,7 +1,7 @@
 //! The answer of one chat completion, as its caller gets it.
 
-use hibiscus_platform::engine::ChatChunk;
-use hibiscus_platform::engine::TokenUsage;
+use hibiscus_clients::engine::ChatChunk;
+use hibiscus_clients::engine::TokenUsage;
 use hibiscus_types::RequestOutcome;
 use hibiscus_types::TokenCount;
 use hyper::Response;
--- a/crates/hibiscus-router/src/servers/mod.rs
+++ b/crates/hibiscus-router/src/servers/mod.rs
@@ -15,8 +15,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
-use hibiscus_platform::list::ListedServer;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::ListedServer;
+use hibiscus_clients::list::ListedState;
 use hibiscus_request::retry::RetryBudget;
 use hibiscus_routing::health::ServerHealth;
 use hibiscus_routing::load::LoadTracker;
--- a/crates/hibiscus-router/src/servers/reports.rs
+++ b/crates/hibiscus-router/src/servers/reports.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::engine::LoadClient;
+use hibiscus_clients::engine::LoadClient;
 use hibiscus_types::ServerName;
 use hibiscus_types::hash::stable_hash;
 
--- a/crates/hibiscus-router/src/servers/suspects.rs
+++ b/crates/hibiscus-router/src/servers/suspects.rs
@@ -17,10 +17,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::engine::EngineError;
+use hibiscus_clients::log::LogService;
 use hibiscus_events::EventCode;
 use hibiscus_events::EventFields;
-use hibiscus_platform::engine::EngineError;
-use hibiscus_platform::log::LogService;
 use hibiscus_request::quarantine::BodyFingerprint;
 use hibiscus_request::quarantine::RequestSuspicion;
 use hibiscus_request::quarantine::ServerDeath;
--- a/crates/hibiscus-router/src/servers/watch.rs
+++ b/crates/hibiscus-router/src/servers/watch.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::engine::CallAbort;
+use hibiscus_clients::engine::CallAbort;
 
 use crate::context::SharedContext;
 use crate::requests::presence::CallerPresence;
--- a/crates/hibiscus-routing/src/lib.rs
+++ b/crates/hibiscus-routing/src/lib.rs
@@ -4,8 +4,10 @@
 //! was sent since ([`load`]). [`health`] keeps requests from servers that
 //! fail, [`affinity`] estimates which server holds a prefix, and a
 //! [`policy::RoutingPolicy`] chooses among the servers that stay.
+//! [`placement`] chooses by the predicted time to the first token.
 
 pub mod affinity;
 pub mod health;
 pub mod load;
+pub mod placement;
 pub mod policy;
--- a/crates/hibiscus-support/src/example.rs
+++ b/crates/hibiscus-support/src/example.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_router::settings::LimitSettings;
 use hibiscus_types::codec;
 
--- a/crates/hibiscus-support/src/list.rs
+++ b/crates/hibiscus-support/src/list.rs
@@ -15,11 +15,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::list::InstanceList;
-use hibiscus_platform::list::ListChanges;
-use hibiscus_platform::list::ListedInstance;
-use hibiscus_platform::list::ListedServer;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::InstanceList;
+use hibiscus_clients::list::ListChanges;
+use hibiscus_clients::list::ListedInstance;
+use hibiscus_clients::list::ListedServer;
+use hibiscus_clients::list::ListedState;
 use hibiscus_types::InstanceName;
 use hibiscus_types::ServerName;
 use rouille::Request;
--- a/crates/hibiscus-support/src/log.rs
+++ b/crates/hibiscus-support/src/log.rs
@@ -14,9 +14,9 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use hibiscus_platform::log::AppendAnswer;
-use hibiscus_platform::log::WirePage;
-use hibiscus_platform::log::WireRecord;
+use hibiscus_clients::log::AppendAnswer;
+use hibiscus_clients::log::WirePage;
+use hibiscus_clients::log::WireRecord;
 use hibiscus_types::UnixMillis;
 use rouille::Request;
 use rouille::Response;
--- a/crates/hibiscus-support/src/plain.rs
+++ b/crates/hibiscus-support/src/plain.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
-use hibiscus_platform::engine::LoadReport;
-use hibiscus_platform::engine::REQUEST_ID_HEADER;
+use hibiscus_clients::engine::LoadReport;
+use hibiscus_clients::engine::REQUEST_ID_HEADER;
 use hibiscus_types::UnixMillis;
 use rouille::Request;
 use rouille::Response;
--- a/crates/hibiscus-support/src/requests.rs
+++ b/crates/hibiscus-support/src/requests.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
@@ -19,8 +21,6 @@
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::record::SettledEnd;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_router::settings::RouterSettings;
 use hibiscus_types::codec;
 use serde_json::Value;
--- /dev/null
+++ b/crates/hibiscus-traffic/src/answer.rs
@@ -0,0 +1,141 @@
+//! Answers that this instance makes itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use crate::dialect::RequestDialect;
+use crate::relay::AnswerBody;
+
+/// Why a request gets an answer of this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OwnReason {
+    /// No configuration is known yet.
+    NoConfig,
+    /// The head cannot be understood.
+    BadRequest,
+    /// The body is longer than allowed.
+    BodyTooLong,
+    /// The caller sent no known key.
+    UnknownKey,
+    /// No route takes the path.
+    UnknownRoute,
+    /// The budget does not cover the request.
+    BudgetSpent,
+    /// The budget may cover the request, but not from what is held here.
+    BudgetUnconfirmed,
+    /// No server of the service can be used.
+    NoServer,
+    /// All servers that were tried refused the request.
+    ServersFull,
+    /// The caller's time ran out before the request was sent.
+    TimeSpent,
+    /// This instance is stopping.
+    Stopping,
+    /// The request was sent and its outcome is not known.
+    Unknown,
+    /// The request was sent and its time ran out.
+    TimedOut,
+}
+
+impl OwnReason {
+    /// The status that tells it. Only reasons before the first byte to a
+    /// server, or after a server's own proof, map to 503.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::UnknownRoute => StatusCode::NOT_FOUND,
+            Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::NoConfig
+            | Self::BudgetUnconfirmed
+            | Self::NoServer
+            | Self::ServersFull
+            | Self::TimeSpent
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// The word for logs, metrics and the answer's body.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_configuration",
+            Self::BadRequest => "bad_request",
+            Self::BodyTooLong => "body_too_long",
+            Self::UnknownKey => "unknown_key",
+            Self::UnknownRoute => "unknown_route",
+            Self::BudgetSpent => "budget_spent",
+            Self::BudgetUnconfirmed => "budget_unconfirmed",
+            Self::NoServer => "no_server",
+            Self::ServersFull => "servers_full",
+            Self::TimeSpent => "time_spent",
+            Self::Stopping => "stopping",
+            Self::Unknown => "outcome_unknown",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    /// When the caller may try again, for refusals that may end.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::NoConfig | Self::BudgetUnconfirmed => Some(Duration::from_millis(500)),
+            Self::NoServer | Self::ServersFull => Some(Duration::from_millis(200)),
+            Self::Stopping => Some(Duration::from_millis(10)),
+            _ => None,
+        }
+    }
+}
+
+/// The answer that tells `reason` for the request `id`.
+pub fn own_answer<D: RequestDialect>(
+    dialect: &D,
+    reason: OwnReason,
+    id: &str,
+) -> Response<AnswerBody> {
+    let body = Bytes::from_static(reason.word().as_bytes());
+    let mut answer = Response::new(AnswerBody::whole(body));
+    *answer.status_mut() = reason.status();
+    let headers = answer.headers_mut();
+    dialect.set_answer_id(id, headers);
+    if let Some(after) = reason.retry_after() {
+        let after = format!("{:.3}", after.as_secs_f64());
+        if let Ok(after) = HeaderValue::from_str(&after) {
+            headers.insert(header::RETRY_AFTER, after);
+        }
+    }
+    if reason == OwnReason::Stopping {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// An answer without a body.
+pub fn status_answer(status: StatusCode) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::Whole(None));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with a JSON body.
+pub fn json_answer(body: Vec<u8>) -> Response<AnswerBody> {
+    typed_answer(Bytes::from(body), "application/json")
+}
+
+/// An answer with a text body.
+pub fn text_answer(body: String) -> Response<AnswerBody> {
+    typed_answer(Bytes::from(body), "text/plain; version=0.0.4")
+}
+
+fn typed_answer(body: Bytes, kind: &'static str) -> Response<AnswerBody> {
+    let mut answer = Response::new(AnswerBody::whole(body));
+    let kind = HeaderValue::from_static(kind);
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -0,0 +1,175 @@
+//! A request on its way at one server, and what it costs.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_types::BudgetName;
+use hibiscus_types::TokenCount;
+
+use crate::budgets::BudgetHandle;
+use crate::connect::ServerLink;
+use crate::relay::RelayFault;
+use crate::servers::ServerHandle;
+use crate::state::CountGuard;
+
+/// A request's reservation. It is settled once, when the last owner is
+/// dropped, by what was noted until then.
+#[derive(Debug)]
+pub struct RequestCharge {
+    budgets: BudgetHandle,
+    budget: BudgetName,
+    hold: TokenHold,
+    prompt: u64,
+    sent: Cell<bool>,
+    delivered: Cell<u64>,
+}
+
+impl RequestCharge {
+    /// The charge of a request with `prompt` tokens that `hold` pays for.
+    pub fn new(budgets: BudgetHandle, budget: BudgetName, hold: TokenHold, prompt: u64) -> Self {
+        Self {
+            budgets,
+            budget,
+            hold,
+            prompt,
+            sent: Cell::new(false),
+            delivered: Cell::new(0),
+        }
+    }
+
+    /// The request went to a server, so its prompt is charged unless it is
+    /// proved that no server ran it.
+    pub fn note_sent(&self, sent: bool) {
+        self.sent.set(sent);
+    }
+
+    /// Output tokens went to the caller.
+    pub fn note_delivered(&self, tokens: u64) {
+        self.delivered.set(self.delivered.get() + tokens);
+    }
+}
+
+impl Drop for RequestCharge {
+    fn drop(&mut self) {
+        let charge = if self.sent.get() {
+            self.prompt + self.delivered.get()
+        } else {
+            0
+        };
+        let charge = TokenCount::new(charge);
+        self.budgets.settle(&self.budget, self.hold, charge);
+    }
+}
+
+/// A request at a server. Dropping it before its answer was whole closes the
+/// connection, which tells the server to stop.
+#[derive(Debug)]
+pub struct ServerFlight {
+    server: Rc<ServerHandle>,
+    link: Option<ServerLink>,
+    unread: Option<u64>,
+}
+
+impl ServerFlight {
+    /// A request sent to `server` over `link`, which reads `unread` tokens.
+    pub fn new(server: Rc<ServerHandle>, link: ServerLink, unread: u64) -> Self {
+        Self {
+            server,
+            link: Some(link),
+            unread: Some(unread),
+        }
+    }
+
+    /// The server.
+    pub fn server(&self) -> &Rc<ServerHandle> {
+        &self.server
+    }
+
+    /// The connection.
+    pub fn link(&mut self) -> Option<&mut ServerLink> {
+        self.link.as_mut()
+    }
+
+    /// The first token came.
+    pub fn note_read(&mut self) {
+        if let Some(unread) = self.unread.take() {
+            self.server.note_read(unread);
+        }
+    }
+
+    /// The answer is whole: keeps the connection, once it has shown that
+    /// nothing follows the answer on it.
+    pub fn keep_link(&mut self) {
+        let Some(mut link) = self.link.take() else {
+            return;
+        };
+        let server = Rc::clone(&self.server);
+        tokio::task::spawn_local(async move {
+            let ready = link.sender().ready();
+            if let Ok(Ok(())) = tokio::time::timeout(LINK_REST, ready).await {
+                server.park(link);
+            }
+        });
+    }
+}
+
+/// Time for a connection to become ready for the next request.
+const LINK_REST: Duration = Duration::from_millis(500);
+
+impl Drop for ServerFlight {
+    fn drop(&mut self) {
+        self.note_read();
+        self.server.note_ended();
+    }
+}
+
+/// Follows an answer that passes to a caller.
+#[derive(Debug)]
+pub struct FlightWatch {
+    /// The request's number, for the log.
+    pub id: String,
+    /// Where it runs.
+    pub flight: ServerFlight,
+    /// What it costs.
+    pub charge: Option<Rc<RequestCharge>>,
+    /// Output tokens in an event.
+    pub tokens_per_event: u64,
+    /// Counts the request until its answer has passed.
+    pub progress: CountGuard,
+}
+
+impl FlightWatch {
+    /// `events` whole events passed.
+    pub fn passed(&mut self, events: u64) {
+        if events == 0 {
+            return;
+        }
+        self.flight.note_read();
+        if let Some(charge) = &self.charge {
+            charge.note_delivered(events * self.tokens_per_event);
+        }
+    }
+
+    /// The answer ended; it was whole unless there is a fault.
+    pub fn ended(&mut self, fault: Option<RelayFault>) {
+        let server = self.flight.server();
+        match fault {
+            None => {
+                server.note_healthy();
+                self.flight.keep_link();
+            }
+            Some(fault) => {
+                if fault == RelayFault::Broken {
+                    server.note_failed();
+                }
+                log::warn!(
+                    "HS4201 answer broken off request={} server={} cause={fault}",
+                    self.id,
+                    server.entry.name
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -0,0 +1,37 @@
+//! The request path of an instance, on one thread.
+//!
+//! A current-thread runtime owns the callers' and the servers' connections.
+//! The parts meet as follows:
+//!
+//! - [`port`] accepts callers' connections and hands each request to
+//!   [`life`], which admits it, places it, forwards it and answers.
+//! - [`servers`] holds the backend servers that [`roster`] knows, with their
+//!   kept connections ([`connect`]); [`relay`] passes an answer's bytes on and
+//!   checks that it is whole.
+//! - [`budgets`] holds the tokens that requests reserve, [`retries`] what may
+//!   be sent twice, [`directory`] which instances callers are told of.
+//! - [`updates`] is the ring by which the other duties' threads tell news;
+//!   everything is decided on this thread, so nothing here is locked.
+//!
+//! How requests are spelled is a [`dialect::RequestDialect`]; the life cycle
+//! knows no protocol beyond HTTP.
+
+pub mod answer;
+pub mod budgets;
+pub mod connect;
+pub mod dialect;
+pub mod directory;
+pub mod flight;
+pub mod life;
+pub mod model;
+pub mod port;
+pub mod probe;
+pub mod relay;
+pub mod retries;
+pub mod roster;
+pub mod send;
+pub mod servers;
+pub mod state;
+pub mod stream;
+pub mod table;
+pub mod updates;
--- /dev/null
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -0,0 +1,459 @@
+//! The life of one request: admitted, reserved, placed, sent, answered.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hibiscus_routing::placement::PartTokens;
+use hibiscus_routing::placement::PlacementCase;
+use hibiscus_types::BudgetName;
+use hibiscus_types::ServerName;
+use hibiscus_types::ServiceName;
+use hibiscus_types::TokenCount;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use crate::answer;
+use crate::answer::OwnReason;
+use crate::budgets::TokenRefusal;
+use crate::dialect::CallerSigns;
+use crate::dialect::RequestDialect;
+use crate::dialect::ServerSigns;
+use crate::flight::FlightWatch;
+use crate::flight::RequestCharge;
+use crate::flight::ServerFlight;
+use crate::model::RouteRule;
+use crate::model::TeamRule;
+use crate::relay::AnswerBody;
+use crate::relay::StreamRelay;
+use crate::send;
+use crate::send::OutgoingRequest;
+use crate::send::SendOutcome;
+use crate::send::ServerAnswer;
+use crate::state::CountGuard;
+use crate::state::TrafficState;
+use crate::table;
+use crate::table::RouteTable;
+
+/// Longest wait for tokens of a budget: a draw takes two store calls.
+const TOKEN_WAIT: Duration = Duration::from_millis(250);
+/// Servers tried for one request while none has run it.
+const TRIES: usize = 4;
+/// Longest answer that is gathered before its head goes out, in bytes.
+const GATHER_LIMIT: usize = 256 * 1024;
+/// Time below which sending to another server is not worth it.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// Result of a step; the reason is the answer.
+type Result<T> = std::result::Result<T, OwnReason>;
+
+/// A request that may be sent.
+#[derive(Debug)]
+struct AdmittedRequest {
+    signs: CallerSigns,
+    table: Rc<RouteTable>,
+    route: Arc<RouteRule>,
+    team: Option<Arc<TeamRule>>,
+    service: ServiceName,
+    method: Method,
+    target: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    /// When it arrived.
+    arrived: Instant,
+    /// When its caller or route has waited long enough.
+    until: Instant,
+}
+
+/// Serves one request; every way out is an answer.
+pub async fn serve<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let progress = state.count_request();
+    let (head, body) = request.into_parts();
+    let signs = match state.dialect.caller_signs(&head.headers) {
+        Ok(signs) => signs,
+        Err(_fault) => return refuse(&state, OwnReason::BadRequest, ""),
+    };
+    let id = signs.id.clone();
+    if state.is_closing() {
+        return refuse(&state, OwnReason::Stopping, &id);
+    }
+    let admitted = match admit(&state, signs, head, body).await {
+        Ok(admitted) => admitted,
+        Err(reason) => return refuse(&state, reason, &id),
+    };
+    let charge = match reserve(&state, &admitted).await {
+        Ok(charge) => charge,
+        Err(reason) => return refuse(&state, reason, &id),
+    };
+    match forward(&state, &admitted, charge).await {
+        Ok(forwarded) => forwarded.into_answer(&admitted, progress),
+        Err(reason) => refuse(&state, reason, &id),
+    }
+}
+
+/// Logs and makes an answer of this instance.
+fn refuse<D: RequestDialect>(
+    state: &TrafficState<D>,
+    reason: OwnReason,
+    id: &str,
+) -> Response<AnswerBody> {
+    log::info!("HS4202 own answer request={id} reason={}", reason.word());
+    metrics::counter!("hibiscus_own_answers_total", "reason" => reason.word()).increment(1);
+    answer::own_answer(&state.dialect, reason, id)
+}
+
+/// Finds route and team and reads the body.
+async fn admit<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    signs: CallerSigns,
+    head: http::request::Parts,
+    body: Incoming,
+) -> Result<AdmittedRequest> {
+    let arrived = Instant::now();
+    let table = state.table().ok_or(OwnReason::NoConfig)?;
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let framed_twice = head.headers.contains_key(header::TRANSFER_ENCODING)
+        && head.headers.contains_key(header::CONTENT_LENGTH);
+    if framed_twice {
+        return Err(OwnReason::BadRequest);
+    }
+    let route = table.route(host, head.uri.path());
+    let route = Arc::clone(route.ok_or(OwnReason::UnknownRoute)?);
+    let team = signs.key.as_deref().and_then(|key| table.team(key));
+    let team = team.map(Arc::clone);
+    if table.config().needs_key && !route.anonymous && team.is_none() {
+        return Err(OwnReason::UnknownKey);
+    }
+    let pick = fastrand::u32(..);
+    let service = table::service_of(&route, pick).ok_or(OwnReason::NoServer)?;
+    let service = service.clone();
+    let wait = signs.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + wait;
+    let body = read_body(body, table.config().limits.body_bytes, until).await?;
+    let mut headers = head.headers;
+    send::strip_connection_headers(&mut headers);
+    state.dialect.strip_own(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    Ok(AdmittedRequest {
+        signs,
+        table,
+        route,
+        team,
+        service,
+        method: head.method,
+        target: head.uri,
+        headers,
+        body,
+        arrived,
+        until,
+    })
+}
+
+/// Reads a body of at most `limit` bytes.
+async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let wait = until.saturating_duration_since(Instant::now());
+    let gathered = tokio::time::timeout(wait, Limited::new(body, limit).collect()).await;
+    match gathered {
+        Ok(Ok(gathered)) => Ok(gathered.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(OwnReason::BodyTooLong)
+        }
+        Ok(Err(_broken)) => Err(OwnReason::BadRequest),
+        Err(_elapsed) => Err(OwnReason::TimeSpent),
+    }
+}
+
+/// Sets aside the most that the request may cost.
+async fn reserve<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+) -> Result<Option<Rc<RequestCharge>>> {
+    let Some(team) = &admitted.team else {
+        return Ok(None);
+    };
+    let most = admitted.signs.prompt_tokens + admitted.signs.output_tokens;
+    if team.prepaid.is_none() || most == 0 {
+        return Ok(None);
+    }
+    let budget = BudgetName::new(team.name.as_str());
+    let tokens = TokenCount::new(most);
+    let until = admitted.until.min(Instant::now() + TOKEN_WAIT);
+    let mut want = None;
+    loop {
+        let hold = state.budgets.reserve(&budget, tokens);
+        if let Some(hold) = hold {
+            let prompt = admitted.signs.prompt_tokens;
+            let budgets = state.budgets.clone();
+            let charge = RequestCharge::new(budgets, budget, hold, prompt);
+            return Ok(Some(Rc::new(charge)));
+        }
+        if want.is_none() {
+            want = Some(state.budgets.want(&budget, tokens));
+            state.review_budgets();
+        }
+        let Some(want) = &want else {
+            return Err(OwnReason::BudgetUnconfirmed);
+        };
+        match state.budgets.refusal(&budget, tokens) {
+            Some(TokenRefusal::Spent) => return Err(OwnReason::BudgetSpent),
+            Some(TokenRefusal::Unconfirmed) => return Err(OwnReason::BudgetUnconfirmed),
+            None => {}
+        }
+        let wait = until.saturating_duration_since(Instant::now());
+        if tokio::time::timeout(wait, want.changed()).await.is_err() {
+            return Err(OwnReason::BudgetUnconfirmed);
+        }
+    }
+}
+
+/// Sends the request until a server answers or nothing more may be tried.
+async fn forward<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+    charge: Option<Rc<RequestCharge>>,
+) -> Result<ForwardedAnswer> {
+    let parts = shared_parts(&admitted.signs);
+    let mut tried: Vec<ServerName> = Vec::new();
+    let mut runs = 0;
+    let mut last = OwnReason::NoServer;
+    state
+        .retries
+        .borrow_mut()
+        .count_request(&admitted.service, state.now());
+    while tried.len() < TRIES {
+        let left = admitted.until.saturating_duration_since(Instant::now());
+        if left < LEAST_TIME {
+            return Err(if runs > 0 {
+                OwnReason::TimedOut
+            } else {
+                OwnReason::TimeSpent
+            });
+        }
+        let others = state.directory.borrow().live().saturating_sub(1);
+        let case = PlacementCase {
+            shared: &parts.0,
+            own_tokens: parts.1,
+            now: state.now(),
+        };
+        let chosen = state.servers.borrow().choose(
+            &admitted.service,
+            &tried,
+            &state.data_centre,
+            others,
+            &case,
+        );
+        let Some(chosen) = chosen else {
+            return Err(last);
+        };
+        let name = chosen.server.entry.name.clone();
+        tried.push(name.clone());
+        let mut headers = admitted.headers.clone();
+        let signs = ServerSigns {
+            server: &name,
+            team: admitted.team.as_ref().map(|team| &team.name),
+            time_left: left,
+            urgency: urgency(admitted),
+            resume_after: None,
+        };
+        state.dialect.set_server_signs(&signs, &mut headers);
+        let outgoing = OutgoingRequest {
+            method: &admitted.method,
+            target: &admitted.target,
+            headers: &headers,
+            body: &admitted.body,
+            id: &admitted.signs.id,
+            until: admitted.until,
+        };
+        chosen
+            .server
+            .note_sent(&parts.0, chosen.unread, state.now());
+        if let Some(charge) = &charge {
+            charge.note_sent(true);
+        }
+        log::debug!(
+            "HS4203 request sent request={} server={name}",
+            admitted.signs.id
+        );
+        let outcome = send::send(&state.dialect, &chosen, &outgoing).await;
+        let retry = match outcome {
+            SendOutcome::Answered(answer) => {
+                match take_answer(admitted, *answer, charge.as_ref()).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(cause) => {
+                        runs += 1;
+                        last = OwnReason::Unknown;
+                        log_failure(admitted, &name, cause);
+                        may_run_again(admitted, runs)
+                    }
+                }
+            }
+            SendOutcome::NotSent(fault) => {
+                log::info!(
+                    "HS4204 server not reached request={} server={name} cause={fault:?}",
+                    admitted.signs.id
+                );
+                if runs == 0 {
+                    last = OwnReason::NoServer;
+                    unsend(charge.as_ref());
+                }
+                // Nothing arrived at the server, so this is no retry there.
+                continue;
+            }
+            SendOutcome::NotRun(status) => {
+                log::info!(
+                    "HS4205 server refused request={} server={name} status={status}",
+                    admitted.signs.id
+                );
+                if runs == 0 {
+                    last = OwnReason::ServersFull;
+                    unsend(charge.as_ref());
+                }
+                true
+            }
+            SendOutcome::Unknown(cause) => {
+                runs += 1;
+                last = OwnReason::Unknown;
+                log_failure(admitted, &name, cause);
+                may_run_again(admitted, runs)
+            }
+            SendOutcome::TimedOut => return Err(OwnReason::TimedOut),
+        };
+        let instances = state.directory.borrow().live();
+        let granted = retry
+            && state
+                .retries
+                .borrow_mut()
+                .take_retry(&admitted.service, instances, state.now());
+        if !granted {
+            return Err(last);
+        }
+    }
+    Err(last)
+}
+
+/// Whether another server may run the request after `runs` may have.
+fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
+    admitted.route.kind.is_repeatable() && runs < admitted.route.attempts
+}
+
+/// It is proved that no server ran the request.
+fn unsend(charge: Option<&Rc<RequestCharge>>) {
+    if let Some(charge) = charge {
+        charge.note_sent(false);
+    }
+}
+
+/// Logs a failure after which the outcome is not known.
+fn log_failure(admitted: &AdmittedRequest, server: &ServerName, cause: &str) {
+    log::warn!(
+        "HS4206 server failed request={} server={server} cause={cause} after_ms={}",
+        admitted.signs.id,
+        admitted.arrived.elapsed().as_millis()
+    );
+}
+
+/// An answer that may go to the caller.
+enum ForwardedAnswer {
+    /// All of it is here.
+    Whole(Response<Bytes>),
+    /// A stream that has begun.
+    Stream {
+        head: http::response::Parts,
+        body: Incoming,
+        flight: ServerFlight,
+        charge: Option<Rc<RequestCharge>>,
+    },
+}
+
+impl ForwardedAnswer {
+    /// The caller's answer; a stream counts as in progress until it has passed.
+    fn into_answer(self, admitted: &AdmittedRequest, progress: CountGuard) -> Response<AnswerBody> {
+        let (head, body, flight, charge) = match self {
+            Self::Whole(answer) => return answer.map(AnswerBody::whole),
+            Self::Stream {
+                head,
+                body,
+                flight,
+                charge,
+            } => (head, body, flight, charge),
+        };
+        let engine = admitted.table.engine(&admitted.service);
+        let watch = FlightWatch {
+            id: admitted.signs.id.clone(),
+            flight,
+            charge,
+            tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
+            progress,
+        };
+        let deadline = tokio::time::sleep_until(admitted.until.into());
+        let relay = StreamRelay::new(body, admitted.signs.resume_after, deadline, watch);
+        Response::from_parts(head, AnswerBody::Stream(Box::new(relay)))
+    }
+}
+
+/// Takes a server's answer over: a stream passes as it comes, any other body
+/// is gathered first, so that a broken one is never begun.
+async fn take_answer(
+    admitted: &AdmittedRequest,
+    answer: ServerAnswer,
+    charge: Option<&Rc<RequestCharge>>,
+) -> std::result::Result<ForwardedAnswer, &'static str> {
+    let (mut head, body) = answer.answer.into_parts();
+    send::strip_connection_headers(&mut head.headers);
+    let mut flight = answer.flight;
+    if admitted.route.kind.is_stream() && head.status.is_success() {
+        return Ok(ForwardedAnswer::Stream {
+            head,
+            body,
+            flight,
+            charge: charge.map(Rc::clone),
+        });
+    }
+    let wait = admitted.until.saturating_duration_since(Instant::now());
+    let gathered = Limited::new(body, GATHER_LIMIT).collect();
+    let gathered = tokio::time::timeout(wait, gathered).await;
+    let Ok(Ok(gathered)) = gathered else {
+        flight.server().note_failed();
+        return Err("the answer broke off");
+    };
+    if head.status.is_server_error() && may_run_again(admitted, 1) {
+        flight.keep_link();
+        return Err("the server answered with a failure");
+    }
+    flight.note_read();
+    flight.server().note_healthy();
+    flight.keep_link();
+    let answer = Response::from_parts(head, gathered.to_bytes());
+    Ok(ForwardedAnswer::Whole(answer))
+}
+
+/// The team's priority goes before the route's.
+fn urgency(admitted: &AdmittedRequest) -> u8 {
+    let team = admitted.team.as_ref().and_then(|team| team.priority);
+    team.unwrap_or(admitted.route.priority)
+}
+
+/// The parts of a prompt that other requests may share, and the rest's tokens.
+fn shared_parts(signs: &CallerSigns) -> (Vec<PartTokens>, u64) {
+    let Some((own, shared)) = signs.parts.split_last() else {
+        return (Vec::new(), signs.prompt_tokens);
+    };
+    let shared = shared.iter().map(|part| (part.id, part.tokens)).collect();
+    (shared, own.tokens)
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -0,0 +1,117 @@
+//! Ports of the traffic thread.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::connect;
+use crate::dialect::RequestDialect;
+use crate::life;
+use crate::relay::AnswerBody;
+use crate::state::TrafficState;
+
+/// Time for a head while no configuration is known.
+const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
+/// Least size of a connection's buffer, as the HTTP library requires.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// Pause after a failure to accept, such as running out of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a port.
+///
+/// # Errors
+///
+/// Fails when the address is in use or not this machine's.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts callers' connections for as long as the runtime runs.
+pub async fn serve_callers<D: RequestDialect>(listener: TcpListener, state: Rc<TrafficState<D>>) {
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let state = Rc::clone(&state);
+        tokio::task::spawn_local(serve_caller(stream, state));
+    }
+}
+
+/// Answers calls about this instance with `answer`.
+pub async fn serve_calls<D, F>(listener: TcpListener, state: Rc<TrafficState<D>>, answer: F)
+where
+    D: RequestDialect,
+    F: Fn(&TrafficState<D>, &Request<Incoming>) -> Response<AnswerBody> + Clone + 'static,
+{
+    loop {
+        let Some(stream) = accept(&listener).await else {
+            continue;
+        };
+        let state = Rc::clone(&state);
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let answer = answer(&state, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // A connection that fails has no request to answer.
+            let _ended = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(FIRST_IDLE_LIMIT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// The next connection.
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _caller)) => {
+            connect::set_options(&stream);
+            Some(stream)
+        }
+        Err(error) => {
+            log::warn!("HS1102 connection not accepted cause={error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+/// Serves the requests of one connection.
+async fn serve_caller<D: RequestDialect>(stream: TcpStream, state: Rc<TrafficState<D>>) {
+    let _counted = state.count_connection();
+    let limits = state.table().map(|table| table.config().limits);
+    let idle = limits.map_or(FIRST_IDLE_LIMIT, |limits| limits.idle_timeout);
+    let buffer = limits.map_or(LEAST_BUFFER, |limits| limits.header_bytes);
+    let service = service_fn(|request: Request<Incoming>| {
+        let state = Rc::clone(&state);
+        async move { Ok::<_, Infallible>(life::serve(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(buffer.max(LEAST_BUFFER) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // The end of a connection shows at its requests, whose tasks it drops.
+    tokio::select! {
+        _ended = connection.as_mut() => return,
+        () = state.closing() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ended = connection.await;
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -0,0 +1,71 @@
+//! Asks other instances whether they serve, faster than the store tells.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+
+use crate::connect::ServerLink;
+use crate::dialect::RequestDialect;
+use crate::model::InstanceEntry;
+use crate::state::TrafficState;
+use crate::updates::TrafficUpdate;
+
+/// Time between two questions: callers are told of a death within a second.
+const INTERVAL: Duration = Duration::from_millis(400);
+/// Time for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+
+/// Asks the process that announced `entry` at `path` until it is replaced by
+/// another or has stopped.
+pub async fn watch<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    entry: InstanceEntry,
+    path: &'static str,
+) {
+    let mut link = None;
+    let mut last = None;
+    while state.directory.borrow().knows(&entry) {
+        let asked = ask(&mut link, &entry, path);
+        let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
+        let serves = matches!(answer, Ok(Some(StatusCode::OK)));
+        if !matches!(answer, Ok(Some(_))) {
+            link = None;
+        }
+        if last != Some(serves) {
+            log::info!(
+                "HS1103 instance watched instance={} serves={serves}",
+                entry.name
+            );
+            last = Some(serves);
+        }
+        state.apply(TrafficUpdate::Reachable(entry.clone(), serves));
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// One question over the kept connection, or over a new one.
+async fn ask(
+    link: &mut Option<ServerLink>,
+    entry: &InstanceEntry,
+    path: &'static str,
+) -> Option<StatusCode> {
+    if link.as_ref().is_none_or(|link| !link.is_usable()) {
+        *link = ServerLink::open(entry.readiness).await.ok();
+    }
+    let sender = link.as_mut()?.sender();
+    sender.ready().await.ok()?;
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(path);
+    let host = http::HeaderValue::from_str(&entry.readiness.to_string()).ok()?;
+    request.headers_mut().insert(http::header::HOST, host);
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status();
+    answer.into_body().collect().await.ok()?;
+    Some(status)
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/relay.rs
@@ -0,0 +1,154 @@
+//! Bodies of answers: whole ones, and streams that pass as they arrive.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+
+use crate::flight::FlightWatch;
+use crate::stream::EventFollower;
+
+/// The answer breaks off: the caller must see that it is not whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RelayFault {
+    /// The server broke off.
+    Broken,
+    /// An event's number does not follow the one before.
+    Disordered,
+    /// The request's time ran out.
+    TimedOut,
+}
+
+impl fmt::Display for RelayFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Broken => "the server broke the answer off",
+            Self::Disordered => "an event is missing or came twice",
+            Self::TimedOut => "the request's time ran out",
+        })
+    }
+}
+
+impl std::error::Error for RelayFault {}
+
+/// A stream on its way from a server to a caller. Dropping it before its end
+/// drops the server's connection.
+pub struct StreamRelay {
+    body: Incoming,
+    follower: EventFollower,
+    deadline: Pin<Box<Sleep>>,
+    watcher: FlightWatch,
+    ended: bool,
+}
+
+impl StreamRelay {
+    /// Relays `body`, whose last event before it was `after`, until
+    /// `deadline`.
+    pub fn new(body: Incoming, after: Option<u64>, deadline: Sleep, watcher: FlightWatch) -> Self {
+        Self {
+            body,
+            follower: EventFollower::after(after),
+            deadline: Box::pin(deadline),
+            watcher,
+            ended: false,
+        }
+    }
+
+    fn end(&mut self, fault: Option<RelayFault>) {
+        if !self.ended {
+            self.ended = true;
+            self.watcher.ended(fault);
+        }
+    }
+
+    fn fail(&mut self, fault: RelayFault) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
+        self.end(Some(fault));
+        Poll::Ready(Some(Err(fault)))
+    }
+
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
+        let frame = match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(frame) => frame,
+            Poll::Pending => {
+                if self.deadline.as_mut().poll(context).is_ready() {
+                    return self.fail(RelayFault::TimedOut);
+                }
+                return Poll::Pending;
+            }
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                let Some(data) = frame.data_ref() else {
+                    return Poll::Ready(Some(Ok(frame)));
+                };
+                let events = self.follower.take(data);
+                if self.follower.is_disordered() {
+                    return self.fail(RelayFault::Disordered);
+                }
+                self.watcher.passed(events);
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(_broken)) => self.fail(RelayFault::Broken),
+            None if self.follower.is_at_boundary() => {
+                self.end(None);
+                Poll::Ready(None)
+            }
+            None => self.fail(RelayFault::Broken),
+        }
+    }
+}
+
+/// The body of an answer to a caller.
+pub enum AnswerBody {
+    /// All bytes are there.
+    Whole(Option<Bytes>),
+    /// A stream.
+    Stream(Box<StreamRelay>),
+}
+
+impl AnswerBody {
+    /// A body of `bytes`.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = RelayFault;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(relay) => relay.poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                let length = bytes.as_ref().map_or(0, Bytes::len);
+                SizeHint::with_exact(u64::try_from(length).unwrap_or(u64::MAX))
+            }
+            Self::Stream(_relay) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -0,0 +1,229 @@
+//! Sends a request to one server and reads the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+
+use crate::connect::ConnectFault;
+use crate::connect::ServerLink;
+use crate::dialect::AnswerSigns;
+use crate::dialect::RequestDialect;
+use crate::flight::ServerFlight;
+use crate::servers::ChosenServer;
+use crate::servers::ServerHandle;
+
+/// Time for a kept connection to take a request.
+const READY_LIMIT: Duration = Duration::from_millis(200);
+
+/// What a server said first.
+#[derive(Debug)]
+pub struct ServerAnswer {
+    /// Head and body.
+    pub answer: Response<Incoming>,
+    /// What the head says.
+    pub signs: AnswerSigns,
+    /// The request at the server.
+    pub flight: ServerFlight,
+}
+
+/// How sending ended.
+#[derive(Debug)]
+pub enum SendOutcome {
+    /// The server answered for itself; it may have run the request.
+    Answered(Box<ServerAnswer>),
+    /// No byte of the request reached a server.
+    NotSent(ConnectFault),
+    /// The server proved that it did not run the request.
+    NotRun(StatusCode),
+    /// The request was sent; whether it ran is not known.
+    Unknown(&'static str),
+    /// The time ran out after the request was sent.
+    TimedOut,
+}
+
+/// A request as it goes to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct OutgoingRequest<'a> {
+    /// The caller's method.
+    pub method: &'a http::Method,
+    /// The caller's path and query.
+    pub target: &'a http::Uri,
+    /// The headers, those for this server included.
+    pub headers: &'a HeaderMap,
+    /// The caller's body.
+    pub body: &'a Bytes,
+    /// The attempt's number, which the answer must bear.
+    pub id: &'a str,
+    /// When waiting for the head of the answer ends.
+    pub until: Instant,
+}
+
+/// Sends `outgoing` to the chosen server.
+pub async fn send<D: RequestDialect>(
+    dialect: &D,
+    chosen: &ChosenServer,
+    outgoing: &OutgoingRequest<'_>,
+) -> SendOutcome {
+    let server = &chosen.server;
+    let link = match obtain_link(server).await {
+        Ok(link) => link,
+        Err(fault) => {
+            server.note_failed();
+            return SendOutcome::NotSent(fault);
+        }
+    };
+    let mut flight = ServerFlight::new(Rc::clone(server), link, chosen.unread);
+    let Some(link) = flight.link() else {
+        return SendOutcome::NotSent(ConnectFault::Refused);
+    };
+    let wait = outgoing.until.saturating_duration_since(Instant::now());
+    let exchange = exchange(link.sender(), outgoing);
+    let answer = match tokio::time::timeout(wait, exchange).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(Exchange::NotSent)) => return SendOutcome::NotSent(ConnectFault::Refused),
+        Ok(Err(Exchange::Unknown)) => {
+            server.note_failed();
+            return SendOutcome::Unknown("the server broke the connection");
+        }
+        Err(_elapsed) => {
+            server.note_failed();
+            return SendOutcome::TimedOut;
+        }
+    };
+    let signs = dialect.answer_signs(answer.headers());
+    judge(answer, signs, flight, outgoing.id)
+}
+
+/// Decides what the head of an answer proves.
+fn judge(
+    answer: Response<Incoming>,
+    signs: AnswerSigns,
+    mut flight: ServerFlight,
+    id: &str,
+) -> SendOutcome {
+    let server = Rc::clone(flight.server());
+    if let Some(load) = &signs.load {
+        server.note_load(load);
+    }
+    let status = answer.status();
+    let other = signs.id.as_ref().is_some_and(|answered| answered != id);
+    if other {
+        server.note_nothing();
+        return SendOutcome::Unknown("the answer is for another request");
+    }
+    if signs.not_run || status == StatusCode::MISDIRECTED_REQUEST {
+        server.note_nothing();
+        return SendOutcome::NotRun(status);
+    }
+    if status.is_success() && (!signs.signed || (signs.id.is_none() && !id.is_empty())) {
+        server.note_failed();
+        return SendOutcome::Unknown("the answer is not signed");
+    }
+    if promises_not_run(status) {
+        // Only the server's own proof makes such a status true.
+        server.note_failed();
+        return SendOutcome::Unknown("the server refused without proof");
+    }
+    if let Some(limit) = idle_limit(answer.headers())
+        && let Some(link) = flight.link()
+    {
+        link.set_idle_limit(limit);
+    }
+    SendOutcome::Answered(Box::new(ServerAnswer {
+        answer,
+        signs,
+        flight,
+    }))
+}
+
+/// Whether callers take `status` for a promise that the request did not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// How sending on one connection failed.
+enum Exchange {
+    NotSent,
+    Unknown,
+}
+
+/// Sends on a connection; a request that never left it is not sent.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    outgoing: &OutgoingRequest<'_>,
+) -> Result<Response<Incoming>, Exchange> {
+    let ready = tokio::time::timeout(READY_LIMIT, sender.ready()).await;
+    if !matches!(ready, Ok(Ok(()))) {
+        return Err(Exchange::NotSent);
+    }
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.target.clone();
+    *request.headers_mut() = outgoing.headers.clone();
+    match sender.try_send_request(request).await {
+        Ok(answer) => Ok(answer),
+        Err(mut error) => match error.take_message() {
+            Some(_unsent) => Err(Exchange::NotSent),
+            None => Err(Exchange::Unknown),
+        },
+    }
+}
+
+/// A kept connection, or a new one.
+async fn obtain_link(server: &Rc<ServerHandle>) -> Result<ServerLink, ConnectFault> {
+    if let Some(link) = server.take_idle() {
+        return Ok(link);
+    }
+    ServerLink::open(server.entry.address).await
+}
+
+/// How long the server keeps the connection idle.
+fn idle_limit(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut fields = value.split(',');
+    let seconds = fields.find_map(|field| field.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
+
+/// Removes the headers that concern one connection, and those that name them.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named = headers.get_all(header::CONNECTION);
+    let named: Vec<String> = named
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in [
+        header::CONNECTION,
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        header::EXPECT,
+    ] {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -0,0 +1,239 @@
+//! Backend servers as the request path uses them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hibiscus_routing::health::ServerHealth;
+use hibiscus_routing::load::LoadTracker;
+use hibiscus_routing::placement;
+use hibiscus_routing::placement::PartTokens;
+use hibiscus_routing::placement::PlacementCase;
+use hibiscus_routing::placement::PlacementView;
+use hibiscus_routing::placement::PrefillBook;
+use hibiscus_types::DataCentre;
+use hibiscus_types::ServerName;
+use hibiscus_types::ServiceName;
+
+use crate::connect::ServerLink;
+use crate::model::ServerEntry;
+use crate::model::ServerLoadReport;
+use crate::model::ServerPhase;
+use crate::roster::RosterChange;
+
+/// Idle connections kept to one server.
+const IDLE_LINKS: usize = 16;
+
+/// One server and what is known of it.
+#[derive(Debug)]
+pub struct ServerHandle {
+    /// Its own description.
+    pub entry: ServerEntry,
+    gone: Cell<bool>,
+    load: RefCell<LoadTracker>,
+    waiting: Cell<u32>,
+    health: RefCell<ServerHealth>,
+    book: RefCell<PrefillBook>,
+    idle: RefCell<Vec<ServerLink>>,
+}
+
+impl ServerHandle {
+    fn new(entry: ServerEntry) -> Self {
+        Self {
+            entry,
+            gone: Cell::new(false),
+            load: RefCell::default(),
+            waiting: Cell::new(0),
+            health: RefCell::default(),
+            book: RefCell::default(),
+            idle: RefCell::default(),
+        }
+    }
+
+    /// Whether new requests may go there.
+    pub fn is_serving(&self) -> bool {
+        !self.gone.get() && self.entry.phase == ServerPhase::Serving
+    }
+
+    /// An idle connection, the one used last first.
+    pub fn take_idle(&self) -> Option<ServerLink> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(link) = idle.pop() {
+            if link.is_usable() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for later requests.
+    pub fn park(&self, mut link: ServerLink) {
+        if !self.is_serving() {
+            return;
+        }
+        link.park();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(ServerLink::is_usable);
+        if idle.len() < IDLE_LINKS {
+            idle.push(link);
+        }
+    }
+
+    /// Counts a request sent there.
+    pub fn note_sent(&self, parts: &[PartTokens], unread: u64, now: Duration) {
+        self.load.borrow_mut().note_sent(Instant::now());
+        self.health.borrow_mut().note_sent();
+        self.book.borrow_mut().note_sent(parts, unread, now);
+    }
+
+    /// Its first answer bytes came, so its prompt has been read.
+    pub fn note_read(&self, unread: u64) {
+        self.book.borrow_mut().note_read(unread);
+    }
+
+    /// Counts the end of a request.
+    pub fn note_ended(&self) {
+        self.load.borrow_mut().note_ended(Instant::now());
+    }
+
+    /// The server answered properly.
+    pub fn note_healthy(&self) {
+        self.health.borrow_mut().note_answered();
+    }
+
+    /// The server failed a request.
+    pub fn note_failed(&self) {
+        self.health.borrow_mut().note_failed(Instant::now());
+    }
+
+    /// A request showed nothing of the server's health.
+    pub fn note_nothing(&self) {
+        self.health.borrow_mut().note_nothing();
+    }
+
+    /// Takes a load report over.
+    pub fn note_load(&self, report: &ServerLoadReport) {
+        let load = report.running.saturating_add(report.waiting);
+        self.load.borrow_mut().take_report(load, Instant::now());
+        self.waiting.set(report.waiting);
+    }
+}
+
+/// Where a request goes.
+#[derive(Debug)]
+pub struct ChosenServer {
+    /// The server.
+    pub server: Rc<ServerHandle>,
+    /// Prompt tokens that it has to read.
+    pub unread: u64,
+}
+
+/// All servers, by service.
+#[derive(Debug, Default)]
+pub struct ServerPool {
+    by_name: HashMap<ServerName, Rc<ServerHandle>>,
+    by_service: HashMap<ServiceName, Vec<Rc<ServerHandle>>>,
+}
+
+impl ServerPool {
+    /// Takes a change of the roster over.
+    pub fn apply(&mut self, change: RosterChange) {
+        match change {
+            RosterChange::Present(entry) => self.put(entry),
+            RosterChange::Gone(name) => self.remove(&name),
+        }
+    }
+
+    /// Whether `service` has a server that takes requests.
+    pub fn has_any(&self, service: &ServiceName) -> bool {
+        let servers = self.by_service.get(service);
+        servers.is_some_and(|servers| servers.iter().any(|server| server.is_serving()))
+    }
+
+    /// Servers of all services.
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    /// Whether there are no servers.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Chooses a server of `service` that is not among `tried`. Servers that
+    /// failed lately are used only when there is no other.
+    pub fn choose(
+        &self,
+        service: &ServiceName,
+        tried: &[ServerName],
+        data_centre: &DataCentre,
+        others: u32,
+        case: &PlacementCase<'_>,
+    ) -> Option<ChosenServer> {
+        let now = Instant::now();
+        let servers = self.by_service.get(service)?;
+        let mut usable = Vec::with_capacity(servers.len());
+        for server in servers {
+            if server.is_serving() && !tried.contains(&server.entry.name) {
+                usable.push(server);
+            }
+        }
+        let healthy = |server: &&Rc<ServerHandle>| server.health.borrow().is_usable(now);
+        if usable.iter().any(healthy) {
+            usable.retain(healthy);
+        }
+        let books: Vec<_> = usable.iter().map(|server| server.book.borrow()).collect();
+        let mut views = Vec::with_capacity(usable.len());
+        for (server, book) in usable.iter().zip(&books) {
+            views.push(PlacementView {
+                name: server.entry.name.as_str(),
+                book,
+                expected: server.load.borrow().expected(now, others),
+                waiting: server.waiting.get(),
+                slots: server.entry.slots,
+                remote: server.entry.data_centre != *data_centre,
+            });
+        }
+        let (index, unread) = placement::choose(&views, case)?;
+        Some(ChosenServer {
+            server: Rc::clone(usable[index]),
+            unread,
+        })
+    }
+
+    fn put(&mut self, entry: ServerEntry) {
+        let held = self.by_name.get(&entry.name);
+        let same = held.is_some_and(|held| {
+            held.entry.address == entry.address
+                && held.entry.started == entry.started
+                && held.entry.service == entry.service
+                && held.entry.phase == entry.phase
+        });
+        if same {
+            return;
+        }
+        self.remove(&entry.name);
+        let server = Rc::new(ServerHandle::new(entry));
+        let name = server.entry.name.clone();
+        let service = server.entry.service.clone();
+        self.by_service
+            .entry(service)
+            .or_default()
+            .push(Rc::clone(&server));
+        self.by_name.insert(name, server);
+    }
+
+    fn remove(&mut self, name: &ServerName) {
+        let Some(server) = self.by_name.remove(name) else {
+            return;
+        };
+        server.gone.set(true);
+        server.idle.borrow_mut().clear();
+        if let Some(servers) = self.by_service.get_mut(&server.entry.service) {
+            servers.retain(|held| held.entry.name != *name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -0,0 +1,240 @@
+//! What the tasks of the traffic thread share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hibiscus_types::DataCentre;
+use tokio::sync::Notify;
+
+use crate::budgets::BudgetDesk;
+use crate::budgets::BudgetHandle;
+use crate::dialect::RequestDialect;
+use crate::directory::InstanceDirectory;
+use crate::retries::RetryCounter;
+use crate::roster::RosterChange;
+use crate::roster::ServerRoster;
+use crate::servers::ServerPool;
+use crate::table::RouteTable;
+use crate::updates::TrafficUpdate;
+
+/// State of the request path. Tasks of one thread share it; no borrow is held
+/// over an await.
+pub struct TrafficState<D> {
+    /// How requests are spelled.
+    pub dialect: D,
+    /// Where this instance is.
+    pub data_centre: DataCentre,
+    /// The budgets.
+    pub budgets: BudgetHandle,
+    /// The retries.
+    pub retries: RefCell<RetryCounter>,
+    /// The instances.
+    pub directory: RefCell<InstanceDirectory>,
+    /// The servers.
+    pub servers: RefCell<ServerPool>,
+    roster: RefCell<ServerRoster>,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    in_progress: Rc<Cell<usize>>,
+    connections: Rc<Cell<usize>>,
+    stopping: Cell<Option<Instant>>,
+    closing: Cell<bool>,
+    close: Notify,
+    started: Instant,
+}
+
+impl<D: RequestDialect> TrafficState<D> {
+    /// State before any news.
+    pub fn new(
+        dialect: D,
+        data_centre: DataCentre,
+        budgets: BudgetDesk,
+        retries: RetryCounter,
+        directory: InstanceDirectory,
+    ) -> Self {
+        Self {
+            dialect,
+            data_centre,
+            budgets: BudgetHandle::new(budgets),
+            retries: RefCell::new(retries),
+            directory: RefCell::new(directory),
+            servers: RefCell::default(),
+            roster: RefCell::default(),
+            table: RefCell::default(),
+            in_progress: Rc::default(),
+            connections: Rc::default(),
+            stopping: Cell::new(None),
+            closing: Cell::new(false),
+            close: Notify::new(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Time of the steady clock since the start.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// When the planned stop began.
+    pub fn stopping(&self) -> Option<Instant> {
+        self.stopping.get()
+    }
+
+    /// Closes callers' connections as soon as they are idle.
+    pub fn close_idle(&self) {
+        self.closing.set(true);
+        self.close.notify_waiters();
+    }
+
+    /// Waits for [`Self::close_idle`].
+    pub async fn closing(&self) {
+        if !self.closing.get() {
+            self.close.notified().await;
+        }
+    }
+
+    /// Whether new requests are refused because of a planned stop.
+    pub fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.get()
+    }
+
+    /// Callers' connections.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Counts a request until the returned guard is dropped.
+    pub fn count_request(&self) -> CountGuard {
+        CountGuard::new(&self.in_progress)
+    }
+
+    /// Counts a caller's connection until the returned guard is dropped.
+    pub fn count_connection(&self) -> CountGuard {
+        CountGuard::new(&self.connections)
+    }
+
+    /// Takes a piece of news over.
+    pub fn apply(&self, update: TrafficUpdate) {
+        match update {
+            TrafficUpdate::Config(config) => {
+                let known = self.table().map(|table| table.config().version);
+                if known.is_some_and(|known| known >= config.version) {
+                    return;
+                }
+                log::info!(
+                    "HS2001 configuration in force version={} routes={} teams={}",
+                    config.version,
+                    config.routes.len(),
+                    config.teams.len()
+                );
+                self.budgets.set_totals(&config);
+                *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
+                self.review_budgets();
+            }
+            TrafficUpdate::AllServers(entries) => {
+                let changes = self.roster.borrow_mut().replace(entries, self.now());
+                self.apply_roster(changes);
+            }
+            TrafficUpdate::Server(entry) => {
+                let change = self.roster.borrow_mut().put(entry);
+                self.apply_roster(change);
+            }
+            TrafficUpdate::ServerGone(name) => {
+                let change = self.roster.borrow_mut().remove(&name, self.now());
+                self.apply_roster(change);
+            }
+            TrafficUpdate::ServersLost => self.roster.borrow_mut().note_store_lost(),
+            TrafficUpdate::ServersRead => self.roster.borrow_mut().note_store_read(self.now()),
+            TrafficUpdate::Account { offset, record } => {
+                self.budgets.apply(offset, &record);
+                self.review_budgets();
+            }
+            TrafficUpdate::Instance(entry) => {
+                // Whoever watches instances has announced it already.
+                let _known = self.directory.borrow_mut().announce(entry);
+            }
+            TrafficUpdate::Reachable(entry, reachable) => self
+                .directory
+                .borrow_mut()
+                .note_reachable(&entry, reachable),
+            TrafficUpdate::Stop => {
+                self.stopping.set(Some(Instant::now()));
+                self.directory.borrow_mut().set_ready(false);
+            }
+        }
+        self.update_ready();
+    }
+
+    /// Decides on draws and reports.
+    pub fn review_budgets(&self) {
+        let holders = self.directory.borrow().live();
+        self.budgets.review(holders);
+    }
+
+    /// Drops servers that did not come back.
+    pub fn expire_servers(&self) {
+        let changes = self.roster.borrow_mut().expire(self.now());
+        self.apply_roster(changes);
+    }
+
+    fn apply_roster(&self, changes: impl IntoIterator<Item = RosterChange>) {
+        for change in changes {
+            match &change {
+                RosterChange::Present(entry) => log::info!(
+                    "HS5101 server known server={} service={} address={} phase={:?}",
+                    entry.name,
+                    entry.service,
+                    entry.address,
+                    entry.phase
+                ),
+                RosterChange::Gone(name) => log::info!("HS5102 server gone server={name}"),
+            }
+            self.servers.borrow_mut().apply(change);
+        }
+    }
+
+    /// An instance serves when it knows a configuration and a server, and
+    /// does not stop.
+    fn update_ready(&self) {
+        let knows = self.table.borrow().is_some() && !self.servers.borrow().is_empty();
+        let ready = knows && self.stopping.get().is_none();
+        if self.directory.borrow().is_ready() == ready {
+            return;
+        }
+        log::info!("HS1101 readiness changed ready={ready}");
+        self.directory.borrow_mut().set_ready(ready);
+    }
+}
+
+/// Counts one more while it is held.
+#[derive(Debug)]
+pub struct CountGuard {
+    count: Rc<Cell<usize>>,
+}
+
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self {
+            count: Rc::clone(count),
+        }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -0,0 +1,54 @@
+//! News from the other duties' threads.
+
+use std::sync::Arc;
+
+use hibiscus_types::ServerName;
+use tokio::sync::mpsc;
+
+use crate::model::FleetConfig;
+use crate::model::InstanceEntry;
+use crate::model::ServerEntry;
+
+/// News that wait for the traffic thread; a thread that finds the ring full
+/// waits.
+pub const RING_CAPACITY: usize = 256;
+
+/// Something that the request path must know.
+#[derive(Debug)]
+pub enum TrafficUpdate {
+    /// A configuration version.
+    Config(Arc<FleetConfig>),
+    /// The newest entries of all servers.
+    AllServers(Vec<ServerEntry>),
+    /// A server wrote its entry.
+    Server(ServerEntry),
+    /// A server's entry was removed.
+    ServerGone(ServerName),
+    /// The servers' topic cannot be read.
+    ServersLost,
+    /// The servers' topic was read.
+    ServersRead,
+    /// An encoded record of the account stream.
+    Account {
+        /// Its offset.
+        offset: u64,
+        /// Its bytes.
+        record: Vec<u8>,
+    },
+    /// An instance announced itself.
+    Instance(InstanceEntry),
+    /// Another instance answers, or does not.
+    Reachable(InstanceEntry, bool),
+    /// The planned stop begins.
+    Stop,
+}
+
+/// The sending half of the ring.
+pub type UpdateSender = mpsc::Sender<TrafficUpdate>;
+/// The receiving half of the ring.
+pub type UpdateReceiver = mpsc::Receiver<TrafficUpdate>;
+
+/// A new ring.
+pub fn ring() -> (UpdateSender, UpdateReceiver) {
+    mpsc::channel(RING_CAPACITY)
+}
--- a/crates/hibiscusctl/src/commands/input.rs
+++ b/crates/hibiscusctl/src/commands/input.rs
@@ -10,11 +10,11 @@
 use bpaf::construct;
 use bpaf::long;
 use bpaf::positional;
+use hibiscus_clients::list::ListClient;
+use hibiscus_clients::log::HttpLog;
 use hibiscus_config::check::EntryFault;
 use hibiscus_config::file::FileError;
 use hibiscus_config::file::OperatorFile;
-use hibiscus_platform::list::ListClient;
-use hibiscus_platform::log::HttpLog;
 
 /// Exit code of a faulty file, a refused publication or a lagging fleet.
 pub const EXIT_REFUSED: u8 = 1;
--- a/crates/hibiscusctl/src/ops/history.rs
+++ b/crates/hibiscusctl/src/ops/history.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogRecord;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::fold::PublicationVerdict;
 use hibiscus_config::load;
 use hibiscus_config::load::LoadError;
 use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogRecord;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::codec;
 use hibiscus_types::page::PageSource;
--- a/crates/hibiscusctl/src/ops/ledger.rs
+++ b/crates/hibiscusctl/src/ops/ledger.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_ledger::audit::LedgerAudit;
 use hibiscus_ledger::recovery::RecoveryError;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 
 /// Why the ledger cannot be read.
 #[derive(Debug, thiserror::Error)]
--- a/crates/hibiscusctl/src/ops/publish.rs
+++ b/crates/hibiscusctl/src/ops/publish.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::check::EntryFault;
 use hibiscus_config::entry::EntryKey;
@@ -22,8 +24,6 @@
 use hibiscus_config::load;
 use hibiscus_config::load::LoadError;
 use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogService;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use hibiscus_types::page::PageSource;
--- a/crates/hibiscusctl/src/ops/status.rs
+++ b/crates/hibiscusctl/src/ops/status.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::list::ListClient;
-use hibiscus_platform::list::ListError;
-use hibiscus_platform::list::ListedInstance;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::ListClient;
+use hibiscus_clients::list::ListError;
+use hibiscus_clients::list::ListedInstance;
+use hibiscus_clients::list::ListedState;
 use serde::Deserialize;
 use ureq::Agent;
 
--- a/crates/hibiscusctl/tests/audit.rs
+++ b/crates/hibiscusctl/tests/audit.rs
@@ -3,6 +3,8 @@
 use std::process::Command;
 use std::time::Duration;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_ledger::fold::LedgerFold;
 use hibiscus_ledger::record::AllowanceGrant;
 use hibiscus_ledger::record::BudgetCredit;
@@ -14,8 +16,6 @@
 use hibiscus_ledger::record::TopUpId;
 use hibiscus_ledger::recovery;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_support::LogStandin;
 use hibiscus_types::GrantId;
 use hibiscus_types::IncarnationId;
--- a/crates/hibiscusctl/tests/publish.rs
+++ b/crates/hibiscusctl/tests/publish.rs
@@ -7,8 +7,8 @@
 use std::process::Command;
 use std::time::Duration;
 
-use hibiscus_platform::list::ListedInstance;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::ListedInstance;
+use hibiscus_clients::list::ListedState;
 use hibiscus_support::ListStandin;
 use hibiscus_support::LogStandin;
 
--- a/crates/hibiscusctl/tests/race.rs
+++ b/crates/hibiscusctl/tests/race.rs
@@ -5,13 +5,13 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::load;
 use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_support::LogStandin;
 use hibiscus_support::log::LogFaults;
 use hibiscus_types::codec;
--- a/tests/testsuite/budgets.rs
+++ b/tests/testsuite/budgets.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_ledger::audit::LedgerAudit;
 use hibiscus_ledger::fold::GrantState;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::PlainStandin;
 use hibiscus_support::engine::EngineBehaviour;
--- a/tests/testsuite/configuration.rs
+++ b/tests/testsuite/configuration.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::SNAPSHOT_STREAM;
 use hibiscus_config::entry::BrandEntry;
@@ -15,8 +17,6 @@
 use hibiscus_ledger::fold::LedgerFold;
 use hibiscus_ledger::record::RecordBatch;
 use hibiscus_ledger::stream_of;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_router::config::snapshots;
 use hibiscus_router::ops::RunningRouter;
 use hibiscus_router::settings::LimitSettings;
--- a/tests/testsuite/contracts/list.rs
+++ b/tests/testsuite/contracts/list.rs
@@ -4,12 +4,12 @@
 use std::thread;
 use std::time::Duration;
 
-use hibiscus_platform::list::InstanceList;
-use hibiscus_platform::list::ListClient;
-use hibiscus_platform::list::ListError;
-use hibiscus_platform::list::ListedInstance;
-use hibiscus_platform::list::ListedServer;
-use hibiscus_platform::list::ListedState;
+use hibiscus_clients::list::InstanceList;
+use hibiscus_clients::list::ListClient;
+use hibiscus_clients::list::ListError;
+use hibiscus_clients::list::ListedInstance;
+use hibiscus_clients::list::ListedServer;
+use hibiscus_clients::list::ListedState;
 use hibiscus_support::ListStandin;
 
 use crate::contracts::ContractRow;
--- a/tests/testsuite/contracts/log.rs
+++ b/tests/testsuite/contracts/log.rs
@@ -3,10 +3,10 @@
 use std::thread;
 use std::time::Duration;
 
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogError;
-use hibiscus_platform::log::LogPage;
-use hibiscus_platform::log::LogService;
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogError;
+use hibiscus_clients::log::LogPage;
+use hibiscus_clients::log::LogService;
 use hibiscus_support::LogStandin;
 use hibiscus_support::log::LogFaults;
 
--- a/tests/testsuite/contracts/servers.rs
+++ b/tests/testsuite/contracts/servers.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_platform::engine::CallHeaders;
-use hibiscus_platform::engine::EngineClient;
-use hibiscus_platform::engine::EngineError;
-use hibiscus_platform::engine::PlainAnswer;
-use hibiscus_platform::engine::Result;
-use hibiscus_platform::engine::StreamStep;
+use hibiscus_clients::engine::CallHeaders;
+use hibiscus_clients::engine::EngineClient;
+use hibiscus_clients::engine::EngineError;
+use hibiscus_clients::engine::PlainAnswer;
+use hibiscus_clients::engine::Result;
+use hibiscus_clients::engine::StreamStep;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::PlainStandin;
 use hibiscus_support::engine::EngineBehaviour;
--- a/tests/testsuite/fuzz.rs
+++ b/tests/testsuite/fuzz.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use hibiscus_clients::engine::ChatChunk;
+use hibiscus_clients::log::WirePage;
 use hibiscus_config::entry::BrandEntry;
 use hibiscus_config::entry::ConfigEntry;
 use hibiscus_config::entry::EntryKey;
@@ -16,8 +18,6 @@
 use hibiscus_ledger::record::RequestOpen;
 use hibiscus_membership::gossip::GossipMessage;
 use hibiscus_membership::view::InstanceHeartbeat;
-use hibiscus_platform::engine::ChatChunk;
-use hibiscus_platform::log::WirePage;
 use hibiscus_router::ledger::broker::BrokerReply;
 use hibiscus_router::ledger::broker::BrokerRequest;
 use hibiscus_router::peer::PeerReply;
--- a/tests/testsuite/style.rs
+++ b/tests/testsuite/style.rs
@@ -18,7 +18,7 @@
     "hibiscus-ledger/src",
     "hibiscus-request/src",
     "hibiscus-routing/src",
-    "hibiscus-platform/src",
+    "hibiscus-clients/src",
 ];
 
 /// One source file.
--- a/tests/testsuite/whole_path.rs
+++ b/tests/testsuite/whole_path.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_clients::log::HttpLog;
+use hibiscus_clients::log::LogService;
 use hibiscus_config::CONFIG_STREAM;
 use hibiscus_config::file::OperatorFile;
 use hibiscus_config::fold::ConfigFold;
 use hibiscus_config::record::ConfigRecord;
-use hibiscus_platform::log::HttpLog;
-use hibiscus_platform::log::LogService;
 use hibiscus_support::EngineStandin;
 use hibiscus_support::engine::EngineBehaviour;
 use hibiscus_support::fleet::StandinPlatform;
