--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -1,12 +1,13 @@
 //! The thread that appends account records.
 
 use std::sync::mpsc::Receiver;
-use std::sync::mpsc::RecvTimeoutError;
 use std::thread;
 use std::time::Duration;
 
 use hibiscus_ledger::account;
-use hibiscus_ledger::account::AccountRecord;
+use hibiscus_traffic::budgets::AccountBatch;
+use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::codec;
 use platform::store::StoreClient;
 
@@ -22,17 +23,27 @@
 
 /// Appends what comes over `batches` until its sender is dropped. Each append
 /// is repeated until the store acknowledges it: copies change nothing.
-pub(crate) fn run(store: &StoreClient, batches: &Receiver<Vec<AccountRecord>>) {
-    while let Ok(mut records) = batches.recv() {
-        loop {
-            match batches.recv_timeout(GATHER_TIME) {
-                Ok(more) => records.extend(more),
-                Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => break,
-            }
+///
+/// The next append begins only after the one before was acknowledged, so the
+/// store shows them in order.
+pub(crate) fn run(store: &StoreClient, updates: &UpdateSender, batches: &Receiver<AccountBatch>) {
+    while let Ok(mut batch) = batches.recv() {
+        thread::sleep(GATHER_TIME);
+        while let Ok(more) = batches.try_recv() {
+            batch.number = more.number;
+            batch.records.extend(more.records);
         }
-        match codec::encode(&records) {
-            Ok(record) => append(store, &[record]),
-            Err(error) => log::error!("HS3103 account records not encoded cause={error}"),
+        let record = match codec::encode(&batch.records) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!("HS3103 account records not encoded cause={error}");
+                continue;
+            }
+        };
+        append(store, &[record]);
+        let appended = TrafficUpdate::AccountsAppended(batch.number);
+        if updates.blocking_send(appended).is_err() {
+            log::debug!("HS3106 account records appended after the end of the traffic thread");
         }
     }
 }
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -29,7 +29,7 @@
 const SERVERS_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between reads of the accounts, so that one read brings the records
 /// of several instances.
-const ACCOUNTS_PAUSE: Duration = Duration::from_millis(5);
+const ACCOUNTS_PAUSE: Duration = Duration::from_millis(60);
 
 /// What a thread does with the records of a keyed topic.
 trait TopicReader {
@@ -281,15 +281,25 @@
 pub(crate) fn follow_accounts(store: &StoreClient, updates: &UpdateSender) {
     let mut reach = ReachLog::default();
     let mut next = 0;
+    let mut current = false;
     loop {
-        match store.read(account::STREAM, next, READ_WAIT) {
+        match store.read(
+            account::STREAM,
+            next,
+            if current { READ_WAIT } else { Duration::ZERO },
+        ) {
             Ok(page) => {
                 reach.succeeded(account::STREAM);
+                let end = page.end;
                 for record in page.records {
                     let offset = next;
                     next += 1;
                     tell(updates, TrafficUpdate::Account { offset, record });
                 }
+                if next >= end && !current {
+                    current = true;
+                    tell(updates, TrafficUpdate::AccountsCurrent);
+                }
                 thread::sleep(ACCOUNTS_PAUSE);
             }
             Err(StoreError::Expired { first }) => {
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -9,6 +9,7 @@
 
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::port;
@@ -131,10 +132,15 @@
         move || follow::follow_instances(&store, &sender, &own)
     })?;
     let appender = spawn("append", {
-        let store = store.clone();
-        move || append::run(&store, &batches)
+        let (store, sender) = (store.clone(), sender.clone());
+        move || append::run(&store, &sender, &batches)
     })?;
-    let desk = BudgetDesk::new(own.incarnation, outbox);
+    let desk = BudgetDesk::new(
+        own.incarnation,
+        own.name.clone(),
+        MachineClock::of_this_boot(),
+        outbox,
+    );
     let retries = RetryCounter::new(RetryBound {
         share: settings.retry_share,
         slack: settings.retry_slack,
--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -3,26 +3,44 @@
 //! Each incarnation has one account a budget: what it drew, what it gave back
 //! and what it reported as spent, all as sums that only grow, so copies and
 //! late appends of a record change nothing. The rule of conservation is that
-//! over all accounts of a budget, drawn minus given back never exceeds what
-//! is prepaid. An incarnation that ends without giving back keeps its rest
-//! counted as spent: nobody else can know how much of it was.
+//! over all accounts of a budget, what counts for them never exceeds what is
+//! prepaid.
+//!
+//! An incarnation that ends without giving back cannot say what it spent
+//! last. Its reports therefore carry a [`pace::SpendPace`]: a line over the
+//! machine's steady clock that its spending stays below. The next process on
+//! the same machine reads that clock, and closes the account with what was
+//! spent at the most ([`AccountRecord::Close`]); the rest is free again. A
+//! machine that never comes back, or that was booted anew, proves nothing,
+//! and all that it had drawn stays counted as spent.
 //!
 //! [`AccountFold`] is the state that all readers of the stream share,
 //! [`purse::BudgetPurse`] what one holder may still spend.
 
+pub mod demand;
+pub mod pace;
 pub mod policy;
 pub mod purse;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
+use hibiscus_types::InstanceName;
 use hibiscus_types::TokenCount;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::pace::MachineTime;
+use crate::account::pace::SpendPace;
+
 /// The stream of account records.
 pub const STREAM: &str = "accounts";
+/// Closed holders that are remembered: a late append comes within seconds,
+/// and incarnations are ordered by time, so the oldest are forgotten first
+/// within a budget.
+const ENDED_KEPT: usize = 100_000;
 
 /// One proposal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,24 +60,45 @@
         budget: BudgetName,
         /// The incarnation that asks.
         holder: IncarnationId,
+        /// Its machine.
+        machine: InstanceName,
         /// Grows by one a draw of this holder and budget.
         serial: u64,
         /// Tokens asked for; the fold grants what is free of them.
         tokens: TokenCount,
     },
-    /// A holder says what it spent and gives back.
-    Report {
+    /// A holder says what it spent, gives back, and may spend until it
+    /// reports again.
+    Report(HolderReport),
+    /// The next process on a holder's machine says what the ended holder
+    /// spent at the most.
+    Close {
         /// The budget.
         budget: BudgetName,
-        /// The incarnation that reports.
+        /// The incarnation that ended.
         holder: IncarnationId,
-        /// Sum of all tokens spent so far.
+        /// The most that it spent.
         spent: TokenCount,
-        /// Sum of all tokens given back so far.
-        returned: TokenCount,
     },
 }
 
+/// What one holder reports of one budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderReport {
+    /// The budget.
+    pub budget: BudgetName,
+    /// The incarnation that reports.
+    pub holder: IncarnationId,
+    /// Grows by one a report; an older one changes nothing.
+    pub serial: u64,
+    /// Sum of all tokens spent so far.
+    pub spent: TokenCount,
+    /// Sum of all tokens given back so far.
+    pub returned: TokenCount,
+    /// The line that its spending stays below.
+    pub pace: SpendPace,
+}
+
 /// A draw that the fold decided.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DrawVerdict {
@@ -74,8 +113,10 @@
 }
 
 /// One incarnation's account of one budget.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderAccount {
+    /// The machine that it runs on.
+    pub machine: InstanceName,
     /// Number of the last draw.
     pub serial: u64,
     /// Sum of the tokens granted.
@@ -84,6 +125,8 @@
     pub spent: TokenCount,
     /// Sum of the tokens given back.
     pub returned: TokenCount,
+    /// Its last report, once it made one.
+    pub report: Option<HolderReport>,
 }
 
 impl HolderAccount {
@@ -92,6 +135,20 @@
         self.drawn.saturating_sub(self.returned)
     }
 
+    /// The most that the holder spent, by the clock of its machine at `now`. A
+    /// holder without a report has spent nothing: it must have one in the
+    /// store before its first request.
+    pub fn spent_at_most(&self, now: MachineTime) -> TokenCount {
+        let Some(report) = &self.report else {
+            return TokenCount::ZERO;
+        };
+        let counted = self.counted();
+        report
+            .pace
+            .limit_at(now)
+            .map_or(counted, |limit| limit.min(counted))
+    }
+
     /// Tokens that the holder has not reported as spent.
     pub fn unreported(&self) -> TokenCount {
         self.counted().saturating_sub(self.spent)
@@ -107,8 +164,10 @@
     pub prepaid: TokenCount,
     /// Drawn minus given back, over all holders.
     pub counted: TokenCount,
-    /// The holders.
+    /// The holders that may still spend.
     pub holders: BTreeMap<IncarnationId, HolderAccount>,
+    /// Sum of what closed holders spent.
+    pub closed: TokenCount,
 }
 
 impl BudgetAccount {
@@ -123,6 +182,8 @@
 pub struct AccountFold {
     next: u64,
     budgets: BTreeMap<BudgetName, BudgetAccount>,
+    /// Holders that were closed; late records of theirs change nothing.
+    ended: BTreeSet<(BudgetName, IncarnationId)>,
 }
 
 impl AccountFold {
@@ -164,15 +225,19 @@
                 AccountRecord::Draw {
                     budget,
                     holder,
+                    machine,
                     serial,
                     tokens,
-                } => verdicts.extend(self.draw(budget, *holder, *serial, *tokens)),
-                AccountRecord::Report {
+                } => {
+                    let draw = (*serial, *tokens);
+                    verdicts.extend(self.draw(budget, *holder, machine, draw));
+                }
+                AccountRecord::Report(report) => self.report(report),
+                AccountRecord::Close {
                     budget,
                     holder,
                     spent,
-                    returned,
-                } => self.report(budget, *holder, *spent, *returned),
+                } => self.close(budget, *holder, *spent),
             }
         }
         verdicts
@@ -193,9 +258,12 @@
         &mut self,
         budget: &BudgetName,
         holder: IncarnationId,
-        serial: u64,
-        tokens: TokenCount,
+        machine: &InstanceName,
+        (serial, tokens): (u64, TokenCount),
     ) -> Option<DrawVerdict> {
+        if self.ended.contains(&(budget.clone(), holder)) {
+            return None;
+        }
         let account = self.budgets.entry(budget.clone()).or_default();
         let free = account.free();
         let held = account.holders.entry(holder).or_default();
@@ -203,6 +271,7 @@
             return None;
         }
         let granted = tokens.min(free);
+        held.machine = machine.clone();
         held.serial = serial;
         held.drawn = held.drawn + granted;
         account.counted = account.counted + granted;
@@ -214,28 +283,41 @@
         })
     }
 
-    /// Takes sums over; none of them shrinks, and none exceeds what was drawn.
-    fn report(
-        &mut self,
-        budget: &BudgetName,
-        holder: IncarnationId,
-        spent: TokenCount,
-        returned: TokenCount,
-    ) {
-        let Some(account) = self.budgets.get_mut(budget) else {
+    /// Takes a report over unless a newer one was, or its sums exceed what
+    /// was drawn.
+    fn report(&mut self, report: &HolderReport) {
+        let Some(account) = self.budgets.get_mut(&report.budget) else {
             return;
         };
-        let Some(held) = account.holders.get_mut(&holder) else {
+        let Some(held) = account.holders.get_mut(&report.holder) else {
             return;
         };
-        let spent = held.spent.max(spent);
-        let returned = held.returned.max(returned);
-        if spent + returned > held.drawn {
+        let known = held.report.as_ref().map_or(0, |known| known.serial);
+        if report.serial <= known || report.spent + report.returned > held.drawn {
             return;
         }
-        let freed = returned.saturating_sub(held.returned);
-        held.spent = spent;
-        held.returned = returned;
+        let freed = report.returned.saturating_sub(held.returned);
+        held.spent = report.spent;
+        held.returned = held.returned.max(report.returned);
+        held.report = Some(report.clone());
         account.counted = account.counted.saturating_sub(freed);
     }
+
+    /// Ends a holder's account; what it spent at the most stays counted.
+    fn close(&mut self, budget: &BudgetName, holder: IncarnationId, spent: TokenCount) {
+        let Some(account) = self.budgets.get_mut(budget) else {
+            return;
+        };
+        let Some(held) = account.holders.remove(&holder) else {
+            return;
+        };
+        let counted = held.counted();
+        let spent = spent.max(held.spent).min(counted);
+        account.closed = account.closed + spent;
+        account.counted = account.counted.saturating_sub(counted) + spent;
+        self.ended.insert((budget.clone(), holder));
+        while self.ended.len() > ENDED_KEPT {
+            self.ended.pop_first();
+        }
+    }
 }
--- /dev/null
+++ b/crates/hibiscus-ledger/src/account/demand.rs
@@ -0,0 +1,89 @@
+//! Tokens a second that a holder's requests ask for.
+
+use std::time::Duration;
+
+use hibiscus_types::TokenCount;
+
+/// Seconds over which the demand is averaged.
+const WINDOW_SECONDS: u64 = 12;
+/// Seconds of the shorter average, which follows a rise sooner.
+const SHORT_SECONDS: u64 = 4;
+/// Factor of the largest request for each second that passes.
+const TYPICAL_DECAY: f64 = 0.97;
+
+/// Reservations by second, and how much of them is used.
+#[derive(Clone, Debug, Default)]
+pub struct DemandCounter {
+    seconds: [u64; WINDOW_SECONDS as usize],
+    newest: u64,
+    first: Option<u64>,
+    typical: f64,
+    reserved: f64,
+    charged: f64,
+}
+
+impl DemandCounter {
+    /// Counts a reservation of `tokens` at `now`.
+    pub fn reserve(&mut self, tokens: TokenCount, now: Duration) {
+        self.advance(now);
+        let second = now.as_secs();
+        self.first.get_or_insert(second);
+        self.seconds[slot(second)] += tokens.get();
+        self.typical = self.typical.max(tokens.get() as f64);
+    }
+
+    /// Counts the end of a reservation of `tokens` of which `charge` was used.
+    pub fn settle(&mut self, tokens: TokenCount, charge: TokenCount) {
+        self.reserved += tokens.get() as f64;
+        self.charged += charge.get() as f64;
+    }
+
+    /// Tokens a second that requests use at `now`: the larger one of the two
+    /// averages.
+    pub fn rate(&mut self, now: Duration) -> f64 {
+        self.advance(now);
+        let Some(first) = self.first else {
+            return 0.0;
+        };
+        let age = (self.newest - first + 1).min(WINDOW_SECONDS);
+        let long = self.sum(age) as f64 / age as f64;
+        let short = self.sum(age.min(SHORT_SECONDS)) as f64 / age.min(SHORT_SECONDS) as f64;
+        long.max(short) * self.used_part()
+    }
+
+    /// Largest reservation of late.
+    pub fn typical(&self) -> TokenCount {
+        TokenCount::new(self.typical as u64)
+    }
+
+    /// Part of the reserved tokens that is used in the end.
+    fn used_part(&self) -> f64 {
+        if self.reserved <= 0.0 {
+            return 1.0;
+        }
+        self.charged / self.reserved
+    }
+
+    /// Tokens of the last `count` seconds.
+    fn sum(&self, count: u64) -> u64 {
+        let seconds = (0..count).filter_map(|back| self.newest.checked_sub(back));
+        seconds.map(|second| self.seconds[slot(second)]).sum()
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let second = now.as_secs();
+        while self.newest < second {
+            self.newest += 1;
+            self.seconds[slot(self.newest)] = 0;
+            self.typical *= TYPICAL_DECAY;
+            if second - self.newest > WINDOW_SECONDS {
+                self.newest = second - WINDOW_SECONDS;
+            }
+        }
+    }
+}
+
+/// The place of a second in the ring.
+fn slot(second: u64) -> usize {
+    usize::try_from(second % WINDOW_SECONDS).unwrap_or(0)
+}
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -1,22 +1,30 @@
-//! How much a holder draws and keeps of one budget.
+//! How much a holder draws and keeps of one budget, and how fast it may
+//! spend between two reports.
+//!
+//! Far from its limit a budget can lose what a crash takes along, so holders
+//! draw for a long cut and their lines are wide. Near the limit it cannot:
+//! holders draw what waits, and the lines close until each request is
+//! reported before it is sent.
 
 use std::time::Duration;
 
 use hibiscus_types::TokenCount;
 
-/// Time that a holder provides for at its present demand: an instance is cut
-/// off from the store for 10 s at a time, at up to twice the demand.
-const HORIZON: Duration = Duration::from_secs(20);
-/// Time that a holder keeps for when a budget is nearly drained.
-const SHORT_HORIZON: Duration = Duration::from_secs(2);
-/// Typical requests that a holder keeps at least.
-const REQUESTS_KEPT: u64 = 4;
+/// Time that a holder provides for at its present demand: instances are cut
+/// off from the store for up to 10 s at a time, and demand swings meanwhile.
+const HORIZON: Duration = Duration::from_secs(15);
+/// Typical requests that a holder keeps at least while a budget is ample.
+const REQUESTS_KEPT: u64 = 3;
 /// A holder without a known demand draws the total divided by this and by the
-/// number of holders, so that an eighth of a budget is out before any request.
-const FIRST_DIVISOR: u64 = 8;
-/// A budget counts as nearly drained when what is free is below the total
-/// divided by this.
-const DRAINED_DIVISOR: u64 = 10;
+/// number of holders.
+const FIRST_DIVISOR: u64 = 5;
+/// Part of a total below which what is free counts as scarce.
+const SCARCE_PART: f64 = 0.25;
+/// Demand that a line allows, as a multiple of the present one.
+const PACE_FACTOR: f64 = 2.0;
+/// Time within which a line lets a holder spend all that it drew first, while
+/// no demand is known.
+const FIRST_PACE: Duration = Duration::from_secs(10);
 
 /// What the policy decides on.
 #[derive(Clone, Copy, Debug, Default)]
@@ -25,7 +33,7 @@
     pub demand_per_second: f64,
     /// Largest reservation of late.
     pub typical: TokenCount,
-    /// Tokens that waiting requests need beyond what is available.
+    /// Tokens that waiting requests need.
     pub wanted: TokenCount,
     /// Tokens available to this holder.
     pub available: TokenCount,
@@ -44,40 +52,63 @@
     pub draw: TokenCount,
     /// Tokens to give back.
     pub give_back: TokenCount,
+    /// Tokens that the next line allows at once.
+    pub burst: TokenCount,
+    /// Tokens that the next line allows in each second.
+    pub per_second: u64,
 }
 
-/// Draws for a horizon of demand while a budget is ample and for what waits
-/// when it is nearly drained, and gives back what then lies idle.
+/// Decides for one budget.
 pub fn decide(view: &DrawView) -> DrawDecision {
-    let holders = u64::from(view.holders.max(1));
-    let drained = view.free.get() < view.prepaid.get() / DRAINED_DIVISOR;
-    let horizon = if drained { SHORT_HORIZON } else { HORIZON };
-    let demand = (view.demand_per_second * horizon.as_secs_f64()).max(0.0) as u64;
-    let floor = view.typical.get().saturating_mul(REQUESTS_KEPT);
-    let first = view.prepaid.get() / FIRST_DIVISOR / holders;
-    let target = if drained {
-        demand.max(view.typical.get())
+    let ample = ampleness(view);
+    let holders = f64::from(view.holders.max(1));
+    let first = view.prepaid.get() as f64 / FIRST_DIVISOR as f64 / holders;
+    let typical = view.typical.get() as f64;
+    let known = view.demand_per_second > 0.0;
+    let demand = view.demand_per_second * HORIZON.as_secs_f64();
+    let floor = typical * REQUESTS_KEPT as f64;
+    let target = if known { demand.max(floor) } else { first } * ample;
+    let available = view.available.get() as f64;
+    // Half of what is left stays free, for the others and for after a crash.
+    let free = view.free.get() as f64;
+    let share = (free / holders - available).max(0.0) / (1.0 + 1.0 / holders);
+    let missing = if available < target * 0.6 {
+        (target - available).min(share)
     } else {
-        demand.max(floor).max(first)
+        0.0
     };
-    let available = view.available.get();
-    if drained && view.wanted.is_zero() && available > target.saturating_mul(2) {
-        return DrawDecision {
-            draw: TokenCount::ZERO,
-            give_back: TokenCount::new(available - target),
-        };
-    }
-    let missing = if available < target / 2 {
-        target - available
+    let wanted = view.wanted.saturating_sub(view.available);
+    let draw = tokens(missing).max(wanted).min(view.free);
+    let idle = available - view.wanted.get() as f64 - target.max(typical * ample) * 1.5;
+    let scarce = ample < 1.0 && wanted.is_zero();
+    let give_back = if scarce {
+        tokens(idle)
+    } else {
+        TokenCount::ZERO
+    };
+    let pace = if known {
+        view.demand_per_second * PACE_FACTOR
     } else {
-        0
+        first / FIRST_PACE.as_secs_f64()
     };
-    // The others ask too: nobody takes more than half of an equal share
-    // beyond what its waiting requests need.
-    let share = view.free.get() / holders / 2;
-    let draw = missing.min(share).max(view.wanted.get());
     DrawDecision {
-        draw: TokenCount::new(draw.min(view.free.get())),
-        give_back: TokenCount::ZERO,
+        draw,
+        give_back,
+        burst: tokens(typical * ample),
+        per_second: tokens(pace * ample).get(),
+    }
+}
+
+/// 1 while a budget is far from its limit, down to 0 at it.
+fn ampleness(view: &DrawView) -> f64 {
+    let scarce = view.prepaid.get() as f64 * SCARCE_PART;
+    if scarce <= 0.0 {
+        return 0.0;
     }
+    (view.free.get() as f64 / scarce).clamp(0.0, 1.0)
+}
+
+/// A number of tokens, at least none.
+fn tokens(amount: f64) -> TokenCount {
+    TokenCount::new(amount.max(0.0) as u64)
 }
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -5,41 +5,65 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
 use std::time::Duration;
 use std::time::Instant;
 
 use hibiscus_ledger::account::AccountFold;
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::BudgetAccount;
+use hibiscus_ledger::account::HolderReport;
+use hibiscus_ledger::account::demand::DemandCounter;
+use hibiscus_ledger::account::pace::SpendPace;
 use hibiscus_ledger::account::policy;
+use hibiscus_ledger::account::policy::DrawDecision;
 use hibiscus_ledger::account::policy::DrawView;
 use hibiscus_ledger::account::purse::BudgetPurse;
+use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::TokenHold;
-use hibiscus_ledger::sizing::DemandMeter;
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
+use hibiscus_types::InstanceName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 use tokio::sync::Notify;
 
+use crate::clock::MachineClock;
 use crate::model::FleetConfig;
 
-/// Time between two reports of what was spent.
-const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between two reports of what was spent: a crash loses what a line
+/// allows over this time and the restart.
+const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// Age of an unacknowledged batch from which on the store counts as away, so
+/// that nothing waits for it: it usually acknowledges within 10 ms.
+const STORE_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Records on their way to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountBatch {
+    /// Grows by one a batch.
+    pub number: u64,
+    /// The records in order.
+    pub records: Vec<AccountRecord>,
+}
 
 /// One budget at this holder.
 #[derive(Debug, Default)]
 struct HeldBudget {
     purse: BudgetPurse,
-    meter: DemandMeter,
+    demand: DemandCounter,
     /// Number of the last draw sent.
-    serial: u64,
+    draw_serial: u64,
     /// Whether that draw has no verdict yet.
     pending: bool,
+    /// Number of the last report sent.
+    report_serial: u64,
+    /// When it was made.
+    report_made: Duration,
+    /// Sums that it told: used and given back.
+    reported: (TokenCount, TokenCount),
     /// Tokens that waiting requests need.
     wanted: TokenCount,
-    /// Sums as last reported.
-    reported: (TokenCount, TokenCount),
     /// Wakes the requests that wait.
     changed: Rc<Notify>,
 }
@@ -56,26 +80,42 @@
 /// The budgets of one instance.
 pub struct BudgetDesk {
     holder: IncarnationId,
+    machine: InstanceName,
+    clock: MachineClock,
     fold: AccountFold,
     held: BTreeMap<BudgetName, HeldBudget>,
-    outbox: SyncSender<Vec<AccountRecord>>,
-    /// Records that found the outbox full.
+    outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
-    reported: Duration,
-    totals: BTreeMap<BudgetName, (u64, TokenCount)>,
+    /// Number of the batch that the unsent records will be.
+    batch: u64,
+    /// When the oldest batch that is not acknowledged was made.
+    unacknowledged: Option<Duration>,
+    acknowledged: u64,
+    totals: BTreeMap<BudgetName, TokenCount>,
+    recovered: bool,
 }
 
 impl BudgetDesk {
-    /// A desk of `holder` that appends through `outbox`.
-    pub fn new(holder: IncarnationId, outbox: SyncSender<Vec<AccountRecord>>) -> Self {
+    /// A desk of `holder` on `machine` that appends through `outbox`.
+    pub fn new(
+        holder: IncarnationId,
+        machine: InstanceName,
+        clock: MachineClock,
+        outbox: SyncSender<AccountBatch>,
+    ) -> Self {
         Self {
             holder,
+            machine,
+            clock,
             fold: AccountFold::default(),
             held: BTreeMap::new(),
             outbox,
             unsent: Vec::new(),
-            reported: Duration::ZERO,
+            batch: 1,
+            unacknowledged: None,
+            acknowledged: 0,
             totals: BTreeMap::new(),
+            recovered: false,
         }
     }
 
@@ -86,9 +126,12 @@
                 continue;
             };
             let budget = BudgetName::new(team.name.as_str());
-            let total = (config.version, prepaid);
-            let held = self.totals.insert(budget.clone(), total);
-            if held.is_some_and(|(_version, tokens)| tokens == prepaid) {
+            let held = self.totals.insert(budget.clone(), prepaid);
+            if held == Some(prepaid) {
+                continue;
+            }
+            let known = self.fold.budget(&budget);
+            if known.is_some_and(|known| known.version >= config.version) {
                 continue;
             }
             self.unsent.push(AccountRecord::Prepaid {
@@ -115,7 +158,7 @@
             }
             let held = self.held.entry(verdict.budget.clone()).or_default();
             held.purse.add(verdict.granted);
-            held.pending &= verdict.serial < held.serial;
+            held.pending &= verdict.serial < held.draw_serial;
             held.changed.notify_waiters();
             log::info!(
                 "HS3102 tokens drawn budget={} serial={} granted={} offset={offset}",
@@ -126,35 +169,84 @@
         }
     }
 
+    /// The store has all batches up to `number`.
+    pub fn acknowledge(&mut self, number: u64, now: Duration) {
+        self.acknowledged = number;
+        self.unacknowledged = (number + 1 < self.batch).then_some(now);
+        for held in self.held.values_mut() {
+            held.purse.acknowledge(number);
+            held.changed.notify_waiters();
+        }
+    }
+
+    /// All records of the stream were applied: closes what earlier processes
+    /// of this machine left, which is known to have ended since its ports are
+    /// held by this one.
+    pub fn recover(&mut self) {
+        if std::mem::replace(&mut self.recovered, true) {
+            return;
+        }
+        let now = self.clock.now();
+        for (budget, account) in self.fold.budgets() {
+            for (holder, held) in &account.holders {
+                if held.machine != self.machine || *holder == self.holder {
+                    continue;
+                }
+                let spent = held.spent_at_most(now);
+                log::info!(
+                    "HS3105 account of an ended process closed budget={budget} holder={holder} counted={} spent={spent} reported={}",
+                    held.counted(),
+                    held.spent
+                );
+                self.unsent.push(AccountRecord::Close {
+                    budget: budget.clone(),
+                    holder: *holder,
+                    spent,
+                });
+            }
+        }
+    }
+
     /// Sets `tokens` of `budget` aside.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they were not drawn, or when no line allows them.
     pub fn reserve(
         &mut self,
         budget: &BudgetName,
         tokens: TokenCount,
-        now: Duration,
-    ) -> Option<TokenHold> {
+    ) -> std::result::Result<TokenHold, HoldFault> {
         let held = self.held.entry(budget.clone()).or_default();
-        held.meter.reserve(tokens, now);
-        held.purse.reserve(tokens)
+        held.purse.reserve(tokens, self.clock.now())
+    }
+
+    /// Counts a request that needs `tokens`.
+    pub fn count_demand(&mut self, budget: &BudgetName, tokens: TokenCount, now: Duration) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.demand.reserve(tokens, now);
     }
 
     /// Ends a reservation of which `charge` was used.
-    pub fn settle(
-        &mut self,
-        budget: &BudgetName,
-        hold: TokenHold,
-        charge: TokenCount,
-        now: Duration,
-    ) {
+    pub fn settle(&mut self, budget: &BudgetName, hold: TokenHold, charge: TokenCount) {
         let held = self.held.entry(budget.clone()).or_default();
         held.purse.settle(hold, charge);
-        held.meter.spend(charge, now);
+        held.demand.settle(hold.tokens, charge);
         held.changed.notify_waiters();
     }
 
-    /// Why `tokens` of `budget` cannot be had, or `None` while a draw may
-    /// still bring them.
-    pub fn refusal(&self, budget: &BudgetName, tokens: TokenCount) -> Option<TokenRefusal> {
+    /// Why `tokens` of `budget` cannot be had at `now`, or `None` while a
+    /// draw or a report on its way may still bring them.
+    pub fn refusal(
+        &self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+        now: Duration,
+    ) -> Option<TokenRefusal> {
+        let waiting = self.unacknowledged.map(|since| now.saturating_sub(since));
+        if waiting.is_some_and(|waiting| waiting > STORE_PATIENCE) {
+            return Some(TokenRefusal::Unconfirmed);
+        }
         let held = self.held.get(budget);
         if held.is_some_and(|held| held.pending) {
             return None;
@@ -195,55 +287,33 @@
         for budget in names {
             self.review_one(&budget, holders, now);
         }
-        if now.saturating_sub(self.reported) >= REPORT_INTERVAL {
-            self.reported = now;
-            self.report_all();
-        }
-        self.send();
-    }
-
-    /// Queues a report of every sum that changed.
-    pub fn report_all(&mut self) {
-        for (budget, held) in &mut self.held {
-            let sums = (held.purse.spent(), held.purse.returned());
-            if sums == held.reported {
-                continue;
-            }
-            held.reported = sums;
-            self.unsent.push(AccountRecord::Report {
-                budget: budget.clone(),
-                holder: self.holder,
-                spent: sums.0,
-                returned: sums.1,
-            });
-        }
+        self.send(now);
     }
 
     /// Gives back all that no request has reserved, at the end of a planned
     /// stop.
-    pub fn give_all_back(&mut self) {
-        for held in self.held.values_mut() {
-            let available = held.purse.available();
-            held.purse.give_back(available);
+    pub fn give_all_back(&mut self, now: Duration) {
+        let names: Vec<BudgetName> = self.held.keys().cloned().collect();
+        for budget in names {
+            if let Some(held) = self.held.get_mut(&budget) {
+                let available = held.purse.available();
+                held.purse.give_back(available);
+            }
+            self.report(&budget, &DrawDecision::default(), now);
         }
-        self.report_all();
-        self.send();
+        self.send(now);
     }
 
     fn review_one(&mut self, budget: &BudgetName, holders: u32, now: Duration) {
         let held = self.held.entry(budget.clone()).or_default();
-        if held.pending {
-            return;
-        }
         let account = self.fold.budget(budget);
-        let total = self.totals.get(budget).map(|(_version, tokens)| *tokens);
+        let total = self.totals.get(budget).copied();
         let prepaid = account.map(|account| account.prepaid).or(total);
-        let available = held.purse.available();
         let view = DrawView {
-            demand_per_second: held.meter.rate(now),
-            typical: held.meter.typical(),
-            wanted: held.wanted.saturating_sub(available),
-            available,
+            demand_per_second: held.demand.rate(now),
+            typical: held.demand.typical(),
+            wanted: held.wanted,
+            available: held.purse.available(),
             free: account
                 .map(BudgetAccount::free)
                 .or(total)
@@ -252,38 +322,73 @@
             holders,
         };
         let decision = policy::decide(&view);
-        if !decision.give_back.is_zero() {
-            held.purse.give_back(decision.give_back);
-            held.reported = (held.purse.spent(), held.purse.returned());
-            self.unsent.push(AccountRecord::Report {
+        if !held.pending && !decision.draw.is_zero() {
+            held.draw_serial += 1;
+            held.pending = true;
+            self.unsent.push(AccountRecord::Draw {
                 budget: budget.clone(),
                 holder: self.holder,
-                spent: held.reported.0,
-                returned: held.reported.1,
+                machine: self.machine.clone(),
+                serial: held.draw_serial,
+                tokens: decision.draw,
             });
         }
-        if decision.draw.is_zero() {
+        if held.purse.has_unacknowledged() {
             return;
         }
-        held.serial += 1;
-        held.pending = true;
-        self.unsent.push(AccountRecord::Draw {
+        let returns = !decision.give_back.is_zero();
+        if returns {
+            held.purse.give_back(decision.give_back);
+        }
+        let sums = (held.purse.used(), held.purse.returned());
+        let due = sums != held.reported && now.saturating_sub(held.report_made) >= REPORT_INTERVAL;
+        let first = held.report_serial == 0 && held.draw_serial > 0;
+        if first || returns || due || !held.wanted.is_zero() {
+            self.report(budget, &decision, now);
+        }
+    }
+
+    /// Queues a report with the line that `decision` allows.
+    fn report(&mut self, budget: &BudgetName, decision: &DrawDecision, now: Duration) {
+        let Some(held) = self.held.get_mut(budget) else {
+            return;
+        };
+        let pace = SpendPace {
+            base: held.purse.used() + held.wanted,
+            burst: decision.burst,
+            per_second: decision.per_second,
+            made: self.clock.now(),
+        };
+        held.purse.send_pace(self.batch, pace);
+        held.report_serial += 1;
+        held.report_made = now;
+        held.reported = (held.purse.used(), held.purse.returned());
+        self.unsent.push(AccountRecord::Report(HolderReport {
             budget: budget.clone(),
             holder: self.holder,
-            serial: held.serial,
-            tokens: decision.draw,
-        });
+            serial: held.report_serial,
+            spent: held.purse.spent(),
+            returned: held.purse.returned(),
+            pace,
+        }));
     }
 
-    fn send(&mut self) {
+    fn send(&mut self, now: Duration) {
         if self.unsent.is_empty() {
             return;
         }
-        let records = std::mem::take(&mut self.unsent);
-        if let Err(error) = self.outbox.try_send(records) {
-            let (std::sync::mpsc::TrySendError::Full(records)
-            | std::sync::mpsc::TrySendError::Disconnected(records)) = error;
-            self.unsent = records;
+        let batch = AccountBatch {
+            number: self.batch,
+            records: std::mem::take(&mut self.unsent),
+        };
+        match self.outbox.try_send(batch) {
+            Ok(()) => {
+                self.batch += 1;
+                self.unacknowledged.get_or_insert(now);
+            }
+            Err(TrySendError::Full(batch) | TrySendError::Disconnected(batch)) => {
+                self.unsent = batch.records;
+            }
         }
     }
 
@@ -321,32 +426,57 @@
         self.desk.borrow_mut().apply(offset, record);
     }
 
+    /// See [`BudgetDesk::acknowledge`].
+    pub fn acknowledge(&self, number: u64) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().acknowledge(number, now);
+    }
+
+    /// See [`BudgetDesk::recover`].
+    pub fn recover(&self) {
+        self.desk.borrow_mut().recover();
+    }
+
     /// See [`BudgetDesk::review`].
     pub fn review(&self, holders: u32) {
         let now = self.started.elapsed();
         self.desk.borrow_mut().review(holders, now);
     }
 
-    /// See [`BudgetDesk::reserve`].
-    pub fn reserve(&self, budget: &BudgetName, tokens: TokenCount) -> Option<TokenHold> {
+    /// See [`BudgetDesk::count_demand`].
+    pub fn count_demand(&self, budget: &BudgetName, tokens: TokenCount) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().reserve(budget, tokens, now)
+        self.desk.borrow_mut().count_demand(budget, tokens, now);
+    }
+
+    /// See [`BudgetDesk::reserve`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the tokens were not drawn, or when no line allows them.
+    pub fn reserve(
+        &self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+    ) -> std::result::Result<TokenHold, HoldFault> {
+        self.desk.borrow_mut().reserve(budget, tokens)
     }
 
     /// See [`BudgetDesk::settle`].
     pub fn settle(&self, budget: &BudgetName, hold: TokenHold, charge: TokenCount) {
-        let now = self.started.elapsed();
-        self.desk.borrow_mut().settle(budget, hold, charge, now);
+        self.desk.borrow_mut().settle(budget, hold, charge);
     }
 
     /// See [`BudgetDesk::refusal`].
     pub fn refusal(&self, budget: &BudgetName, tokens: TokenCount) -> Option<TokenRefusal> {
-        self.desk.borrow().refusal(budget, tokens)
+        let now = self.started.elapsed();
+        self.desk.borrow().refusal(budget, tokens, now)
     }
 
     /// See [`BudgetDesk::give_all_back`].
     pub fn give_all_back(&self) {
-        self.desk.borrow_mut().give_all_back();
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().give_all_back(now);
     }
 
     /// Says that a request waits for `tokens` while the returned value lives.
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod answer;
 pub mod budgets;
+pub mod clock;
 pub mod connect;
 pub mod dialect;
 pub mod directory;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -195,9 +195,10 @@
     let tokens = TokenCount::new(most);
     let until = admitted.until.min(Instant::now() + TOKEN_WAIT);
     let mut want = None;
+    state.budgets.count_demand(&budget, tokens);
     loop {
         let hold = state.budgets.reserve(&budget, tokens);
-        if let Some(hold) = hold {
+        if let Ok(hold) = hold {
             let prompt = admitted.signs.prompt_tokens;
             let budgets = state.budgets.clone();
             let charge = RequestCharge::new(budgets, budget, hold, prompt);
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -161,6 +161,14 @@
                 self.budgets.apply(offset, &record);
                 self.review_budgets();
             }
+            TrafficUpdate::AccountsCurrent => {
+                self.budgets.recover();
+                self.review_budgets();
+            }
+            TrafficUpdate::AccountsAppended(number) => {
+                self.budgets.acknowledge(number);
+                self.review_budgets();
+            }
             TrafficUpdate::Instance(entry) => {
                 // Whoever watches instances has announced it already.
                 let _known = self.directory.borrow_mut().announce(entry);
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -35,6 +35,10 @@
         /// Its bytes.
         record: Vec<u8>,
     },
+    /// All account records that the store had were told.
+    AccountsCurrent,
+    /// The store has all batches of account records up to this number.
+    AccountsAppended(u64),
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Another instance answers, or does not.
