Let instances that are short of tokens ask each other

Cause: teams stick to few instances, and an instance that is cut off from the store can draw nothing.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -7,11 +7,15 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_peer::PinnedError;
+use hibiscus_peer::PinnedKeys;
+use hibiscus_peer::PinnedLink;
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
 use hibiscus_traffic::probe;
 use hibiscus_traffic::relay::AnswerBody;
@@ -68,9 +72,9 @@
     /// The system refuses a runtime, a thread or a signal handler.
     #[error("failed to start a thread or a handler")]
     Start(#[from] io::Error),
-    /// The metrics cannot be recorded.
-    #[error("failed to start the metrics")]
-    Metrics(#[from] metrics_exporter_prometheus::BuildError),
+    /// The link to the other instances cannot be had.
+    #[error("failed to start the link to the other instances")]
+    Link(#[from] PinnedError),
 }
 
 /// Result of running the daemon.
@@ -94,11 +98,14 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let keys = PinnedKeys::generate()?;
     let own = InstanceEntry {
         name: settings.instance.clone(),
         incarnation: IncarnationId::generate(),
         callers: settings.callers,
         readiness: settings.readiness,
+        peers: settings.peers,
+        pin: keys.pin(),
         data_centre: settings.data_centre.clone(),
         leaving: false,
     };
@@ -156,7 +163,7 @@
     let tasks = LocalSet::new();
     tasks.block_on(
         &runtime,
-        serve(&settings, state, receiver, metrics, (store, own)),
+        serve(&settings, state, receiver, metrics, (store, own, keys)),
     )?;
     drop(tasks);
     drop(runtime);
@@ -180,12 +187,16 @@
     state: Rc<FrontState>,
     mut updates: UpdateReceiver,
     metrics: PrometheusHandle,
-    (store, own): (StoreClient, InstanceEntry),
+    (store, own, keys): (StoreClient, InstanceEntry, PinnedKeys),
 ) -> Result<()> {
     let callers = bind(settings.callers).await?;
     let readiness = bind(settings.readiness).await?;
     let directory = bind(settings.directory).await?;
     let operators = bind(settings.metrics).await?;
+    let (inbox, calls) = tokio::sync::mpsc::channel(peers::RING_CAPACITY);
+    let link = PinnedLink::open(settings.peers, &keys, &state.pins, inbox)?;
+    *state.link.borrow_mut() = Some(link);
+    tokio::task::spawn_local(peers::answer_calls(Rc::clone(&state), calls));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_calls(
         readiness,
--- a/crates/hibiscus-ledger/src/account/purse.rs
+++ b/crates/hibiscus-ledger/src/account/purse.rs
@@ -7,11 +7,22 @@
 use crate::account::pace::MachineTime;
 use crate::account::pace::SpendPace;
 
+/// Whose tokens pay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldSource {
+    /// This holder drew them.
+    Drawn,
+    /// Another holder gave them, and counts them as spent.
+    Given,
+}
+
 /// Tokens set aside for one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenHold {
     /// The most that the request may cost.
     pub tokens: TokenCount,
+    /// Whose they are.
+    pub source: HoldSource,
 }
 
 /// Why tokens cannot be set aside.
@@ -40,6 +51,8 @@
     returned: TokenCount,
     spent: TokenCount,
     reserved: TokenCount,
+    /// Tokens that other holders gave and that are not set aside.
+    given: TokenCount,
     paces: VecDeque<SentPace>,
     acknowledged: bool,
 }
@@ -50,6 +63,22 @@
         self.drawn = self.drawn + granted;
     }
 
+    /// Adds tokens that another holder gave.
+    pub fn add_given(&mut self, tokens: TokenCount) {
+        self.given = self.given + tokens;
+    }
+
+    /// Gives up to `tokens` to another holder: they count as spent here,
+    /// whether they arrive or not.
+    pub fn give(&mut self, tokens: TokenCount, now: MachineTime) -> TokenCount {
+        let allowed = self.allowed(now).unwrap_or_default();
+        let tokens = tokens
+            .min(self.available())
+            .min(allowed.saturating_sub(self.used()));
+        self.spent = self.spent + tokens;
+        tokens
+    }
+
     /// Tokens that were drawn and are neither spent nor set aside.
     pub fn available(&self) -> TokenCount {
         self.drawn
@@ -108,19 +137,30 @@
         tokens: TokenCount,
         now: MachineTime,
     ) -> std::result::Result<TokenHold, HoldFault> {
+        if tokens <= self.given {
+            self.given = self.given.saturating_sub(tokens);
+            let source = HoldSource::Given;
+            return Ok(TokenHold { tokens, source });
+        }
         if tokens > self.available() {
             return Err(HoldFault::NotDrawn);
         }
-        if !self.is_paced(self.used() + tokens, now) {
+        let used = self.used() + tokens;
+        if self.allowed(now).is_none_or(|allowed| used > allowed) {
             return Err(HoldFault::TooFast);
         }
         self.reserved = self.reserved + tokens;
-        Ok(TokenHold { tokens })
+        let source = HoldSource::Drawn;
+        Ok(TokenHold { tokens, source })
     }
 
     /// Ends a reservation of which `charge` was used; more than was reserved
     /// is never charged.
     pub fn settle(&mut self, hold: TokenHold, charge: TokenCount) {
+        if hold.source == HoldSource::Given {
+            self.given = self.given + hold.tokens.saturating_sub(charge);
+            return;
+        }
         self.reserved = self.reserved.saturating_sub(hold.tokens);
         self.spent = self.spent + charge.min(hold.tokens);
     }
@@ -130,12 +170,13 @@
         self.returned = self.returned + tokens.min(self.available());
     }
 
-    /// Whether all lines allow `used` at `now`.
-    fn is_paced(&self, used: TokenCount, now: MachineTime) -> bool {
-        let allows = |sent: &SentPace| {
-            let limit = sent.pace.limit_at(now);
-            limit.is_some_and(|limit| used <= limit)
-        };
-        self.acknowledged && self.paces.iter().all(allows)
+    /// The most that all lines allow to be used at `now`; `None` before the
+    /// first was acknowledged.
+    pub fn allowed(&self, now: MachineTime) -> Option<TokenCount> {
+        if !self.acknowledged {
+            return None;
+        }
+        let limit = |sent: &SentPace| sent.pace.limit_at(now).unwrap_or_default();
+        self.paces.iter().map(limit).min()
     }
 }
--- a/crates/hibiscus-peer/src/lib.rs
+++ b/crates/hibiscus-peer/src/lib.rs
@@ -5,12 +5,14 @@
 //! request's bytes, then the reply's. Both ends present a certificate signed
 //! by the fleet's authority, so a process of another fleet is refused during
 //! the handshake. A call that fails may have been received: callers repeat
-//! only what is idempotent.
+//! only what is idempotent. [`PinnedLink`] is the same for fleets without an
+//! authority, on the runtime of its caller.
 
 mod connect;
 mod keys;
 mod link;
 mod message;
+mod pinned;
 mod tls;
 
 pub use keys::FLEET_NAME;
@@ -23,3 +25,9 @@
 pub use link::PeerLink;
 pub use link::PendingCall;
 pub use link::Result;
+pub use pinned::CertificatePin;
+pub use pinned::PinSet;
+pub use pinned::PinnedCall;
+pub use pinned::PinnedError;
+pub use pinned::PinnedKeys;
+pub use pinned::PinnedLink;
--- a/crates/hibiscus-peer/src/tls.rs
+++ b/crates/hibiscus-peer/src/tls.rs
@@ -60,7 +60,7 @@
 }
 
 /// Timeouts and limits of both sides.
-fn transport() -> Arc<TransportConfig> {
+pub(crate) fn transport() -> Arc<TransportConfig> {
     let mut transport = TransportConfig::default();
     let idle = IdleTimeout::from(VarInt::from_u32(IDLE_LIMIT_MS));
     transport.max_idle_timeout(Some(idle));
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -266,6 +266,43 @@
         }
     }
 
+    /// Gives up to `tokens` of `budget` to another instance, half of what is
+    /// held here at the most.
+    pub fn give(&mut self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(budget) else {
+            return TokenCount::ZERO;
+        };
+        let half = TokenCount::new(held.purse.available().get() / 2);
+        held.purse.give(tokens.min(half), now)
+    }
+
+    /// Takes tokens over that another instance gave.
+    pub fn add_given(&mut self, budget: &BudgetName, tokens: TokenCount) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.purse.add_given(tokens);
+        held.changed.notify_waiters();
+    }
+
+    /// Logs why `tokens` of `budget` could not be had for the request `id`.
+    pub fn log_shortage(&self, id: &str, budget: &BudgetName, tokens: TokenCount, now: Duration) {
+        let account = self.fold.budget(budget);
+        let free = account.map(BudgetAccount::free).unwrap_or_default();
+        let prepaid = account.map(|account| account.prepaid).unwrap_or_default();
+        let waiting = self.unacknowledged.map(|since| now.saturating_sub(since));
+        let Some(held) = self.held.get(budget) else {
+            return;
+        };
+        log::info!(
+            "HS3107 tokens are short request={id} budget={budget} tokens={tokens} available={} used={} allowed={:?} reserved={} free={free} prepaid={prepaid} unacknowledged_ms={:?}",
+            held.purse.available(),
+            held.purse.used(),
+            held.purse.allowed(self.clock.now()).map(TokenCount::get),
+            held.purse.reserved(),
+            waiting.map(|waiting| waiting.as_millis())
+        );
+    }
+
     /// Says that a request waits for `tokens`; the returned signal tells of
     /// changes.
     fn want(&mut self, budget: &BudgetName, tokens: TokenCount) -> Rc<Notify> {
@@ -479,6 +516,22 @@
         self.desk.borrow_mut().give_all_back(now);
     }
 
+    /// See [`BudgetDesk::give`].
+    pub fn give(&self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
+        self.desk.borrow_mut().give(budget, tokens)
+    }
+
+    /// See [`BudgetDesk::add_given`].
+    pub fn add_given(&self, budget: &BudgetName, tokens: TokenCount) {
+        self.desk.borrow_mut().add_given(budget, tokens);
+    }
+
+    /// See [`BudgetDesk::log_shortage`].
+    pub fn log_shortage(&self, id: &str, budget: &BudgetName, tokens: TokenCount) {
+        let now = self.started.elapsed();
+        self.desk.borrow().log_shortage(id, budget, tokens, now);
+    }
+
     /// Says that a request waits for `tokens` while the returned value lives.
     pub fn want(&self, budget: &BudgetName, tokens: TokenCount) -> TokenWant {
         let changed = self.desk.borrow_mut().want(budget, tokens);
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -90,6 +90,12 @@
             .saturating_add(1)
     }
 
+    /// Where the instances that answer take questions.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let others = self.others.values().filter(|known| known.reachable);
+        others.map(|known| known.entry.peers).collect()
+    }
+
     /// Addresses for a caller in `data_centre`: those of the same data centre
     /// while there are several, else all that serve. Callers pick one at
     /// random, so a single near instance would get all of them. Never none.
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod flight;
 pub mod life;
 pub mod model;
+pub mod peers;
 pub mod port;
 pub mod probe;
 pub mod relay;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hibiscus_ledger::account::purse::TokenHold;
 use hibiscus_routing::placement::PartTokens;
 use hibiscus_routing::placement::PlacementCase;
 use hibiscus_types::BudgetName;
@@ -33,6 +34,7 @@
 use crate::flight::ServerFlight;
 use crate::model::RouteRule;
 use crate::model::TeamRule;
+use crate::peers;
 use crate::relay::AnswerBody;
 use crate::relay::StreamRelay;
 use crate::send;
@@ -95,7 +97,10 @@
     };
     let charge = match reserve(&state, &admitted).await {
         Ok(charge) => charge,
-        Err(reason) => return refuse(&state, reason, &id),
+        Err(reason) => {
+            log_shortage(&state, &admitted);
+            return refuse(&state, reason, &id);
+        }
     };
     match forward(&state, &admitted, charge).await {
         Ok(forwarded) => forwarded.into_answer(&admitted, progress),
@@ -114,6 +119,18 @@
     answer::own_answer(&state.dialect, reason, id)
 }
 
+/// Logs what was held when a request got no tokens.
+fn log_shortage<D: RequestDialect>(state: &TrafficState<D>, admitted: &AdmittedRequest) {
+    let Some(team) = &admitted.team else {
+        return;
+    };
+    let budget = BudgetName::new(team.name.as_str());
+    let tokens = TokenCount::new(admitted.signs.prompt_tokens + admitted.signs.output_tokens);
+    state
+        .budgets
+        .log_shortage(&admitted.signs.id, &budget, tokens);
+}
+
 /// Finds route and team and reads the body.
 async fn admit<D: RequestDialect>(
     state: &Rc<TrafficState<D>>,
@@ -193,25 +210,36 @@
     }
     let budget = BudgetName::new(team.name.as_str());
     let tokens = TokenCount::new(most);
-    let until = admitted.until.min(Instant::now() + TOKEN_WAIT);
-    let mut want = None;
     state.budgets.count_demand(&budget, tokens);
-    loop {
+    let mut held = wait_for_tokens(state, admitted, &budget, tokens).await;
+    if held == Err(OwnReason::BudgetUnconfirmed) && gather(state, &budget, tokens).await {
         let hold = state.budgets.reserve(&budget, tokens);
-        if let Ok(hold) = hold {
-            let prompt = admitted.signs.prompt_tokens;
-            let budgets = state.budgets.clone();
-            let charge = RequestCharge::new(budgets, budget, hold, prompt);
-            return Ok(Some(Rc::new(charge)));
-        }
-        if want.is_none() {
-            want = Some(state.budgets.want(&budget, tokens));
-            state.review_budgets();
-        }
-        let Some(want) = &want else {
-            return Err(OwnReason::BudgetUnconfirmed);
-        };
-        match state.budgets.refusal(&budget, tokens) {
+        held = hold.map_err(|_fault| OwnReason::BudgetUnconfirmed);
+    }
+    let charge = RequestCharge::new(
+        state.budgets.clone(),
+        budget,
+        held?,
+        admitted.signs.prompt_tokens,
+    );
+    Ok(Some(Rc::new(charge)))
+}
+
+/// Waits for a draw or a report that brings the tokens.
+async fn wait_for_tokens<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+    budget: &BudgetName,
+    tokens: TokenCount,
+) -> Result<TokenHold> {
+    let until = admitted.until.min(Instant::now() + TOKEN_WAIT);
+    if let Ok(hold) = state.budgets.reserve(budget, tokens) {
+        return Ok(hold);
+    }
+    let want = state.budgets.want(budget, tokens);
+    state.review_budgets();
+    loop {
+        match state.budgets.refusal(budget, tokens) {
             Some(TokenRefusal::Spent) => return Err(OwnReason::BudgetSpent),
             Some(TokenRefusal::Unconfirmed) => return Err(OwnReason::BudgetUnconfirmed),
             None => {}
@@ -220,6 +248,22 @@
         if tokio::time::timeout(wait, want.changed()).await.is_err() {
             return Err(OwnReason::BudgetUnconfirmed);
         }
+        if let Ok(hold) = state.budgets.reserve(budget, tokens) {
+            return Ok(hold);
+        }
+    }
+}
+
+/// Asks the other instances for tokens.
+async fn gather<D: RequestDialect>(
+    state: &TrafficState<D>,
+    budget: &BudgetName,
+    tokens: TokenCount,
+) -> bool {
+    let link = state.link.borrow().clone();
+    match link {
+        Some(link) => peers::gather_tokens(state, &link, budget, tokens).await,
+        None => false,
     }
 }
 
--- a/crates/hibiscus-traffic/src/model.rs
+++ b/crates/hibiscus-traffic/src/model.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hibiscus_peer::CertificatePin;
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -189,6 +190,10 @@
     pub callers: SocketAddr,
     /// Where it answers its readiness check.
     pub readiness: SocketAddr,
+    /// Where it answers other instances.
+    pub peers: SocketAddr,
+    /// Fingerprint of the certificate that it presents to them.
+    pub pin: CertificatePin,
     /// Its data centre.
     pub data_centre: DataCentre,
     /// Whether it has begun a planned stop.
--- /dev/null
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -0,0 +1,128 @@
+//! What instances ask each other for.
+//!
+//! An instance that cannot reach the store, or finds a budget drawn up, asks
+//! the others for tokens. The giver counts them as spent before it answers,
+//! so a reply that is lost loses tokens and spends none twice.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscus_peer::PinnedCall;
+use hibiscus_peer::PinnedLink;
+use hibiscus_types::BudgetName;
+use hibiscus_types::TokenCount;
+use hibiscus_types::codec;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::dialect::RequestDialect;
+use crate::state::TrafficState;
+
+/// Calls that wait to be answered.
+pub const RING_CAPACITY: usize = 256;
+/// Time for one answer, a new connection included: the instances are a few
+/// milliseconds apart.
+const ANSWER_LIMIT: Duration = Duration::from_millis(80);
+/// Instances asked for one request.
+const ASKED_LIMIT: usize = 6;
+/// Tokens asked for, as a multiple of what is needed, so that the next
+/// request need not ask.
+const ASKED_FACTOR: u64 = 3;
+
+/// A question to another instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerQuestion {
+    /// Gives tokens of a budget away.
+    Tokens {
+        /// The budget.
+        budget: BudgetName,
+        /// The most that is asked for.
+        tokens: TokenCount,
+    },
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// Tokens given.
+    Tokens(TokenCount),
+}
+
+/// Answers other instances for as long as the runtime runs.
+pub async fn answer_calls<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    mut calls: mpsc::Receiver<PinnedCall>,
+) {
+    while let Some(call) = calls.recv().await {
+        let question = match codec::decode::<PeerQuestion>(&call.body) {
+            Ok(question) => question,
+            Err(error) => {
+                log::warn!("HS1111 question of an instance cannot be read cause={error}");
+                continue;
+            }
+        };
+        let answer = answer(&state, &question);
+        match codec::encode(&answer) {
+            Ok(body) => call.reply(body),
+            Err(error) => log::error!("HS1112 answer to an instance not encoded cause={error}"),
+        }
+    }
+}
+
+/// Decides on one question.
+fn answer<D: RequestDialect>(state: &TrafficState<D>, question: &PeerQuestion) -> PeerAnswer {
+    match question {
+        PeerQuestion::Tokens { budget, tokens } => {
+            let given = state.budgets.give(budget, *tokens);
+            log::info!("HS3108 tokens given budget={budget} asked={tokens} given={given}");
+            PeerAnswer::Tokens(given)
+        }
+    }
+}
+
+/// Asks other instances for `tokens` of `budget` until enough came; false when
+/// it did not.
+pub async fn gather_tokens<D: RequestDialect>(
+    state: &TrafficState<D>,
+    link: &PinnedLink,
+    budget: &BudgetName,
+    tokens: TokenCount,
+) -> bool {
+    let mut peers = state.directory.borrow().peers();
+    fastrand::shuffle(&mut peers);
+    peers.truncate(ASKED_LIMIT);
+    let mut gathered = TokenCount::ZERO;
+    for peer in peers {
+        let missing = tokens.saturating_sub(gathered);
+        let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
+        let Some(given) = ask(link, peer, budget, asked).await else {
+            log::info!("HS3109 instance did not answer for tokens peer={peer} budget={budget}");
+            continue;
+        };
+        state.budgets.add_given(budget, given);
+        gathered = gathered + given;
+        if gathered >= tokens {
+            return true;
+        }
+    }
+    false
+}
+
+/// Asks one instance.
+async fn ask(
+    link: &PinnedLink,
+    peer: SocketAddr,
+    budget: &BudgetName,
+    tokens: TokenCount,
+) -> Option<TokenCount> {
+    let question = PeerQuestion::Tokens {
+        budget: budget.clone(),
+        tokens,
+    };
+    let body = codec::encode(&question).ok()?;
+    let reply = link.call(peer, &body, ANSWER_LIMIT).await?;
+    let PeerAnswer::Tokens(given) = codec::decode(&reply).ok()?;
+    Some(given)
+}
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_peer::PinSet;
+use hibiscus_peer::PinnedLink;
 use hibiscus_types::DataCentre;
 use tokio::sync::Notify;
 
@@ -33,6 +35,10 @@
     pub retries: RefCell<RetryCounter>,
     /// The instances.
     pub directory: RefCell<InstanceDirectory>,
+    /// The link to the other instances, once it is open.
+    pub link: RefCell<Option<PinnedLink>>,
+    /// The processes that the link accepts.
+    pub pins: PinSet,
     /// The servers.
     pub servers: RefCell<ServerPool>,
     roster: RefCell<ServerRoster>,
@@ -60,6 +66,8 @@
             budgets: BudgetHandle::new(budgets),
             retries: RefCell::new(retries),
             directory: RefCell::new(directory),
+            link: RefCell::default(),
+            pins: PinSet::default(),
             servers: RefCell::default(),
             roster: RefCell::default(),
             table: RefCell::default(),
@@ -170,6 +178,7 @@
                 self.review_budgets();
             }
             TrafficUpdate::Instance(entry) => {
+                self.pins.insert(entry.pin);
                 // Whoever watches instances has announced it already.
                 let _known = self.directory.borrow_mut().announce(entry);
             }
