--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -175,6 +175,18 @@
     pub fn free(&self) -> TokenCount {
         self.prepaid.saturating_sub(self.counted)
     }
+
+    /// Tokens that the holders have not reported as spent.
+    pub fn held(&self) -> TokenCount {
+        self.holders.values().map(HolderAccount::unreported).sum()
+    }
+
+    /// Tokens a second that the lines of all holders but `holder` allow.
+    pub fn paced_by_others(&self, holder: IncarnationId) -> f64 {
+        let others = self.holders.iter().filter(|(id, _held)| **id != holder);
+        let reports = others.filter_map(|(_id, held)| held.report.as_ref());
+        reports.map(|report| report.pace.per_second as f64).sum()
+    }
 }
 
 /// All budgets at one offset of the stream.
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -18,10 +18,15 @@
 /// A holder without a known demand draws the total divided by this and by the
 /// number of holders.
 const FIRST_DIVISOR: u64 = 5;
+/// Part of what is left of a budget that all holders together keep; the rest
+/// is there for swings of the demand and after a crash.
+const HELD_PART: f64 = 0.7;
+/// Part of its target below which a holder draws.
+const REFILL_PART: f64 = 0.7;
 /// Part of a total below which what is free counts as scarce.
 const SCARCE_PART: f64 = 0.25;
 /// Demand that a line allows, as a multiple of the present one.
-const PACE_FACTOR: f64 = 2.0;
+pub const PACE_FACTOR: f64 = 2.0;
 /// Time within which a line lets a holder spend all that it drew first, while
 /// no demand is known.
 const FIRST_PACE: Duration = Duration::from_secs(10);
@@ -41,6 +46,10 @@
     pub free: TokenCount,
     /// The total.
     pub prepaid: TokenCount,
+    /// Tokens that all holders have drawn and not reported as spent.
+    pub held: TokenCount,
+    /// Tokens a second that the other holders spend, by their reports.
+    pub others_per_second: f64,
     /// Live instances.
     pub holders: u32,
 }
@@ -69,11 +78,9 @@
     let floor = typical * REQUESTS_KEPT as f64;
     let target = if known { demand.max(floor) } else { first } * ample;
     let available = view.available.get() as f64;
-    // Half of what is left stays free, for the others and for after a crash.
-    let free = view.free.get() as f64;
-    let share = (free / holders - available).max(0.0) / (1.0 + 1.0 / holders);
-    let missing = if available < target * 0.6 {
-        (target - available).min(share)
+    let target = target.min(fair_part(view, first));
+    let missing = if available < target * REFILL_PART {
+        target - available
     } else {
         0.0
     };
@@ -99,6 +106,17 @@
     }
 }
 
+/// The part of what is left that this holder may keep: its part of the
+/// demand, of the part that may be out at once.
+fn fair_part(view: &DrawView, first: f64) -> f64 {
+    let left = (view.free + view.held).get() as f64 * HELD_PART;
+    let demand = view.demand_per_second + view.others_per_second;
+    if view.demand_per_second <= 0.0 {
+        return first.min(left);
+    }
+    left * view.demand_per_second / demand
+}
+
 /// 1 while a budget is far from its limit, down to 0 at it.
 fn ampleness(view: &DrawView) -> f64 {
     let scarce = view.prepaid.get() as f64 * SCARCE_PART;
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -356,6 +356,10 @@
                 .or(total)
                 .unwrap_or_default(),
             prepaid: prepaid.unwrap_or_default(),
+            held: account.map(BudgetAccount::held).unwrap_or_default(),
+            others_per_second: account.map_or(0.0, |account| {
+                account.paced_by_others(self.holder) / policy::PACE_FACTOR
+            }),
             holders,
         };
         let decision = policy::decide(&view);
