--- /dev/null
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -0,0 +1,267 @@
+//! The account fold, purse, lines and policy.
+
+use std::time::Duration;
+
+use hibiscus_ledger::account::AccountFold;
+use hibiscus_ledger::account::AccountRecord;
+use hibiscus_ledger::account::HolderReport;
+use hibiscus_ledger::account::demand::DemandCounter;
+use hibiscus_ledger::account::pace::MachineTime;
+use hibiscus_ledger::account::pace::SpendPace;
+use hibiscus_ledger::account::policy;
+use hibiscus_ledger::account::policy::DrawView;
+use hibiscus_ledger::account::purse::BudgetPurse;
+use hibiscus_ledger::account::purse::HoldFault;
+use hibiscus_ledger::account::purse::HoldSource;
+use hibiscus_types::BudgetName;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::InstanceName;
+use hibiscus_types::TokenCount;
+
+const TOKENS: u64 = 1_000;
+
+fn tokens(count: u64) -> TokenCount {
+    TokenCount::new(count)
+}
+
+fn budget() -> BudgetName {
+    BudgetName::from("team")
+}
+
+fn holder(number: u128) -> IncarnationId {
+    IncarnationId::from_u128(number)
+}
+
+fn at(millis: u64) -> MachineTime {
+    MachineTime { boot: 7, millis }
+}
+
+fn prepaid(version: u64, count: u64) -> AccountRecord {
+    AccountRecord::Prepaid {
+        budget: budget(),
+        version,
+        tokens: tokens(count),
+    }
+}
+
+fn draw(number: u128, serial: u64, count: u64) -> AccountRecord {
+    AccountRecord::Draw {
+        budget: budget(),
+        holder: holder(number),
+        machine: InstanceName::from("machine"),
+        serial,
+        tokens: tokens(count),
+    }
+}
+
+fn report(number: u128, serial: u64, spent: u64, returned: u64) -> AccountRecord {
+    AccountRecord::Report(HolderReport {
+        budget: budget(),
+        holder: holder(number),
+        serial,
+        spent: tokens(spent),
+        returned: tokens(returned),
+        pace: SpendPace {
+            base: tokens(spent),
+            burst: tokens(10),
+            per_second: 100,
+            made: at(0),
+        },
+    })
+}
+
+fn free(fold: &AccountFold) -> u64 {
+    fold.budget(&budget())
+        .map_or(0, |account| account.free().get())
+}
+
+#[test]
+fn a_draw_gets_what_is_free_and_a_copy_gets_nothing() {
+    let mut fold = AccountFold::default();
+    fold.apply(0, &[prepaid(1, TOKENS)]);
+    let verdicts = fold.apply(1, &[draw(1, 1, 700)]);
+    assert_eq!(verdicts[0].granted, tokens(700));
+    let verdicts = fold.apply(2, &[draw(2, 1, 700)]);
+    assert_eq!(verdicts[0].granted, tokens(300));
+    assert!(fold.apply(3, &[draw(1, 1, 700)]).is_empty());
+    assert_eq!(free(&fold), 0);
+}
+
+#[test]
+fn an_older_total_and_an_older_report_change_nothing() {
+    let mut fold = AccountFold::default();
+    fold.apply(0, &[prepaid(5, TOKENS), prepaid(4, 9 * TOKENS)]);
+    fold.apply(1, &[draw(1, 1, 500), report(1, 2, 300, 100)]);
+    assert_eq!(free(&fold), 600);
+    fold.apply(2, &[report(1, 1, 0, 0)]);
+    assert_eq!(free(&fold), 600);
+}
+
+#[test]
+fn a_total_that_shrinks_below_what_was_drawn_leaves_nothing_free() {
+    let mut fold = AccountFold::default();
+    fold.apply(0, &[prepaid(1, TOKENS), draw(1, 1, 800), prepaid(2, 500)]);
+    assert_eq!(free(&fold), 0);
+    assert!(fold.apply(1, &[draw(2, 1, 10)])[0].granted.is_zero());
+}
+
+#[test]
+fn a_closed_account_frees_its_rest_and_takes_no_late_record() {
+    let mut fold = AccountFold::default();
+    fold.apply(
+        0,
+        &[prepaid(1, TOKENS), draw(1, 1, 800), report(1, 1, 200, 0)],
+    );
+    let close = AccountRecord::Close {
+        budget: budget(),
+        holder: holder(1),
+        spent: tokens(250),
+    };
+    fold.apply(1, &[close]);
+    assert_eq!(free(&fold), 750);
+    assert!(
+        fold.apply(2, &[draw(1, 2, 100), report(1, 2, 800, 0)])
+            .is_empty()
+    );
+    assert_eq!(free(&fold), 750);
+}
+
+#[test]
+fn a_machine_that_was_booted_anew_proves_nothing() {
+    let mut fold = AccountFold::default();
+    fold.apply(
+        0,
+        &[prepaid(1, TOKENS), draw(1, 1, 800), report(1, 1, 200, 0)],
+    );
+    let account = fold.budget(&budget()).expect("the budget is known");
+    let held = &account.holders[&holder(1)];
+    assert_eq!(held.spent_at_most(at(1_000)), tokens(310));
+    let rebooted = MachineTime {
+        boot: 8,
+        millis: 1_000,
+    };
+    assert_eq!(held.spent_at_most(rebooted), tokens(800));
+}
+
+#[test]
+fn a_holder_spends_nothing_before_its_first_line_is_acknowledged() {
+    let mut purse = BudgetPurse::default();
+    purse.add(tokens(500));
+    assert_eq!(purse.reserve(tokens(1), at(0)), Err(HoldFault::TooFast));
+    let pace = SpendPace {
+        base: TokenCount::ZERO,
+        burst: tokens(100),
+        per_second: 0,
+        made: at(0),
+    };
+    purse.send_pace(1, pace);
+    assert_eq!(purse.reserve(tokens(1), at(0)), Err(HoldFault::TooFast));
+    purse.acknowledge(1);
+    assert!(purse.reserve(tokens(100), at(0)).is_ok());
+    assert_eq!(purse.reserve(tokens(1), at(0)), Err(HoldFault::TooFast));
+    assert_eq!(purse.reserve(tokens(500), at(0)), Err(HoldFault::NotDrawn));
+}
+
+#[test]
+fn given_tokens_count_for_the_giver_and_not_for_the_taker() {
+    let mut giver = BudgetPurse::default();
+    giver.add(tokens(500));
+    giver.send_pace(
+        1,
+        SpendPace {
+            burst: tokens(300),
+            made: at(0),
+            ..SpendPace::default()
+        },
+    );
+    giver.acknowledge(1);
+    let given = giver.give(tokens(400), at(0));
+    assert_eq!(given, tokens(300));
+    assert_eq!(giver.spent(), tokens(300));
+    let mut taker = BudgetPurse::default();
+    taker.add_given(given);
+    let hold = taker
+        .reserve(tokens(200), at(0))
+        .expect("the tokens were given");
+    assert_eq!(hold.source, HoldSource::Given);
+    taker.settle(hold, tokens(50));
+    assert_eq!(taker.spent(), TokenCount::ZERO);
+    assert!(taker.reserve(tokens(250), at(0)).is_ok());
+}
+
+#[test]
+fn demand_follows_a_rise_within_seconds() {
+    let mut demand = DemandCounter::default();
+    for second in 0..12 {
+        demand.reserve(tokens(100), Duration::from_secs(second));
+    }
+    assert!((demand.rate(Duration::from_secs(11)) - 100.0).abs() < 1.0);
+    for second in 12..16 {
+        demand.reserve(tokens(500), Duration::from_secs(second));
+    }
+    assert!(demand.rate(Duration::from_secs(15)) > 450.0);
+}
+
+/// One holder has nearly all of a team's requests.
+#[test]
+fn a_holder_with_all_the_demand_may_hold_most_of_what_is_left() {
+    let view = DrawView {
+        demand_per_second: 25_000.0,
+        typical: tokens(9_000),
+        available: tokens(60_000),
+        free: tokens(420_000),
+        held: tokens(80_000),
+        prepaid: tokens(880_000),
+        holders: 7,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.draw >= tokens(250_000), "{decision:?}");
+    assert!(decision.draw <= tokens(420_000), "{decision:?}");
+}
+
+/// Two holders ask for all at once: the second one's part is kept.
+#[test]
+fn holders_share_what_is_left_by_their_demand() {
+    let view = DrawView {
+        demand_per_second: 10_000.0,
+        others_per_second: 30_000.0,
+        typical: tokens(1_000),
+        free: tokens(100_000),
+        prepaid: tokens(100_000),
+        holders: 2,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.draw <= tokens(20_000), "{decision:?}");
+}
+
+/// The last tokens of a budget: idle ones go back, lines close.
+#[test]
+fn a_drained_budget_gets_idle_tokens_back_and_allows_no_burst() {
+    let view = DrawView {
+        available: tokens(5_000),
+        typical: tokens(100),
+        demand_per_second: 1.0,
+        free: TokenCount::ZERO,
+        prepaid: tokens(100_000),
+        holders: 7,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.give_back >= tokens(4_000), "{decision:?}");
+    assert!(decision.burst.is_zero(), "{decision:?}");
+    assert_eq!(decision.per_second, 0);
+}
+
+#[test]
+fn a_waiting_request_is_drawn_for_even_near_the_limit() {
+    let view = DrawView {
+        wanted: tokens(3_000),
+        free: tokens(3_500),
+        prepaid: tokens(100_000),
+        holders: 7,
+        ..DrawView::default()
+    };
+    assert_eq!(policy::decide(&view).draw, tokens(3_000));
+}
