--- a/crates/hibiscus-ledger/tests/account_exhaustive.rs
+++ b/crates/hibiscus-ledger/tests/account_exhaustive.rs
@@ -165,7 +165,15 @@
         let paces = format!("{:?}", self.purse);
         let counts = (self.millis, self.used, self.other_used, self.other_serial);
         // Without the offset: copies of an append lead to the same state.
-        let state = (self.fold.budgets(), late, held, appending, flags, paces, counts);
+        let state = (
+            self.fold.budgets(),
+            late,
+            held,
+            appending,
+            flags,
+            paces,
+            counts,
+        );
         codec::encode(&state).expect("the state is encoded")
     }
 
--- a/tests/testsuite/style.rs
+++ b/tests/testsuite/style.rs
@@ -5,11 +5,11 @@
 use std::path::PathBuf;
 
 /// Folders of Rust sources, from this package.
-const FOLDERS: [&str; 2] = ["../../crates", "."];
+const FOLDERS: [&str; 3] = ["../../crates", "../../platform", "."];
 /// Words that a file banner would hold.
 const BANNER_WORDS: [&str; 3] = ["SPDX-", "Copyright", "Licensed under"];
 /// Slices on the request path, which use no dynamic dispatch.
-const REQUEST_PATH: [&str; 9] = [
+const REQUEST_PATH: [&str; 10] = [
     "hibiscus-router/src/callers",
     "hibiscus-router/src/requests",
     "hibiscus-router/src/holder",
@@ -19,6 +19,7 @@
     "hibiscus-request/src",
     "hibiscus-routing/src",
     "hibiscus-clients/src",
+    "hibiscus-traffic/src",
 ];
 
 /// One source file.
