--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -20,8 +20,11 @@
 /// Topic of the instances' announcements.
 const INSTANCES_TOPIC: &str = "keyed.instances";
 /// Time for which a read waits for a record. A connection that fell silent
-/// shows after it.
-const READ_WAIT: Duration = Duration::from_secs(5);
+/// shows after it, and a change must be known within 2 s of being made.
+const READ_WAIT: Duration = Duration::from_millis(1_500);
+/// Time for which a read waits while the store is away: its return is seen by
+/// the next call, not by one that waits on a connection of before.
+const AWAY_WAIT: Duration = Duration::from_millis(100);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between reads of the servers' entries, which are written all the
@@ -64,6 +67,11 @@
 }
 
 impl ReachLog {
+    /// Time for which the next read waits.
+    fn wait(&self) -> Duration {
+        if self.lost { AWAY_WAIT } else { READ_WAIT }
+    }
+
     fn failed(&mut self, topic: &str, error: &StoreError) {
         if !self.lost {
             log::warn!("HS2003 topic cannot be read topic={topic} cause={error}");
@@ -92,7 +100,7 @@
                 reader.reset(newest.records, updates);
                 newest.next
             }),
-            Some(from) => store.read(topic, from, READ_WAIT).map(|page| {
+            Some(from) => store.read(topic, from, reach.wait()).map(|page| {
                 reader.reached(true, updates);
                 let count = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
                 for record in &page.records {
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -109,11 +109,14 @@
         data_centre: settings.data_centre.clone(),
         leaving: false,
     };
+    let clock = MachineClock::of_this_boot();
     log::info!(
-        "HS1001 instance started instance={} incarnation={} callers={}",
+        "HS1001 instance started instance={} incarnation={} callers={} boot={:x} steady_ms={}",
         own.name,
         own.incarnation,
-        own.callers
+        own.callers,
+        clock.now().boot,
+        clock.now().millis
     );
     let store = StoreClient::new(settings.store);
     let (sender, receiver) = updates::ring();
@@ -142,12 +145,7 @@
         let (store, sender) = (store.clone(), sender.clone());
         move || append::run(&store, &sender, &batches)
     })?;
-    let desk = BudgetDesk::new(
-        own.incarnation,
-        own.name.clone(),
-        MachineClock::of_this_boot(),
-        outbox,
-    );
+    let desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
     let retries = RetryCounter::new(RetryBound {
         share: settings.retry_share,
         slack: settings.retry_slack,
--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -145,7 +145,7 @@
         let counted = self.counted();
         report
             .pace
-            .limit_at(now)
+            .proved_at(now)
             .map_or(counted, |limit| limit.min(counted))
     }
 
--- a/crates/hibiscus-ledger/src/account/pace.rs
+++ b/crates/hibiscus-ledger/src/account/pace.rs
@@ -4,23 +4,42 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A time of a machine's steady clock.
+/// Difference between the steady clock and the time of day over the same span
+/// from which on the two times are not of one boot: a machine that is booted
+/// anew may begin its steady clock anywhere.
+const CLOCK_TOLERANCE_MS: u64 = 250;
+
+/// A time of a machine's clocks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineTime {
     /// Tells one boot of the machine from the next; 0 when it is not known.
     pub boot: u64,
-    /// Milliseconds since the boot.
+    /// Milliseconds of the steady clock.
     pub millis: u64,
+    /// Time of day, in milliseconds since the Unix epoch. It proves nothing by
+    /// itself.
+    pub unix_millis: u64,
 }
 
 impl MachineTime {
-    /// Milliseconds since `earlier`; `None` when the clocks cannot be
-    /// compared.
-    pub fn since(self, earlier: Self) -> Option<u64> {
+    /// Milliseconds since `earlier`, which the same process read.
+    pub fn since_own(self, earlier: Self) -> u64 {
+        self.millis.saturating_sub(earlier.millis)
+    }
+
+    /// Milliseconds since `earlier`, which an earlier process of the machine
+    /// read; `None` when the steady clocks cannot be compared. Both clocks must
+    /// show the same span, and the longer one counts.
+    pub fn since_other(self, earlier: Self) -> Option<u64> {
         if self.boot == 0 || self.boot != earlier.boot {
             return None;
         }
-        self.millis.checked_sub(earlier.millis)
+        let steady = self.millis.checked_sub(earlier.millis)?;
+        let of_day = self.unix_millis.checked_sub(earlier.unix_millis)?;
+        if steady.abs_diff(of_day) > CLOCK_TOLERANCE_MS {
+            return None;
+        }
+        Some(steady.max(of_day))
     }
 }
 
@@ -38,12 +57,21 @@
 }
 
 impl SpendPace {
-    /// The most that is spent and reserved at `now`; `None` when the clocks
-    /// cannot be compared.
-    pub fn limit_at(&self, now: MachineTime) -> Option<TokenCount> {
-        let millis = now.since(self.made)?;
+    /// The most that the process that made the line may spend and reserve at
+    /// `now`.
+    pub fn limit_at(&self, now: MachineTime) -> TokenCount {
+        self.limit_after(now.since_own(self.made))
+    }
+
+    /// The most that an ended process of this machine had spent and reserved;
+    /// `None` when the clocks prove nothing.
+    pub fn proved_at(&self, now: MachineTime) -> Option<TokenCount> {
+        Some(self.limit_after(now.since_other(self.made)?))
+    }
+
+    fn limit_after(&self, millis: u64) -> TokenCount {
         let paced = u128::from(self.per_second) * u128::from(millis) / 1_000;
         let paced = u64::try_from(paced).unwrap_or(u64::MAX);
-        Some(self.base + self.burst + TokenCount::new(paced))
+        self.base + self.burst + TokenCount::new(paced)
     }
 }
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -20,7 +20,7 @@
 const FIRST_DIVISOR: u64 = 5;
 /// Part of what is left of a budget that all holders together keep; the rest
 /// is there for swings of the demand and after a crash.
-const HELD_PART: f64 = 0.7;
+const HELD_PART: f64 = 0.55;
 /// Part of its target below which a holder draws.
 const REFILL_PART: f64 = 0.7;
 /// Part of a total below which what is free counts as scarce.
--- a/crates/hibiscus-ledger/src/account/purse.rs
+++ b/crates/hibiscus-ledger/src/account/purse.rs
@@ -176,7 +176,7 @@
         if !self.acknowledged {
             return None;
         }
-        let limit = |sent: &SentPace| sent.pace.limit_at(now).unwrap_or_default();
+        let limit = |sent: &SentPace| sent.pace.limit_at(now);
         self.paces.iter().map(limit).min()
     }
 }
--- a/crates/hibiscus-traffic/src/clock.rs
+++ b/crates/hibiscus-traffic/src/clock.rs
@@ -1,16 +1,17 @@
-//! The machine's steady clock, comparable between its processes.
+//! The machine's clocks, comparable between its processes.
 
 use std::fs;
 use std::time::Duration;
 
 use hibiscus_ledger::account::pace::MachineTime;
+use hibiscus_types::UnixMillis;
 use hibiscus_types::hash::stable_hash;
 use nix::time::ClockId;
 
 /// File that names the machine's present boot.
 const BOOT_ID_PATH: &str = "/proc/sys/kernel/random/boot_id";
 
-/// Reads the steady clock.
+/// Reads the clocks.
 #[derive(Clone, Copy, Debug)]
 pub struct MachineClock {
     boot: u64,
@@ -42,6 +43,7 @@
         MachineTime {
             boot: self.boot,
             millis: u64::try_from(now.as_millis()).unwrap_or(u64::MAX),
+            unix_millis: UnixMillis::now().get(),
         }
     }
 }
