--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -18,9 +18,13 @@
 /// A holder without a known demand draws the total divided by this and by the
 /// number of holders.
 const FIRST_DIVISOR: u64 = 5;
-/// Part of what is left of a budget that all holders together keep; the rest
-/// is there for swings of the demand and after a crash.
+/// Part of what is left of a budget that all holders together keep while it
+/// is ample; the rest is there for swings of the demand and after a crash.
 const HELD_PART: f64 = 0.55;
+/// Part of a total below which less than [`HELD_PART`] of what is left is
+/// kept: a power cut of all machines takes the holdings along, and then what
+/// is left must last.
+const LOW_PART: f64 = 0.4;
 /// Part of its target below which a holder draws.
 const REFILL_PART: f64 = 0.7;
 /// Part of a total below which what is free counts as scarce.
@@ -109,12 +113,19 @@
 /// The part of what is left that this holder may keep: its part of the
 /// demand, of the part that may be out at once.
 fn fair_part(view: &DrawView, first: f64) -> f64 {
-    let left = (view.free + view.held).get() as f64 * HELD_PART;
+    let left = (view.free + view.held).get() as f64;
+    let low = view.prepaid.get() as f64 * LOW_PART;
+    let lowness = if low > 0.0 {
+        (left / low).min(1.0)
+    } else {
+        0.0
+    };
+    let kept = left * HELD_PART * lowness.powf(1.5);
     let demand = view.demand_per_second + view.others_per_second;
     if view.demand_per_second <= 0.0 {
-        return first.min(left);
+        return first.min(kept / f64::from(view.holders.max(1)));
     }
-    left * view.demand_per_second / demand
+    kept * view.demand_per_second / demand
 }
 
 /// 1 while a budget is far from its limit, down to 0 at it.
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -288,3 +288,23 @@
     };
     assert_eq!(policy::decide(&view).draw, tokens(3_000));
 }
+
+/// All machines lose power near the end of a day: what is kept is lost, so
+/// most of a low budget stays free, also before any demand is known.
+#[test]
+fn holders_leave_most_of_a_low_budget_free() {
+    for demand_per_second in [0.0, 5_000.0] {
+        let view = DrawView {
+            demand_per_second,
+            others_per_second: demand_per_second * 6.0,
+            typical: tokens(9_000),
+            free: tokens(200_000),
+            prepaid: tokens(1_000_000),
+            holders: 7,
+            ..DrawView::default()
+        };
+        let decision = policy::decide(&view);
+        let all = decision.draw.get() * 7;
+        assert!(all < 100_000, "{decision:?}");
+    }
+}
