--- a/crates/hibiscus-ledger/src/account/demand.rs
+++ b/crates/hibiscus-ledger/src/account/demand.rs
@@ -8,6 +8,11 @@
 const WINDOW_SECONDS: u64 = 12;
 /// Seconds of the shorter average, which follows a rise sooner.
 const SHORT_SECONDS: u64 = 4;
+/// Least span of the longer average, so that the first requests do not count
+/// for more than they are.
+const LEAST_SECONDS: u64 = 8;
+/// Weight of the shorter average: a few large requests make it swing.
+const SHORT_WEIGHT: f64 = 0.6;
 /// Factor of the largest request for each second that passes.
 const TYPICAL_DECAY: f64 = 0.97;
 
@@ -46,9 +51,9 @@
             return 0.0;
         };
         let age = (self.newest - first + 1).min(WINDOW_SECONDS);
-        let long = self.sum(age) as f64 / age as f64;
-        let short = self.sum(age.min(SHORT_SECONDS)) as f64 / age.min(SHORT_SECONDS) as f64;
-        long.max(short) * self.used_part()
+        let long = self.sum(age) as f64 / age.max(LEAST_SECONDS) as f64;
+        let short = self.sum(age.min(SHORT_SECONDS)) as f64 / SHORT_SECONDS as f64;
+        long.max(short * SHORT_WEIGHT) * self.used_part()
     }
 
     /// Largest reservation of late.
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -12,7 +12,7 @@
 
 /// Time that a holder provides for at its present demand: instances are cut
 /// off from the store for up to 10 s at a time, and demand swings meanwhile.
-const HORIZON: Duration = Duration::from_secs(15);
+const HORIZON: Duration = Duration::from_secs(14);
 /// Typical requests that a holder keeps at least while a budget is ample.
 const REQUESTS_KEPT: u64 = 3;
 /// A holder without a known demand draws the total divided by this and by the
@@ -79,7 +79,7 @@
     let typical = view.typical.get() as f64;
     let known = view.demand_per_second > 0.0;
     let demand = view.demand_per_second * HORIZON.as_secs_f64();
-    let floor = typical * REQUESTS_KEPT as f64;
+    let floor = (typical * REQUESTS_KEPT as f64).min(first);
     let target = if known { demand.max(floor) } else { first } * ample;
     let available = view.available.get() as f64;
     let target = target.min(fair_part(view, first));
