--- a/crates/hibiscus-events/src/lib.rs
+++ b/crates/hibiscus-events/src/lib.rs
@@ -14,3 +14,12 @@
 pub use recorder::EventFields;
 pub use recorder::EventRecord;
 pub use recorder::EventRecorder;
+
+/// Writes one line of the log: the event's number and text, then its fields as
+/// `name=value`.
+#[macro_export]
+macro_rules! event {
+    ($code:expr, $($fields:tt)*) => {
+        $crate::logging::write($code, format_args!($($fields)*))
+    };
+}
--- a/crates/hibiscus-events/src/logging.rs
+++ b/crates/hibiscus-events/src/logging.rs
@@ -1,7 +1,94 @@
 //! Where a process writes its log.
 
+use std::fmt::Arguments;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::Logger;
+use log::Level;
+
+use crate::catalogue::EventCode;
+
+/// Lines of routine events a second: 20 requests a second are usual for an
+/// instance, and a line costs some 20 us.
+const ROUTINE_LINES: u32 = 150;
+/// Lines of all events a second.
+const ALL_LINES: u32 = 400;
+/// Span over which lines are counted.
+const LINE_WINDOW: Duration = Duration::from_secs(1);
+
+/// Lines written within the present window.
+#[derive(Debug)]
+struct LineBudget {
+    begun: Option<Instant>,
+    written: u32,
+    dropped: u64,
+}
+
+/// The budget of this process.
+static LINES: Mutex<LineBudget> = Mutex::new(LineBudget {
+    begun: None,
+    written: 0,
+    dropped: 0,
+});
+
+impl LineBudget {
+    /// Whether a line of `level` may be written; failures go before routine.
+    fn admit(&mut self, level: Level) -> bool {
+        let limit = if level <= Level::Warn {
+            ALL_LINES
+        } else {
+            ROUTINE_LINES
+        };
+        if self.written >= limit {
+            self.dropped += 1;
+            return false;
+        }
+        self.written += 1;
+        true
+    }
+
+    /// Begins a new window when the present one is over; returns the lines
+    /// that were dropped in it.
+    fn turn(&mut self, now: Instant) -> u64 {
+        let begun = *self.begun.get_or_insert(now);
+        if now.saturating_duration_since(begun) < LINE_WINDOW {
+            return 0;
+        }
+        self.begun = Some(now);
+        self.written = 0;
+        std::mem::take(&mut self.dropped)
+    }
+}
+
+/// Writes one line, unless the lines of this second are used up. See
+/// [`crate::event!`].
+pub fn write(code: EventCode, fields: Arguments<'_>) {
+    let level = code.level();
+    if level > log::max_level() {
+        return;
+    }
+    let now = Instant::now();
+    let (dropped, admitted) = {
+        let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+        (lines.turn(now), lines.admit(level))
+    };
+    if dropped > 0 {
+        let code = EventCode::LinesDropped;
+        log::log!(
+            code.level(),
+            "{} {} lines={dropped}",
+            code.number(),
+            code.text()
+        );
+    }
+    if admitted {
+        log::log!(level, "{} {} {fields}", code.number(), code.text());
+    }
+}
 
 /// Result of starting the log.
 pub type Result<T> = std::result::Result<T, FlexiLoggerError>;
--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account;
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -36,14 +38,14 @@
         let record = match codec::encode(&batch.records) {
             Ok(record) => record,
             Err(error) => {
-                log::error!("HS3103 account records not encoded cause={error}");
+                event!(EventCode::AccountNotEncoded, "cause={error}");
                 continue;
             }
         };
         append(store, &[record]);
         let appended = TrafficUpdate::AccountsAppended(batch.number);
         if updates.blocking_send(appended).is_err() {
-            log::debug!("HS3106 account records appended after the end of the traffic thread");
+            event!(EventCode::AccountTooLate, "");
         }
     }
 }
@@ -54,7 +56,7 @@
     loop {
         match store.append(account::STREAM, batch) {
             Ok(_receipt) => return,
-            Err(error) => log::warn!("HS3005 append failed, will be repeated cause={error}"),
+            Err(error) => event!(EventCode::AppendFailed, "cause={error}"),
         }
         thread::sleep(pause);
         pause = (pause * 2).min(LAST_PAUSE);
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -4,6 +4,8 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -56,7 +58,7 @@
 /// that thread has ended, and the process with it.
 fn tell(updates: &UpdateSender, update: TrafficUpdate) {
     if updates.blocking_send(update).is_err() {
-        log::debug!("HS1104 news after the end of the traffic thread");
+        event!(EventCode::UpdateTooLate, "");
     }
 }
 
@@ -74,14 +76,14 @@
 
     fn failed(&mut self, topic: &str, error: &StoreError) {
         if !self.lost {
-            log::warn!("HS2003 topic cannot be read topic={topic} cause={error}");
+            event!(EventCode::TopicLost, "topic={topic} cause={error}");
         }
         self.lost = true;
     }
 
     fn succeeded(&mut self, topic: &str) {
         if self.lost {
-            log::info!("HS2004 topic is read again topic={topic}");
+            event!(EventCode::TopicRegained, "topic={topic}");
         }
         self.lost = false;
     }
@@ -106,7 +108,7 @@
                 for record in &page.records {
                     match records::decode_keyed(record) {
                         Some(record) => reader.take(record, updates),
-                        None => log::warn!("HS2005 record without a key topic={topic}"),
+                        None => event!(EventCode::RecordWithoutKey, "topic={topic}"),
                     }
                 }
                 from + count
@@ -119,7 +121,7 @@
                 thread::sleep(reader.pause());
             }
             Err(StoreError::Expired { first }) => {
-                log::info!("HS2006 history was dropped topic={topic} first={first}");
+                event!(EventCode::HistoryDropped, "topic={topic} first={first}");
                 next = None;
             }
             Err(error) => {
@@ -145,7 +147,7 @@
         };
         match config::decode(value) {
             Ok(config) => tell(updates, TrafficUpdate::Config(Arc::new(config))),
-            Err(error) => log::error!("HS2002 configuration cannot be read cause={error}"),
+            Err(error) => event!(EventCode::ConfigUnreadable, "cause={error}"),
         }
     }
 }
@@ -193,7 +195,7 @@
             let value = record.value.unwrap_or_default();
             match servers::decode(&record.key, &value) {
                 Some(entry) => entries.push(entry),
-                None => log::info!("HS5103 entry names no server key={}", record.key),
+                None => event!(EventCode::EntryUnreadable, "key={}", record.key),
             }
         }
         tell(updates, TrafficUpdate::AllServers(entries));
@@ -234,8 +236,9 @@
         };
         match codec::decode::<InstanceEntry>(value) {
             Ok(entry) => tell(updates, TrafficUpdate::Instance(entry)),
-            Err(error) => log::warn!(
-                "HS1105 announcement cannot be read key={} cause={error}",
+            Err(error) => event!(
+                EventCode::AnnouncementUnreadable,
+                "key={} cause={error}",
                 record.key
             ),
         }
@@ -274,13 +277,13 @@
     let value = match codec::encode(own) {
         Ok(value) => value,
         Err(error) => {
-            log::error!("HS1106 announcement not encoded cause={error}");
+            event!(EventCode::AnnouncementNotEncoded, "cause={error}");
             return;
         }
     };
     let record = records::encode_keyed(own.name.as_str(), &value);
     while let Err(error) = store.append(INSTANCES_TOPIC, std::slice::from_ref(&record)) {
-        log::warn!("HS1107 announcement not appended, will be repeated cause={error}");
+        event!(EventCode::AnnouncementRepeated, "cause={error}");
         thread::sleep(FAILURE_PAUSE);
     }
 }
@@ -311,7 +314,7 @@
                 thread::sleep(ACCOUNTS_PAUSE);
             }
             Err(StoreError::Expired { first }) => {
-                log::error!("HS3104 account records have expired first={first} next={next}");
+                event!(EventCode::AccountsExpired, "first={first} next={next}");
                 next = first;
             }
             Err(error) => {
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_peer::PinnedError;
 use hibiscus_peer::PinnedKeys;
 use hibiscus_peer::PinnedLink;
@@ -92,7 +94,7 @@
     let recorder = PrometheusBuilder::new().build_recorder();
     let metrics = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
-        log::warn!("HS1109 metrics were started before");
+        event!(EventCode::MetricsRunning, "");
     }
     let mut signals = signals::register()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -110,8 +112,9 @@
         leaving: false,
     };
     let clock = MachineClock::of_this_boot();
-    log::info!(
-        "HS1001 instance started instance={} incarnation={} callers={} boot={:x} steady_ms={}",
+    event!(
+        EventCode::InstanceStarted,
+        "instance={} incarnation={} callers={} boot={:x} steady_ms={}",
         own.name,
         own.incarnation,
         own.callers,
@@ -165,7 +168,7 @@
     )?;
     drop(tasks);
     drop(runtime);
-    log::info!("HS1003 instance stopped");
+    event!(EventCode::InstanceStopped, "");
     Ok(())
 }
 
@@ -281,7 +284,7 @@
         }
     };
     if tokio::time::timeout_at(limit, acknowledged).await.is_err() {
-        log::warn!("HS3110 tokens were not given back, the store did not answer in time");
+        event!(EventCode::TokensNotReturned, "");
     }
 }
 
--- a/crates/hibiscus-front/src/signals.rs
+++ b/crates/hibiscus-front/src/signals.rs
@@ -1,5 +1,7 @@
 //! The thread that waits for signals.
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use signal_hook::consts::SIGHUP;
@@ -13,10 +15,10 @@
         if signal == SIGHUP {
             // Nothing of the settings changes while a process runs but what
             // the store tells sooner.
-            log::info!("HS1108 settings file changed, kept as read at the start");
+            event!(EventCode::SettingsChanged, "");
             continue;
         }
-        log::info!("HS1002 instance is stopping signal={signal}");
+        event!(EventCode::InstanceStopping, "signal={signal}");
         if updates.blocking_send(TrafficUpdate::Stop).is_err() {
             return;
         }
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account::AccountFold;
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::BudgetAccount;
@@ -155,7 +157,10 @@
         let records: Vec<AccountRecord> = match codec::decode(record) {
             Ok(records) => records,
             Err(error) => {
-                log::warn!("HS3101 account record cannot be read offset={offset} cause={error}");
+                event!(
+                    EventCode::AccountUnreadable,
+                    "offset={offset} cause={error}"
+                );
                 self.fold.skip(offset);
                 return;
             }
@@ -168,8 +173,9 @@
             held.purse.add(verdict.granted);
             held.pending &= verdict.serial < held.draw_serial;
             held.changed.notify_waiters();
-            log::info!(
-                "HS3102 tokens drawn budget={} serial={} granted={} offset={offset}",
+            event!(
+                EventCode::TokensDrawn,
+                "budget={} serial={} granted={} offset={offset}",
                 verdict.budget,
                 verdict.serial,
                 verdict.granted
@@ -201,8 +207,9 @@
                     continue;
                 }
                 let spent = held.spent_at_most(now);
-                log::info!(
-                    "HS3105 account of an ended process closed budget={budget} holder={holder} counted={} spent={spent} reported={}",
+                event!(
+                    EventCode::AccountClosed,
+                    "budget={budget} holder={holder} counted={} spent={spent} reported={}",
                     held.counted(),
                     held.spent
                 );
@@ -302,8 +309,9 @@
         let Some(held) = self.held.get(budget) else {
             return;
         };
-        log::info!(
-            "HS3107 tokens are short request={id} budget={budget} tokens={tokens} available={} used={} allowed={:?} reserved={} free={free} prepaid={prepaid} unacknowledged_ms={:?}",
+        event!(
+            EventCode::TokensShort,
+            "request={id} budget={budget} tokens={tokens} available={} used={} allowed={:?} reserved={} free={free} prepaid={prepaid} unacknowledged_ms={:?}",
             held.purse.available(),
             held.purse.used(),
             held.purse.allowed(self.clock.now()).map(TokenCount::get),
--- a/crates/hibiscus-traffic/src/clock.rs
+++ b/crates/hibiscus-traffic/src/clock.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account::pace::MachineTime;
 use hibiscus_types::UnixMillis;
 use hibiscus_types::hash::stable_hash;
@@ -26,7 +28,7 @@
                 boot: stable_hash(&[&id]).max(1),
             },
             Err(error) => {
-                log::warn!("HS1110 the machine's boot has no name cause={error}");
+                event!(EventCode::BootUnnamed, "cause={error}");
                 // Within this process the clock still compares with itself.
                 Self {
                     boot: fastrand::u64(1..),
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -3,7 +3,10 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
@@ -130,6 +133,8 @@
 pub struct FlightWatch {
     /// The request's number, for the log.
     pub id: String,
+    /// When it arrived.
+    pub arrived: Instant,
     /// Where it runs.
     pub flight: ServerFlight,
     /// What it costs.
@@ -158,6 +163,16 @@
         let server = self.flight.server();
         match fault {
             None => {
+                event!(
+                    EventCode::RequestEnded,
+                    "request={} server={} tokens={} total_ms={}",
+                    self.id,
+                    server.entry.name,
+                    self.charge
+                        .as_ref()
+                        .map_or(0, |charge| charge.delivered.get()),
+                    self.arrived.elapsed().as_millis()
+                );
                 server.note_healthy();
                 self.flight.keep_link();
             }
@@ -165,8 +180,9 @@
                 if fault == RelayFault::Broken {
                     server.note_failed();
                 }
-                log::warn!(
-                    "HS4201 answer broken off request={} server={} cause={fault}",
+                event!(
+                    EventCode::AnswerBroken,
+                    "request={} server={} cause={fault}",
                     self.id,
                     server.entry.name
                 );
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
 use hibiscus_routing::placement::PartTokens;
 use hibiscus_routing::placement::PlacementCase;
@@ -114,7 +116,11 @@
     reason: OwnReason,
     id: &str,
 ) -> Response<AnswerBody> {
-    log::info!("HS4202 own answer request={id} reason={}", reason.word());
+    event!(
+        EventCode::OwnAnswer,
+        "request={id} reason={}",
+        reason.word()
+    );
     metrics::counter!("hibiscus_own_answers_total", "reason" => reason.word()).increment(1);
     answer::own_answer(&state.dialect, reason, id)
 }
@@ -334,8 +340,9 @@
         if let Some(charge) = &charge {
             charge.note_sent(true);
         }
-        log::debug!(
-            "HS4203 request sent request={} server={name}",
+        event!(
+            EventCode::RequestForwarded,
+            "request={} server={name}",
             admitted.signs.id
         );
         let outcome = send::send(&state.dialect, &chosen, &outgoing).await;
@@ -358,8 +365,9 @@
                 }
             }
             SendOutcome::NotSent(fault) => {
-                log::info!(
-                    "HS4204 server not reached request={} server={name} cause={fault:?}",
+                event!(
+                    EventCode::ServerNotReached,
+                    "request={} server={name} cause={fault:?}",
                     admitted.signs.id
                 );
                 if runs == 0 {
@@ -370,8 +378,9 @@
                 continue;
             }
             SendOutcome::NotRun(status) => {
-                log::info!(
-                    "HS4205 server refused request={} server={name} status={status}",
+                event!(
+                    EventCode::ServerRefused,
+                    "request={} server={name} status={status}",
                     admitted.signs.id
                 );
                 if runs == 0 {
@@ -416,8 +425,9 @@
 
 /// Logs a failure after which the outcome is not known.
 fn log_failure(admitted: &AdmittedRequest, server: &ServerName, cause: &str) {
-    log::warn!(
-        "HS4206 server failed request={} server={server} cause={cause} after_ms={}",
+    event!(
+        EventCode::ServerFailed,
+        "request={} server={server} cause={cause} after_ms={}",
         admitted.signs.id,
         admitted.arrived.elapsed().as_millis()
     );
@@ -451,6 +461,7 @@
         let engine = admitted.table.engine(&admitted.service);
         let watch = FlightWatch {
             id: admitted.signs.id.clone(),
+            arrived: admitted.arrived,
             flight,
             charge,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
@@ -489,6 +500,14 @@
     };
     flight.note_read();
     flight.server().note_healthy();
+    event!(
+        EventCode::RequestEnded,
+        "request={} server={} status={} total_ms={}",
+        admitted.signs.id,
+        flight.server().entry.name,
+        head.status.as_u16(),
+        admitted.arrived.elapsed().as_millis()
+    );
     flight.keep_link();
     let answer = Response::from_parts(head, gathered.to_bytes());
     Ok(ForwardedAnswer::Whole(answer))
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
@@ -59,14 +61,14 @@
         let question = match codec::decode::<PeerQuestion>(&call.body) {
             Ok(question) => question,
             Err(error) => {
-                log::warn!("HS1111 question of an instance cannot be read cause={error}");
+                event!(EventCode::QuestionUnreadable, "cause={error}");
                 continue;
             }
         };
         let answer = answer(&state, &question);
         match codec::encode(&answer) {
             Ok(body) => call.reply(body),
-            Err(error) => log::error!("HS1112 answer to an instance not encoded cause={error}"),
+            Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
         }
     }
 }
@@ -76,7 +78,10 @@
     match question {
         PeerQuestion::Tokens { budget, tokens } => {
             let given = state.budgets.give(budget, *tokens);
-            log::info!("HS3108 tokens given budget={budget} asked={tokens} given={given}");
+            event!(
+                EventCode::TokensGiven,
+                "budget={budget} asked={tokens} given={given}"
+            );
             PeerAnswer::Tokens(given)
         }
     }
@@ -98,7 +103,7 @@
         let missing = tokens.saturating_sub(gathered);
         let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
         let Some(given) = ask(link, peer, budget, asked).await else {
-            log::info!("HS3109 instance did not answer for tokens peer={peer} budget={budget}");
+            event!(EventCode::TokensNotAnswered, "peer={peer} budget={budget}");
             continue;
         };
         state.budgets.add_given(budget, given);
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -7,6 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -85,7 +87,7 @@
             Some(stream)
         }
         Err(error) => {
-            log::warn!("HS1102 connection not accepted cause={error}");
+            event!(EventCode::ConnectionNotAccepted, "cause={error}");
             tokio::time::sleep(ACCEPT_PAUSE).await;
             None
         }
--- a/crates/hibiscus-traffic/src/probe.rs
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use http::Request;
 use http::StatusCode;
 use http::Uri;
@@ -38,8 +40,9 @@
             link = None;
         }
         if last != Some(serves) {
-            log::info!(
-                "HS1103 instance watched instance={} serves={serves}",
+            event!(
+                EventCode::InstanceWatched,
+                "instance={} serves={serves}",
                 entry.name
             );
             last = Some(serves);
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_peer::PinSet;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::DataCentre;
@@ -141,8 +143,9 @@
                 if known.is_some_and(|known| known >= config.version) {
                     return;
                 }
-                log::info!(
-                    "HS2001 configuration in force version={} routes={} teams={}",
+                event!(
+                    EventCode::ConfigInForce,
+                    "version={} routes={} teams={}",
                     config.version,
                     config.routes.len(),
                     config.teams.len()
@@ -209,14 +212,15 @@
     fn apply_roster(&self, changes: impl IntoIterator<Item = RosterChange>) {
         for change in changes {
             match &change {
-                RosterChange::Present(entry) => log::info!(
-                    "HS5101 server known server={} service={} address={} phase={:?}",
+                RosterChange::Present(entry) => event!(
+                    EventCode::ServerKnown,
+                    "server={} service={} address={} phase={:?}",
                     entry.name,
                     entry.service,
                     entry.address,
                     entry.phase
                 ),
-                RosterChange::Gone(name) => log::info!("HS5102 server gone server={name}"),
+                RosterChange::Gone(name) => event!(EventCode::ServerGone, "server={name}"),
             }
             self.servers.borrow_mut().apply(change);
         }
@@ -230,7 +234,7 @@
         if self.directory.borrow().is_ready() == ready {
             return;
         }
-        log::info!("HS1101 readiness changed ready={ready}");
+        event!(EventCode::ReadinessChanged, "ready={ready}");
         self.directory.borrow_mut().set_ready(ready);
     }
 }
