--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -12,12 +12,12 @@
 
 /// Time that a holder provides for at its present demand: instances are cut
 /// off from the store for up to 10 s at a time, and demand swings meanwhile.
-const HORIZON: Duration = Duration::from_secs(14);
+const HORIZON: Duration = Duration::from_secs(12);
 /// Typical requests that a holder keeps at least while a budget is ample.
-const REQUESTS_KEPT: u64 = 3;
+const REQUESTS_KEPT: u64 = 1;
 /// A holder without a known demand draws the total divided by this and by the
 /// number of holders.
-const FIRST_DIVISOR: u64 = 5;
+const FIRST_DIVISOR: u64 = 10;
 /// Part of what is left of a budget that all holders together keep while it
 /// is ample; the rest is there for swings of the demand and after a crash.
 const HELD_PART: f64 = 0.55;
