--- /dev/null
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -0,0 +1,158 @@
+//! The desk as the tasks of the traffic thread share it.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Instant;
+
+use hibiscus_ledger::account::purse::HoldFault;
+use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_types::BudgetName;
+use hibiscus_types::TokenCount;
+use tokio::sync::Notify;
+
+use crate::budgets::BudgetDesk;
+use crate::budgets::TokenRefusal;
+use crate::model::FleetConfig;
+
+/// The desk as the tasks of the traffic thread share it.
+#[derive(Clone)]
+pub struct BudgetHandle {
+    desk: Rc<RefCell<BudgetDesk>>,
+    started: Instant,
+}
+
+impl BudgetHandle {
+    /// Shares `desk`.
+    pub fn new(desk: BudgetDesk) -> Self {
+        Self {
+            desk: Rc::new(RefCell::new(desk)),
+            started: Instant::now(),
+        }
+    }
+
+    /// See [`BudgetDesk::set_totals`].
+    pub fn set_totals(&self, config: &FleetConfig) {
+        self.desk.borrow_mut().set_totals(config);
+    }
+
+    /// See [`BudgetDesk::apply`].
+    pub fn apply(&self, offset: u64, record: &[u8]) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().apply(offset, record, now);
+    }
+
+    /// See [`BudgetDesk::acknowledge`].
+    pub fn acknowledge(&self, number: u64) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().acknowledge(number, now);
+    }
+
+    /// See [`BudgetDesk::recover`].
+    pub fn recover(&self) {
+        self.desk.borrow_mut().recover();
+    }
+
+    /// See [`BudgetDesk::review`].
+    pub fn review(&self, holders: u32) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().review(holders, now);
+    }
+
+    /// See [`BudgetDesk::count_demand`].
+    pub fn count_demand(&self, budget: &BudgetName, tokens: TokenCount) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().count_demand(budget, tokens, now);
+    }
+
+    /// See [`BudgetDesk::reserve`].
+    ///
+    /// # Errors
+    ///
+    /// Fails when the tokens were not drawn, or when no line allows them.
+    pub fn reserve(
+        &self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+    ) -> std::result::Result<TokenHold, HoldFault> {
+        self.desk.borrow_mut().reserve(budget, tokens)
+    }
+
+    /// See [`BudgetDesk::settle`].
+    pub fn settle(&self, budget: &BudgetName, hold: TokenHold, charge: TokenCount) {
+        self.desk.borrow_mut().settle(budget, hold, charge);
+    }
+
+    /// See [`BudgetDesk::refusal`].
+    pub fn refusal(&self, budget: &BudgetName, tokens: TokenCount) -> Option<TokenRefusal> {
+        let now = self.started.elapsed();
+        self.desk.borrow().refusal(budget, tokens, now)
+    }
+
+    /// See [`BudgetDesk::is_acknowledged`].
+    pub fn is_acknowledged(&self) -> bool {
+        self.desk.borrow().is_acknowledged()
+    }
+
+    /// See [`BudgetDesk::give_all_back`].
+    pub fn give_all_back(&self) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().give_all_back(now);
+    }
+
+    /// See [`BudgetDesk::give`].
+    pub fn give(&self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
+        self.desk.borrow_mut().give(budget, tokens)
+    }
+
+    /// See [`BudgetDesk::add_given`].
+    pub fn add_given(&self, budget: &BudgetName, tokens: TokenCount) {
+        self.desk.borrow_mut().add_given(budget, tokens);
+    }
+
+    /// See [`BudgetDesk::log_shortage`].
+    pub fn log_shortage(&self, id: &str, budget: &BudgetName, tokens: TokenCount) {
+        let now = self.started.elapsed();
+        self.desk.borrow().log_shortage(id, budget, tokens, now);
+    }
+
+    /// Says that a request waits for `tokens` while the returned value lives.
+    pub fn want(&self, budget: &BudgetName, tokens: TokenCount) -> TokenWant {
+        let changed = self.desk.borrow_mut().want(budget, tokens);
+        TokenWant {
+            handle: self.clone(),
+            budget: budget.clone(),
+            tokens,
+            changed,
+        }
+    }
+}
+
+impl fmt::Debug for BudgetHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BudgetHandle").finish_non_exhaustive()
+    }
+}
+
+/// A request that waits for tokens.
+#[derive(Debug)]
+pub struct TokenWant {
+    handle: BudgetHandle,
+    budget: BudgetName,
+    tokens: TokenCount,
+    changed: Rc<Notify>,
+}
+
+impl TokenWant {
+    /// Waits until the budget changed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
+impl Drop for TokenWant {
+    fn drop(&mut self) {
+        let mut desk = self.handle.desk.borrow_mut();
+        desk.unwant(&self.budget, self.tokens);
+    }
+}
