--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -20,7 +20,7 @@
 const FIRST_DIVISOR: u64 = 10;
 /// Part of what is left of a budget that all holders together keep while it
 /// is ample; the rest is there for swings of the demand and after a crash.
-const HELD_PART: f64 = 0.55;
+const HELD_PART: f64 = 0.5;
 /// Part of a total below which less than [`HELD_PART`] of what is left is
 /// kept: a power cut of all machines takes the holdings along, and then what
 /// is left must last.
