--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -33,8 +33,8 @@
 /// time: a leaving server is known well within the 2 s that it may take.
 const SERVERS_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between reads of the accounts, so that one read brings the records
-/// of several instances.
-const ACCOUNTS_PAUSE: Duration = Duration::from_millis(60);
+/// of several instances. A verdict that is awaited ends it.
+const ACCOUNTS_PAUSE: Duration = Duration::from_millis(300);
 
 /// What a thread does with the records of a keyed topic.
 trait TopicReader {
@@ -311,7 +311,9 @@
                     current = true;
                     tell(updates, TrafficUpdate::AccountsCurrent);
                 }
-                thread::sleep(ACCOUNTS_PAUSE);
+                if current {
+                    thread::park_timeout(ACCOUNTS_PAUSE);
+                }
             }
             Err(StoreError::Expired { first }) => {
                 event!(EventCode::AccountsExpired, "first={first} next={next}");
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -136,7 +136,7 @@
         let (store, sender) = (store.clone(), sender.clone());
         move || follow::follow_servers(&store, &sender)
     })?;
-    spawn("accounts", {
+    let reader = spawn("accounts", {
         let (store, sender) = (store.clone(), sender.clone());
         move || follow::follow_accounts(&store, &sender)
     })?;
@@ -148,7 +148,8 @@
         let (store, sender) = (store.clone(), sender.clone());
         move || append::run(&store, &sender, &batches)
     })?;
-    let desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
+    let mut desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
+    desk.set_reader(reader.thread().clone());
     let retries = RetryCounter::new(RetryBound {
         share: settings.retry_share,
         slack: settings.retry_slack,
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::sync::mpsc::TrySendError;
+use std::thread::Thread;
 use std::time::Duration;
 
 use hibiscus_events::EventCode;
@@ -102,6 +103,8 @@
     recovered: bool,
     /// When the last record of the stream came.
     heard: Duration,
+    /// The thread that reads the stream, once it runs.
+    reader: Option<Thread>,
 }
 
 impl BudgetDesk {
@@ -126,9 +129,16 @@
             totals: BTreeMap::new(),
             recovered: false,
             heard: Duration::ZERO,
+            reader: None,
         }
     }
 
+    /// Names the thread that reads the stream: it pauses between reads, and is
+    /// woken when a verdict is to be had.
+    pub fn set_reader(&mut self, reader: Thread) {
+        self.reader = Some(reader);
+    }
+
     /// Takes the totals of a configuration over.
     pub fn set_totals(&mut self, config: &FleetConfig) {
         for team in &config.teams {
@@ -188,9 +198,14 @@
     pub fn acknowledge(&mut self, number: u64, now: Duration) {
         self.acknowledged = number;
         self.unacknowledged = (number + 1 < self.batch).then_some(now);
+        let mut pending = false;
         for held in self.held.values_mut() {
             held.purse.acknowledge(number);
             held.changed.notify_waiters();
+            pending |= held.pending;
+        }
+        if let Some(reader) = self.reader.as_ref().filter(|_reader| pending) {
+            reader.unpark();
         }
     }
 
