Log callers that leave, and weigh shared parts that are read again twice

Cause: requests left their session's home for two requests' difference in load, and what was read again is priced and pushes other parts out.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -93,6 +93,7 @@
     ServerRefused = "HS4205", Info, "server refused";
     ServerFailed = "HS4206", Warn, "server failed";
     RequestEnded = "HS4207", Info, "answer passed to the caller";
+    CallerLeft = "HS4208", Info, "caller left before its answer was whole";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
--- a/crates/hibiscus-routing/src/placement.rs
+++ b/crates/hibiscus-routing/src/placement.rs
@@ -17,6 +17,9 @@
 /// Prompt tokens that an engine reads in a millisecond, before any was
 /// measured; the sheets of the deployments say 38.4 and 39.3.
 const PREFILL_PER_MS: f64 = 38.0;
+/// Weight of reading shared parts again beyond its time: it takes memory from
+/// other sessions' parts, and the users price it.
+const AGAIN_WEIGHT: f64 = 2.0;
 /// What one more request in progress costs, in milliseconds to the first
 /// token: about one step of the batch.
 const REQUEST_MS: f64 = 6.0;
@@ -133,7 +136,8 @@
             .book
             .missing(case.shared, home == Some(index), case.now);
         let unread = missing + case.own_tokens as f64;
-        let cost = predicted_ms(server, unread);
+        let again = missing * (AGAIN_WEIGHT - 1.0) / PREFILL_PER_MS;
+        let cost = predicted_ms(server, unread) + again;
         if best.is_none_or(|(_index, least, _unread)| cost < least) {
             best = Some((index, cost, unread));
         }
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -158,6 +158,18 @@
         }
     }
 
+    /// The caller left before the answer was whole.
+    pub fn left(&self) {
+        event!(
+            EventCode::CallerLeft,
+            "request={} server={} server_silent={} total_ms={}",
+            self.id,
+            self.flight.server().entry.name,
+            self.flight.server().is_silent(),
+            self.arrived.elapsed().as_millis()
+        );
+    }
+
     /// The answer ended; it was whole unless there is a fault.
     pub fn ended(&mut self, fault: Option<RelayFault>) {
         let server = self.flight.server();
--- a/crates/hibiscus-traffic/src/relay.rs
+++ b/crates/hibiscus-traffic/src/relay.rs
@@ -109,6 +109,14 @@
     }
 }
 
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.watcher.left();
+        }
+    }
+}
+
 /// The body of an answer to a caller.
 pub enum AnswerBody {
     /// All bytes are there.
