--- a/crates/hibiscus-routing/src/placement.rs
+++ b/crates/hibiscus-routing/src/placement.rs
@@ -19,7 +19,7 @@
 const PREFILL_PER_MS: f64 = 38.0;
 /// Weight of reading shared parts again beyond its time: it takes memory from
 /// other sessions' parts, and the users price it.
-const AGAIN_WEIGHT: f64 = 2.0;
+const AGAIN_WEIGHT: f64 = 3.0;
 /// What one more request in progress costs, in milliseconds to the first
 /// token: about one step of the batch.
 const REQUEST_MS: f64 = 6.0;
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -0,0 +1,224 @@
+//! Small parts of the request path: streams, retries, routes, addresses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscus_traffic::answer::OwnReason;
+use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::model::CallerLimits;
+use hibiscus_traffic::model::FleetConfig;
+use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::model::RequestKind;
+use hibiscus_traffic::model::RouteRule;
+use hibiscus_traffic::model::TeamRule;
+use hibiscus_traffic::model::WeightedService;
+use hibiscus_traffic::retries::RetryBound;
+use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::stream::EventFollower;
+use hibiscus_traffic::table;
+use hibiscus_traffic::table::RouteTable;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::ServiceName;
+
+#[test]
+fn events_are_counted_however_their_bytes_are_cut() {
+    let bytes = b"id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n: note\n\nid: 3\n\n";
+    for size in [1, 2, 7, bytes.len()] {
+        let mut follower = EventFollower::default();
+        for piece in bytes.chunks(size) {
+            follower.take(piece);
+        }
+        assert_eq!(follower.events(), 3, "pieces of {size}");
+        assert_eq!(follower.last(), Some(3));
+        assert!(follower.is_at_boundary() && !follower.is_disordered());
+    }
+}
+
+#[test]
+fn a_missing_a_repeated_and_a_cut_event_show() {
+    let mut gap = EventFollower::default();
+    gap.take(b"id: 1\n\nid: 3\n\n");
+    assert!(gap.is_disordered());
+    let mut twice = EventFollower::default();
+    twice.take(b"id: 1\n\nid: 1\n\n");
+    assert!(twice.is_disordered());
+    let mut after = EventFollower::after(Some(4));
+    after.take(b"id: 1\n\n");
+    assert!(after.is_disordered());
+    let mut cut = EventFollower::default();
+    cut.take(b"id: 1\n\nid: 2\nda");
+    assert!(!cut.is_at_boundary());
+}
+
+/// A third of the servers fail, and callers repeat at once: over any window,
+/// all instances together stay within the bound, also when none sees another.
+#[test]
+fn retries_of_a_fleet_stay_within_the_bound_in_every_window() {
+    let bound = RetryBound {
+        share: 0.2,
+        slack: 54.0,
+        window: Duration::from_secs(10),
+    };
+    let service = ServiceName::from("models");
+    let mut fleet: Vec<RetryCounter> = (0..7).map(|_index| RetryCounter::new(bound)).collect();
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for step in 0..3_000_u64 {
+        let now = Duration::from_millis(step * 10);
+        for counter in &mut fleet {
+            if step % 4 == 0 {
+                counter.count_request(&service, now);
+                requests.push(now);
+            }
+            if counter.take_retry(&service, 7, now) {
+                retries.push(now);
+            }
+        }
+    }
+    let within = |times: &[Duration], end: Duration| {
+        let begin = end.saturating_sub(bound.window);
+        times
+            .iter()
+            .filter(|time| **time > begin && **time <= end)
+            .count() as f64
+    };
+    for second in 1..30 {
+        let end = Duration::from_secs(second);
+        let limit = within(&requests, end) * bound.share + bound.slack;
+        assert!(within(&retries, end) <= limit, "at {end:?}");
+    }
+    assert!(retries.len() > 300);
+}
+
+fn route(prefix: &str, services: &[(&str, u32)]) -> Arc<RouteRule> {
+    let share = |(service, weight): &(&str, u32)| WeightedService {
+        service: ServiceName::from(*service),
+        weight: *weight,
+    };
+    Arc::new(RouteRule {
+        name: prefix.to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(100),
+        priority: 1,
+        services: services.iter().map(share).collect(),
+        attempts: 1,
+        anonymous: false,
+    })
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(Arc::new(FleetConfig {
+        version: 1,
+        routes: vec![
+            route("/a/", &[("one", 1)]),
+            route("/a/b/", &[("one", 90), ("two", 10)]),
+        ],
+        engines: Default::default(),
+        connections: Default::default(),
+        teams: vec![Arc::new(TeamRule {
+            name: "team".into(),
+            keys: vec!["k1".to_owned(), "k2".to_owned()],
+            priority: None,
+            prepaid: None,
+        })],
+        needs_key: true,
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 1_000,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+    }))
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table();
+    let name = |path: &str| {
+        table
+            .route("h.example:80", path)
+            .map(|route| route.name.clone())
+    };
+    assert_eq!(name("/a/x").as_deref(), Some("/a/"));
+    assert_eq!(name("/a/b/x").as_deref(), Some("/a/b/"));
+    assert_eq!(name("/b/x"), None);
+    assert!(table.route("other.example", "/a/x").is_none());
+    assert!(table.team("k2").is_some() && table.team("k3").is_none());
+}
+
+#[test]
+fn a_route_splits_its_requests_by_weight() {
+    let rule = route("/a/", &[("one", 90), ("two", 10)]);
+    let to_two = (0..1_000).filter(|pick| table::service_of(&rule, *pick) == Some(&"two".into()));
+    assert_eq!(to_two.count(), 100);
+}
+
+fn instance(number: u16, incarnation: u128) -> InstanceEntry {
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port + number));
+    InstanceEntry {
+        name: format!("front-{number}").as_str().into(),
+        incarnation: IncarnationId::from_u128(incarnation),
+        callers: address(8_000),
+        readiness: address(9_000),
+        peers: address(7_000),
+        pin: [0; 32],
+        data_centre: "a".into(),
+        leaving: false,
+    }
+}
+
+#[test]
+fn addresses_name_who_serves_and_are_never_none() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    assert_eq!(directory.addresses(None), [instance(0, 1).callers]);
+    directory.set_ready(true);
+    let other = instance(1, 1);
+    assert!(directory.announce(other.clone()));
+    assert_eq!(directory.addresses(None).len(), 1);
+    directory.note_reachable(&other, true);
+    assert_eq!(directory.addresses(None).len(), 2);
+    // An old process of the same instance neither returns nor speaks for it.
+    let successor = instance(1, 2);
+    assert!(directory.announce(successor.clone()));
+    assert!(!directory.announce(other.clone()));
+    directory.note_reachable(&other, true);
+    assert_eq!(directory.addresses(None).len(), 1);
+    directory.note_reachable(&successor, true);
+    directory.set_ready(false);
+    assert_eq!(directory.addresses(None), [successor.callers]);
+}
+
+#[test]
+fn an_instance_that_leaves_is_named_to_nobody() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    directory.set_ready(true);
+    let other = instance(1, 1);
+    directory.announce(other.clone());
+    directory.note_reachable(&other, true);
+    directory.announce(InstanceEntry {
+        leaving: true,
+        ..other
+    });
+    assert_eq!(directory.addresses(None), [instance(0, 1).callers]);
+}
+
+/// Callers take these statuses for a promise that the request did not run.
+#[test]
+fn only_reasons_before_a_server_are_promises() {
+    let unknown = [OwnReason::Unknown, OwnReason::TimedOut];
+    for reason in unknown {
+        let status = reason.status().as_u16();
+        assert!(![408, 421, 429, 503].contains(&status), "{reason:?}");
+    }
+    for reason in [
+        OwnReason::NoConfig,
+        OwnReason::ServersFull,
+        OwnReason::Stopping,
+    ] {
+        assert_eq!(reason.status().as_u16(), 503);
+        assert!(reason.retry_after().is_some(), "{reason:?}");
+    }
+}
