Report each holder's demand

Cause: the others' demand was read off their lines, and lines close near a budget's limit, so each of seven holders took itself for the only one and drew seven times its part.

--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -97,6 +97,8 @@
     pub returned: TokenCount,
     /// The line that its spending stays below.
     pub pace: SpendPace,
+    /// Tokens a second that its requests ask for.
+    pub demand: u64,
 }
 
 /// A draw that the fold decided.
@@ -181,11 +183,11 @@
         self.holders.values().map(HolderAccount::unreported).sum()
     }
 
-    /// Tokens a second that the lines of all holders but `holder` allow.
-    pub fn paced_by_others(&self, holder: IncarnationId) -> f64 {
+    /// Tokens a second that the requests of all holders but `holder` ask for.
+    pub fn demand_of_others(&self, holder: IncarnationId) -> u64 {
         let others = self.holders.iter().filter(|(id, _held)| **id != holder);
         let reports = others.filter_map(|(_id, held)| held.report.as_ref());
-        reports.map(|report| report.pace.per_second as f64).sum()
+        reports.map(|report| report.demand).sum()
     }
 }
 
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -30,7 +30,7 @@
 /// Part of a total below which what is free counts as scarce.
 const SCARCE_PART: f64 = 0.25;
 /// Demand that a line allows, as a multiple of the present one.
-pub const PACE_FACTOR: f64 = 2.0;
+const PACE_FACTOR: f64 = 2.0;
 /// Part of a first draw that a line allows at once, so that a quiet team's
 /// first requests pass while the store is away.
 const BURST_PART: f64 = 0.5;
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -71,6 +71,7 @@
             per_second: 100,
             made: at(0),
         },
+        demand: 0,
     })
 }
 
--- a/crates/hibiscus-ledger/tests/account_exhaustive.rs
+++ b/crates/hibiscus-ledger/tests/account_exhaustive.rs
@@ -296,6 +296,7 @@
             spent: self.purse.spent(),
             returned: self.purse.returned(),
             pace,
+            demand: 0,
         });
         self.appending = Some((self.reports, record));
     }
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -395,9 +395,8 @@
                 .unwrap_or_default(),
             prepaid: prepaid.unwrap_or_default(),
             held: account.map(BudgetAccount::held).unwrap_or_default(),
-            others_per_second: account.map_or(0.0, |account| {
-                account.paced_by_others(self.holder) / policy::PACE_FACTOR
-            }),
+            others_per_second: account
+                .map_or(0.0, |account| account.demand_of_others(self.holder) as f64),
             holders,
         };
         let decision = policy::decide(&view);
@@ -449,6 +448,7 @@
             spent: held.purse.spent(),
             returned: held.purse.returned(),
             pace,
+            demand: held.demand.rate(now) as u64,
         }));
     }
 
