--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -21,7 +21,6 @@
 pub mod pace;
 pub mod policy;
 pub mod purse;
-pub mod ration;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -23,8 +23,6 @@
 use hibiscus_ledger::account::purse::BudgetPurse;
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::TokenHold;
-use hibiscus_ledger::account::ration::BudgetRation;
-use hibiscus_ledger::account::ration::RationView;
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -62,7 +60,6 @@
 struct HeldBudget {
     purse: BudgetPurse,
     demand: DemandCounter,
-    ration: BudgetRation,
     /// Number of the last draw sent.
     draw_serial: u64,
     /// Whether that draw has no verdict yet.
@@ -255,22 +252,10 @@
         held.purse.reserve(tokens, self.clock.now())
     }
 
-    /// Counts a request that needs `tokens`; false when the budget is nearly
-    /// spent and its last tokens are kept for requests that come later.
-    pub fn admit(&mut self, budget: &BudgetName, tokens: TokenCount, now: Duration) -> bool {
+    /// Counts a request that needs `tokens`.
+    pub fn count_demand(&mut self, budget: &BudgetName, tokens: TokenCount, now: Duration) {
         let held = self.held.entry(budget.clone()).or_default();
         held.demand.reserve(tokens, now);
-        let Some(account) = self.fold.budget(budget) else {
-            return true;
-        };
-        let own = held.demand.rate(now);
-        let all = own + account.demand_of_others(self.holder) as f64;
-        let view = RationView {
-            left: account.free() + account.held(),
-            prepaid: account.prepaid,
-            part: own / all.max(1.0),
-        };
-        held.ration.admit(tokens, &view, now)
     }
 
     /// Ends a reservation of which `charge` was used.
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -59,10 +59,10 @@
         self.desk.borrow_mut().review(holders, now);
     }
 
-    /// See [`BudgetDesk::admit`].
-    pub fn admit(&self, budget: &BudgetName, tokens: TokenCount) -> bool {
+    /// See [`BudgetDesk::count_demand`].
+    pub fn count_demand(&self, budget: &BudgetName, tokens: TokenCount) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().admit(budget, tokens, now)
+        self.desk.borrow_mut().count_demand(budget, tokens, now);
     }
 
     /// See [`BudgetDesk::reserve`].
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -211,9 +211,7 @@
     }
     let budget = BudgetName::new(team.name.as_str());
     let tokens = TokenCount::new(most);
-    if !state.budgets.admit(&budget, tokens) {
-        return Err(OwnReason::BudgetRationed);
-    }
+    state.budgets.count_demand(&budget, tokens);
     let mut held = wait_for_tokens(state, admitted, &budget, tokens).await;
     if held == Err(OwnReason::BudgetUnconfirmed) && gather(state, &budget, tokens).await {
         let hold = state.budgets.reserve(&budget, tokens);
