Split forwarding into steps, and count a request at its server from one place

Cause: a request was counted at its server before there was a connection and uncounted only by what had one, so a server that refused a connection once counted as silent with work for good.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -203,10 +203,11 @@
         Rc::clone(&state),
         answer_ready,
     ));
+    let lifetime = ADDRESS_LIFETIME.min(settings.address_lifetime);
     tokio::task::spawn_local(port::serve_calls(
         directory,
         Rc::clone(&state),
-        answer_addresses,
+        move |state: &FrontState, request| answer_addresses(state, request, lifetime),
     ));
     tokio::task::spawn_local(port::serve_calls(
         operators,
@@ -308,7 +309,11 @@
 }
 
 /// Answers a caller that asks which instances to use.
-fn answer_addresses(state: &FrontState, request: &Request<Incoming>) -> Response<AnswerBody> {
+fn answer_addresses(
+    state: &FrontState,
+    request: &Request<Incoming>,
+    lifetime: Duration,
+) -> Response<AnswerBody> {
     if request.uri().path() != answers::DIRECTORY_PATH {
         return answer::status_answer(http::StatusCode::NOT_FOUND);
     }
@@ -316,7 +321,7 @@
     let data_centre = answers::caller_data_centre(query);
     let directory = state.directory.borrow();
     let addresses = directory.addresses(data_centre.as_ref());
-    let body = answers::addresses_body(&addresses, ADDRESS_LIFETIME);
+    let body = answers::addresses_body(&addresses, lifetime);
     answer::json_answer(body)
 }
 
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -8,12 +8,14 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_routing::placement::PartTokens;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
 
 use crate::budgets::BudgetHandle;
 use crate::connect::ServerLink;
 use crate::relay::RelayFault;
+use crate::servers::ChosenServer;
 use crate::servers::ServerHandle;
 use crate::state::CountGuard;
 
@@ -76,15 +78,22 @@
 }
 
 impl ServerFlight {
-    /// A request sent to `server` over `link`, which reads `unread` tokens.
-    pub fn new(server: Rc<ServerHandle>, link: ServerLink, unread: u64) -> Self {
+    /// Counts a request with the shared `parts` at the chosen server, from
+    /// before there is a connection until the flight is dropped.
+    pub fn begin(chosen: &ChosenServer, parts: &[PartTokens], now: Duration) -> Self {
+        chosen.server.note_sent(parts, chosen.unread, now);
         Self {
-            server,
-            link: Some(link),
-            unread: Some(unread),
+            server: Rc::clone(&chosen.server),
+            link: None,
+            unread: Some(chosen.unread),
         }
     }
 
+    /// Takes the connection that the request uses.
+    pub fn use_link(&mut self, link: ServerLink) -> &mut ServerLink {
+        self.link.insert(link)
+    }
+
     /// The server.
     pub fn server(&self) -> &Rc<ServerHandle> {
         &self.server
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -268,164 +268,215 @@
     }
 }
 
+/// What was tried for one request so far.
+struct ForwardTrail {
+    tried: Vec<ServerName>,
+    /// Servers that may have run the request.
+    runs: u32,
+    /// The answer when nothing better comes.
+    reason: OwnReason,
+    /// A server's own failure, which says more than the reason.
+    failure: Option<Response<Bytes>>,
+}
+
+/// What follows an attempt.
+enum NextStep {
+    /// The caller gets this.
+    Answer(Box<ForwardedAnswer>),
+    /// Another server may be tried, as a retry.
+    Retry,
+    /// Another server may be tried: nothing arrived at this one.
+    Elsewhere,
+    /// Nothing more may be tried.
+    End,
+}
+
+impl ForwardTrail {
+    /// No server ran the request at this attempt.
+    fn note_not_run(&mut self, reason: OwnReason, charge: Option<&Rc<RequestCharge>>) {
+        if self.runs > 0 {
+            return;
+        }
+        self.reason = reason;
+        if let Some(charge) = charge {
+            charge.note_sent(false);
+        }
+    }
+
+    /// A server may have run the request, and its answer is no use.
+    fn note_failed(
+        &mut self,
+        admitted: &AdmittedRequest,
+        server: &ServerName,
+        cause: &str,
+    ) -> NextStep {
+        event!(
+            EventCode::ServerFailed,
+            "request={} server={server} cause={cause} after_ms={}",
+            admitted.signs.id,
+            admitted.arrived.elapsed().as_millis()
+        );
+        self.runs += 1;
+        self.reason = OwnReason::Unknown;
+        if may_run_again(admitted, self.runs) {
+            NextStep::Retry
+        } else {
+            NextStep::End
+        }
+    }
+
+    /// The end without an answer of a server that is of use.
+    fn end(self) -> Result<ForwardedAnswer> {
+        self.failure.map(ForwardedAnswer::Whole).ok_or(self.reason)
+    }
+}
+
 /// Sends the request until a server answers or nothing more may be tried.
 async fn forward<D: RequestDialect>(
     state: &Rc<TrafficState<D>>,
     admitted: &AdmittedRequest,
     charge: Option<Rc<RequestCharge>>,
 ) -> Result<ForwardedAnswer> {
-    let parts = shared_parts(&admitted.signs);
-    let mut tried: Vec<ServerName> = Vec::new();
-    let mut runs = 0;
-    let mut last = OwnReason::NoServer;
-    let mut failure = None;
+    let mut trail = ForwardTrail {
+        tried: Vec::new(),
+        runs: 0,
+        reason: OwnReason::NoServer,
+        failure: None,
+    };
     state
         .retries
         .borrow_mut()
         .count_request(&admitted.service, state.now());
-    while tried.len() < TRIES {
+    while trail.tried.len() < TRIES {
         let left = admitted.until.saturating_duration_since(Instant::now());
         if left < LEAST_TIME {
-            last = if runs > 0 {
+            let sent = trail.runs > 0;
+            trail.reason = if sent {
                 OwnReason::TimedOut
             } else {
                 OwnReason::TimeSpent
             };
             break;
         }
-        let others = state.directory.borrow().live().saturating_sub(1);
-        let case = PlacementCase {
-            shared: &parts.0,
-            own_tokens: parts.1,
-            now: state.now(),
-        };
-        let chosen = state.servers.borrow().choose(
-            &admitted.service,
-            &tried,
-            &state.data_centre,
-            others,
-            &case,
-        );
-        let Some(chosen) = chosen else {
-            break;
-        };
-        let name = chosen.server.entry.name.clone();
-        tried.push(name.clone());
-        let mut headers = admitted.headers.clone();
-        let signs = ServerSigns {
-            server: &name,
-            team: admitted.team.as_ref().map(|team| &team.name),
-            time_left: left,
-            urgency: urgency(admitted),
-            resume_after: None,
-        };
-        state.dialect.set_server_signs(&signs, &mut headers);
-        let outgoing = OutgoingRequest {
-            method: &admitted.method,
-            target: &admitted.target,
-            headers: &headers,
-            body: &admitted.body,
-            id: &admitted.signs.id,
-            until: admitted.until,
-            leaves_silent: may_run_again(admitted, runs + 1),
-        };
-        chosen
-            .server
-            .note_sent(&parts.0, chosen.unread, state.now());
-        if let Some(charge) = &charge {
-            charge.note_sent(true);
-        }
-        event!(
-            EventCode::RequestForwarded,
-            "request={} server={name}",
-            admitted.signs.id
-        );
-        let outcome = send::send(&state.dialect, &chosen, &outgoing).await;
-        let retry = match outcome {
-            SendOutcome::Answered(answer) => {
-                match take_answer(admitted, *answer, charge.as_ref()).await {
-                    Ok(ForwardedAnswer::Whole(answer)) if answer.status().is_server_error() => {
-                        runs += 1;
-                        failure = Some(answer);
-                        log_failure(admitted, &name, "the server answered with a failure");
-                        may_run_again(admitted, runs)
-                    }
-                    Ok(answer) => return Ok(answer),
-                    Err(cause) => {
-                        runs += 1;
-                        last = OwnReason::Unknown;
-                        log_failure(admitted, &name, cause);
-                        may_run_again(admitted, runs)
-                    }
-                }
-            }
-            SendOutcome::NotSent(fault) => {
-                event!(
-                    EventCode::ServerNotReached,
-                    "request={} server={name} cause={fault:?}",
-                    admitted.signs.id
-                );
-                if runs == 0 {
-                    last = OwnReason::NoServer;
-                    unsend(charge.as_ref());
-                }
-                // Nothing arrived at the server, so this is no retry there.
-                continue;
-            }
-            SendOutcome::NotRun(status) => {
-                event!(
-                    EventCode::ServerRefused,
-                    "request={} server={name} status={status}",
-                    admitted.signs.id
-                );
-                if runs == 0 {
-                    last = OwnReason::ServersFull;
-                    unsend(charge.as_ref());
+        match attempt(state, admitted, charge.as_ref(), &mut trail).await {
+            NextStep::Answer(answer) => return Ok(*answer),
+            NextStep::Elsewhere => {}
+            NextStep::End => break,
+            NextStep::Retry => {
+                let instances = state.directory.borrow().live();
+                let mut retries = state.retries.borrow_mut();
+                if !retries.take_retry(&admitted.service, instances, state.now()) {
+                    break;
                 }
-                true
-            }
-            SendOutcome::Unknown(cause) => {
-                runs += 1;
-                last = OwnReason::Unknown;
-                log_failure(admitted, &name, cause);
-                may_run_again(admitted, runs)
             }
-            SendOutcome::TimedOut => return Err(OwnReason::TimedOut),
-        };
-        let instances = state.directory.borrow().live();
-        let granted = retry
-            && state
-                .retries
-                .borrow_mut()
-                .take_retry(&admitted.service, instances, state.now());
-        if !granted {
-            break;
         }
     }
-    // A server's own failure says more than one of this instance.
-    failure.map(ForwardedAnswer::Whole).ok_or(last)
+    trail.end()
 }
 
-/// Whether another server may run the request after `runs` may have.
-fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
-    admitted.route.kind.is_repeatable() && runs < admitted.route.attempts
+/// Chooses a server that was not tried and sends the request there.
+async fn attempt<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+    charge: Option<&Rc<RequestCharge>>,
+    trail: &mut ForwardTrail,
+) -> NextStep {
+    let (shared, own_tokens) = shared_parts(&admitted.signs);
+    let case = PlacementCase {
+        shared: &shared,
+        own_tokens,
+        now: state.now(),
+    };
+    let others = state.directory.borrow().live().saturating_sub(1);
+    let chosen = state.servers.borrow().choose(
+        &admitted.service,
+        &trail.tried,
+        &state.data_centre,
+        others,
+        &case,
+    );
+    let Some(chosen) = chosen else {
+        return NextStep::End;
+    };
+    let name = chosen.server.entry.name.clone();
+    trail.tried.push(name.clone());
+    let mut headers = admitted.headers.clone();
+    let signs = ServerSigns {
+        server: &name,
+        team: admitted.team.as_ref().map(|team| &team.name),
+        time_left: admitted.until.saturating_duration_since(Instant::now()),
+        urgency: urgency(admitted),
+        resume_after: None,
+    };
+    state.dialect.set_server_signs(&signs, &mut headers);
+    let outgoing = OutgoingRequest {
+        method: &admitted.method,
+        target: &admitted.target,
+        headers: &headers,
+        body: &admitted.body,
+        id: &admitted.signs.id,
+        until: admitted.until,
+        leaves_silent: may_run_again(admitted, trail.runs + 1),
+    };
+    let flight = ServerFlight::begin(&chosen, &shared, state.now());
+    if let Some(charge) = charge {
+        charge.note_sent(true);
+    }
+    event!(
+        EventCode::RequestForwarded,
+        "request={} server={name}",
+        admitted.signs.id
+    );
+    let outcome = send::send(&state.dialect, flight, &outgoing).await;
+    follow(admitted, charge, trail, &name, outcome).await
 }
 
-/// It is proved that no server ran the request.
-fn unsend(charge: Option<&Rc<RequestCharge>>) {
-    if let Some(charge) = charge {
-        charge.note_sent(false);
+/// Decides what follows the outcome of an attempt at the server `name`.
+async fn follow(
+    admitted: &AdmittedRequest,
+    charge: Option<&Rc<RequestCharge>>,
+    trail: &mut ForwardTrail,
+    name: &ServerName,
+    outcome: SendOutcome,
+) -> NextStep {
+    match outcome {
+        SendOutcome::Answered(answer) => match take_answer(admitted, *answer, charge).await {
+            Ok(ForwardedAnswer::Whole(answer)) if answer.status().is_server_error() => {
+                trail.failure = Some(answer);
+                trail.note_failed(admitted, name, "the server answered with a failure")
+            }
+            Ok(answer) => NextStep::Answer(Box::new(answer)),
+            Err(cause) => trail.note_failed(admitted, name, cause),
+        },
+        SendOutcome::NotSent(fault) => {
+            event!(
+                EventCode::ServerNotReached,
+                "request={} server={name} cause={fault:?}",
+                admitted.signs.id
+            );
+            trail.note_not_run(OwnReason::NoServer, charge);
+            NextStep::Elsewhere
+        }
+        SendOutcome::NotRun(status) => {
+            event!(
+                EventCode::ServerRefused,
+                "request={} server={name} status={status}",
+                admitted.signs.id
+            );
+            trail.note_not_run(OwnReason::ServersFull, charge);
+            NextStep::Retry
+        }
+        SendOutcome::Unknown(cause) => trail.note_failed(admitted, name, cause),
+        SendOutcome::TimedOut => {
+            trail.reason = OwnReason::TimedOut;
+            NextStep::End
+        }
     }
 }
 
-/// Logs a failure after which the outcome is not known.
-fn log_failure(admitted: &AdmittedRequest, server: &ServerName, cause: &str) {
-    event!(
-        EventCode::ServerFailed,
-        "request={} server={server} cause={cause} after_ms={}",
-        admitted.signs.id,
-        admitted.arrived.elapsed().as_millis()
-    );
+/// Whether another server may run the request after `runs` may have.
+fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
+    admitted.route.kind.is_repeatable() && runs < admitted.route.attempts
 }
 
 /// An answer that may go to the caller.
--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -20,7 +20,6 @@
 use crate::dialect::AnswerSigns;
 use crate::dialect::RequestDialect;
 use crate::flight::ServerFlight;
-use crate::servers::ChosenServer;
 use crate::servers::ServerHandle;
 
 /// Time for a kept connection to take a request.
@@ -74,24 +73,21 @@
     pub leaves_silent: bool,
 }
 
-/// Sends `outgoing` to the chosen server.
+/// Sends `outgoing` to the server of `flight`.
 pub async fn send<D: RequestDialect>(
     dialect: &D,
-    chosen: &ChosenServer,
+    mut flight: ServerFlight,
     outgoing: &OutgoingRequest<'_>,
 ) -> SendOutcome {
-    let server = &chosen.server;
+    let server = Rc::clone(flight.server());
+    let server = &server;
     let link = match obtain_link(server).await {
-        Ok(link) => link,
+        Ok(link) => flight.use_link(link),
         Err(fault) => {
             server.note_failed();
             return SendOutcome::NotSent(fault);
         }
     };
-    let mut flight = ServerFlight::new(Rc::clone(server), link, chosen.unread);
-    let Some(link) = flight.link() else {
-        return SendOutcome::NotSent(ConnectFault::Refused);
-    };
     let answer = match wait_for_head(link, server, outgoing).await {
         Ok(answer) => answer,
         Err(outcome) => return outcome,
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -71,6 +71,11 @@
         self.heard.set(Instant::now());
     }
 
+    /// Requests of this instance in progress there.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.get()
+    }
+
     /// Whether it has work and has been silent for long.
     pub fn is_silent(&self) -> bool {
         self.in_progress.get() > 0 && self.heard.get().elapsed() > SILENCE_LIMIT
@@ -171,17 +176,6 @@
         }
     }
 
-    /// Whether `service` has a server that takes requests.
-    pub fn has_any(&self, service: &ServiceName) -> bool {
-        let servers = self.by_service.get(service);
-        servers.is_some_and(|servers| servers.iter().any(|server| server.is_serving()))
-    }
-
-    /// Servers of all services.
-    pub fn len(&self) -> usize {
-        self.by_name.len()
-    }
-
     /// Whether there are no servers.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
