--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -13,6 +13,8 @@
 /// Time that a holder provides for at its present demand: instances are cut
 /// off from the store for up to 10 s at a time, and demand swings meanwhile.
 const HORIZON: Duration = Duration::from_secs(12);
+/// Time that a holder provides for once its planned stop has begun.
+const STOPPING_HORIZON: Duration = Duration::from_secs(2);
 /// Typical requests that a holder keeps at least while a budget is ample.
 const REQUESTS_KEPT: u64 = 1;
 /// A holder without a known demand draws the total divided by this and by the
@@ -59,6 +61,8 @@
     pub others_per_second: f64,
     /// Live instances.
     pub holders: u32,
+    /// Whether this holder has begun a planned stop.
+    pub stopping: bool,
 }
 
 /// What a holder should do now.
@@ -76,6 +80,23 @@
 
 /// Decides for one budget.
 pub fn decide(view: &DrawView) -> DrawDecision {
+    let decision = decide_serving(view);
+    if !view.stopping {
+        return decision;
+    }
+    // The store may be out of reach when the stop ends: what the last requests
+    // will not need goes back at once.
+    let needed = view.demand_per_second * STOPPING_HORIZON.as_secs_f64();
+    let kept = tokens(needed) + view.wanted;
+    DrawDecision {
+        draw: view.wanted.saturating_sub(view.available).min(view.free),
+        give_back: view.available.saturating_sub(kept),
+        ..decision
+    }
+}
+
+/// Decides for a holder that serves on.
+fn decide_serving(view: &DrawView) -> DrawDecision {
     let ample = ampleness(view);
     let holders = f64::from(view.holders.max(1));
     let first = view.prepaid.get() as f64 / FIRST_DIVISOR as f64 / holders;
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -321,3 +321,22 @@
         assert!(all < 100_000, "{decision:?}");
     }
 }
+
+/// A cut from the store begins in the middle of a planned stop: what the
+/// holder does not need must have gone back before.
+#[test]
+fn a_holder_that_stops_gives_back_what_its_last_requests_do_not_need() {
+    let view = DrawView {
+        demand_per_second: 10_000.0,
+        typical: tokens(9_000),
+        available: tokens(150_000),
+        free: tokens(900_000),
+        prepaid: tokens(1_500_000),
+        holders: 7,
+        stopping: true,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.draw.is_zero(), "{decision:?}");
+    assert!(decision.give_back >= tokens(120_000), "{decision:?}");
+}
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -103,6 +103,8 @@
     recovered: bool,
     /// When the last record of the stream came.
     heard: Duration,
+    /// Whether a planned stop has begun.
+    stopping: bool,
     /// The thread that reads the stream, once it runs.
     reader: Option<Thread>,
 }
@@ -129,6 +131,7 @@
             totals: BTreeMap::new(),
             recovered: false,
             heard: Duration::ZERO,
+            stopping: false,
             reader: None,
         }
     }
@@ -360,6 +363,11 @@
         self.send(now);
     }
 
+    /// A planned stop has begun.
+    pub fn begin_stop(&mut self) {
+        self.stopping = true;
+    }
+
     /// Whether the store has all that was sent.
     pub fn is_acknowledged(&self) -> bool {
         self.unsent.is_empty() && self.acknowledged + 1 >= self.batch
@@ -398,6 +406,7 @@
             others_per_second: account
                 .map_or(0.0, |account| account.demand_of_others(self.holder) as f64),
             holders,
+            stopping: self.stopping,
         };
         let decision = policy::decide(&view);
         if !held.pending && !decision.draw.is_zero() {
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -89,6 +89,11 @@
         self.desk.borrow().refusal(budget, tokens, now)
     }
 
+    /// See [`BudgetDesk::begin_stop`].
+    pub fn begin_stop(&self) {
+        self.desk.borrow_mut().begin_stop();
+    }
+
     /// See [`BudgetDesk::is_acknowledged`].
     pub fn is_acknowledged(&self) -> bool {
         self.desk.borrow().is_acknowledged()
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -191,6 +191,8 @@
                 .note_reachable(&entry, reachable),
             TrafficUpdate::Stop => {
                 self.stopping.set(Some(Instant::now()));
+                self.budgets.begin_stop();
+                self.review_budgets();
                 self.directory.borrow_mut().set_ready(false);
             }
         }
