--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -31,10 +31,6 @@
 const REFILL_PART: f64 = 0.7;
 /// Part of a total below which what is free counts as scarce.
 const SCARCE_PART: f64 = 0.25;
-/// Part of a total below which large requests are refused.
-const LAST_PART: f64 = 0.1;
-/// Requests of its size that must be left for one to be served then.
-const LAST_REQUESTS: u64 = 4;
 /// Demand that a line allows, as a multiple of the present one.
 const PACE_FACTOR: f64 = 2.0;
 /// Part of a first draw that a line allows at once, so that a quiet team's
@@ -156,13 +152,6 @@
     kept * view.demand_per_second / demand
 }
 
-/// Whether a request of `tokens` would take too much of a budget of which only
-/// `left` is left: the last tokens serve many small requests or one large one.
-pub fn is_too_large(tokens: TokenCount, left: TokenCount, prepaid: TokenCount) -> bool {
-    let scarce = prepaid.get() as f64 * LAST_PART;
-    (left.get() as f64) < scarce && tokens.get().saturating_mul(LAST_REQUESTS) > left.get()
-}
-
 /// 1 while a budget is far from its limit, down to 0 at it.
 fn ampleness(view: &DrawView) -> f64 {
     let scarce = view.prepaid.get() as f64 * SCARCE_PART;
--- a/crates/hibiscus-traffic/src/answer.rs
+++ b/crates/hibiscus-traffic/src/answer.rs
@@ -28,8 +28,6 @@
     BudgetSpent,
     /// The budget may cover the request, but not from what is held here.
     BudgetUnconfirmed,
-    /// The budget is nearly spent, and the request would take too much of it.
-    BudgetLow,
     /// No server of the service can be used.
     NoServer,
     /// All servers that were tried refused the request.
@@ -58,7 +56,6 @@
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Self::NoConfig
             | Self::BudgetUnconfirmed
-            | Self::BudgetLow
             | Self::NoServer
             | Self::ServersFull
             | Self::TimeSpent
@@ -76,7 +73,6 @@
             Self::UnknownRoute => "unknown_route",
             Self::BudgetSpent => "budget_spent",
             Self::BudgetUnconfirmed => "budget_unconfirmed",
-            Self::BudgetLow => "budget_low",
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
             Self::TimeSpent => "time_spent",
@@ -90,7 +86,6 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NoConfig | Self::BudgetUnconfirmed => Some(Duration::from_millis(500)),
-            Self::BudgetLow => Some(Duration::from_secs(1)),
             Self::NoServer | Self::ServersFull => Some(Duration::from_millis(200)),
             Self::Stopping => Some(Duration::from_millis(10)),
             _ => None,
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -255,16 +255,6 @@
         held.purse.reserve(tokens, self.clock.now())
     }
 
-    /// Whether a request of `tokens` would take too much of a budget that is
-    /// nearly spent, so that it has something left for smaller requests.
-    pub fn is_too_large(&self, budget: &BudgetName, tokens: TokenCount) -> bool {
-        let Some(account) = self.fold.budget(budget) else {
-            return false;
-        };
-        let left = account.free() + account.held();
-        policy::is_too_large(tokens, left, account.prepaid)
-    }
-
     /// Counts a request that needs `tokens`.
     pub fn count_demand(&mut self, budget: &BudgetName, tokens: TokenCount, now: Duration) {
         let held = self.held.entry(budget.clone()).or_default();
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -59,11 +59,6 @@
         self.desk.borrow_mut().review(holders, now);
     }
 
-    /// See [`BudgetDesk::is_too_large`].
-    pub fn is_too_large(&self, budget: &BudgetName, tokens: TokenCount) -> bool {
-        self.desk.borrow().is_too_large(budget, tokens)
-    }
-
     /// See [`BudgetDesk::count_demand`].
     pub fn count_demand(&self, budget: &BudgetName, tokens: TokenCount) {
         let now = self.started.elapsed();
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -212,9 +212,6 @@
     let budget = BudgetName::new(team.name.as_str());
     let tokens = TokenCount::new(most);
     state.budgets.count_demand(&budget, tokens);
-    if state.budgets.is_too_large(&budget, tokens) {
-        return Err(OwnReason::BudgetLow);
-    }
     let mut held = wait_for_tokens(state, admitted, &budget, tokens).await;
     if held == Err(OwnReason::BudgetUnconfirmed) && gather(state, &budget, tokens).await {
         let hold = state.budgets.reserve(&budget, tokens);
