Test the daemon's command line word for word

A fresh clone built the daemon's program for no test of its own, so the process tests would have missed it.

--- /dev/null
+++ b/crates/hibiscus-front/tests/cli.rs
@@ -0,0 +1,122 @@
+//! Command line of the daemon, word for word.
+
+use std::env;
+use std::fs;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+/// Settings that are complete, with callers on the port `PORT`.
+const SETTINGS: &str = r#"node-name = "front-1"
+zone = "a"
+region = "r"
+ip = "127.0.0.1"
+internal-port-range = [7340,7355]
+[listen]
+front = "127.0.0.1:PORT"
+ready = "127.0.0.1:PORT"
+directory = "127.0.0.1:PORT"
+[bounds]
+grace-period-s = 8
+retry-budget-ratio = 0.2
+budget-window-s = 10
+budget-slack = 54
+ttl_max_s = 5
+[platform]
+address = "127.0.0.1:9"
+"#;
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_hibiscus-front"))
+        .args(arguments)
+        .output()
+        .expect("the program starts")
+}
+
+/// A file that is removed when the test ends.
+struct SettingsFile(PathBuf);
+
+impl SettingsFile {
+    fn write(name: &str, text: &str) -> Self {
+        let path = env::temp_dir().join(format!("hibiscus-{}-{name}.toml", std::process::id()));
+        fs::write(&path, text).expect("the file is written");
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("the path is text")
+    }
+}
+
+impl Drop for SettingsFile {
+    fn drop(&mut self) {
+        let _gone = fs::remove_file(&self.0);
+    }
+}
+
+fn error_of(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).expect("the output is text")
+}
+
+#[test]
+fn help_lists_options_and_exit_codes() {
+    let output = run(&["--help"]);
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).expect("the output is text");
+    let expected = "Routes requests within prepaid token budgets, on the users' platform
+
+Usage: hibiscus-front [--check] [--settings=FILE] [--log=LEVEL]
+
+Available options:
+        --check          Check the settings and exit
+        --settings=FILE  Settings file, if not the one that the platform names
+        --log=LEVEL      Least level of the log: error, warn, info or debug
+    -h, --help           Prints help information
+    -V, --version        Prints version information
+
+Exit codes: 0 stopped as planned or settings correct, 1 command line faulty, 2 settings faulty, 3 a
+port cannot be opened
+
+";
+    assert_eq!(text, expected);
+}
+
+#[test]
+fn settings_that_are_complete_pass_the_check() {
+    let file = SettingsFile::write("complete", &SETTINGS.replace("PORT", "8227"));
+    let output = run(&["--check", "--settings", file.path()]);
+    assert_eq!(output.status.code(), Some(0), "{}", error_of(&output));
+}
+
+#[test]
+fn a_missing_file_and_a_missing_field_are_named() {
+    let output = run(&["--settings", "/nonexistent/node.toml"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert_eq!(
+        error_of(&output),
+        "error: failed to read the settings file /nonexistent/node.toml\n  caused by: No such file or directory (os error 2)\n"
+    );
+    let text = SETTINGS.replace("zone = \"a\"\n", "");
+    let file = SettingsFile::write("field", &text.replace("PORT", "8227"));
+    let output = run(&["--check", "--settings", file.path()]);
+    assert_eq!(output.status.code(), Some(2));
+    let error = error_of(&output);
+    let first = format!(
+        "error: failed to decode the settings file {}\n",
+        file.path()
+    );
+    assert!(error.starts_with(&first), "{error}");
+    assert!(error.contains("missing field `zone`"), "{error}");
+}
+
+#[test]
+fn a_port_in_use_ends_the_start_with_its_own_code() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let port = taken.local_addr().expect("an address").port().to_string();
+    let file = SettingsFile::write("port", &SETTINGS.replace("PORT", &port));
+    let output = run(&["--log", "error", "--settings", file.path()]);
+    assert_eq!(output.status.code(), Some(3), "{}", error_of(&output));
+    let error = error_of(&output);
+    assert!(error.contains("Address already in use"), "{error}");
+}
