Take announcements in the order of their topic, and name near instances first

Cause: an announcement counted only if its incarnation was newer, and the order of incarnations is the time of day. A process that restarted after its clock was set back stayed unknown; after a planned stop it stayed marked as leaving, and callers were told of it by itself alone. Found by reading, shown by a test that failed first.

Change: an announcement of any process that was not replaced is taken over. Address answers name the caller's data centre first, the rest after it, each group in random order; before, the argument was unused. The two readers that only publish share the default of their trait. The account reader waits briefly while the store is away, as the others do.

--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -42,10 +42,16 @@
     fn topic(&self) -> &'static str;
 
     /// Pause after each read.
-    fn pause(&self) -> Duration;
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
 
     /// Takes over the newest record of each key.
-    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender);
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in records {
+            self.take(record, updates);
+        }
+    }
 
     /// Takes over a record that was appended.
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender);
@@ -136,39 +142,19 @@
 /// Reads the configuration.
 struct ConfigReader;
 
-impl ConfigReader {
-    fn publish(record: &KeyedRecord, updates: &UpdateSender) {
-        let Some(value) = record
-            .value
-            .as_ref()
-            .filter(|_value| record.key == config::KEY)
-        else {
-            return;
-        };
-        match config::decode(value) {
-            Ok(config) => tell(updates, TrafficUpdate::Config(Arc::new(config))),
-            Err(error) => event!(EventCode::ConfigUnreadable, "cause={error}"),
-        }
-    }
-}
-
 impl TopicReader for ConfigReader {
     fn topic(&self) -> &'static str {
         config::TOPIC
     }
 
-    fn pause(&self) -> Duration {
-        Duration::ZERO
-    }
-
-    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
-        for record in &records {
-            Self::publish(record, updates);
-        }
-    }
-
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
-        Self::publish(&record, updates);
+        let Some(value) = record.value.filter(|_value| record.key == config::KEY) else {
+            return;
+        };
+        match config::decode(&value) {
+            Ok(config) => tell(updates, TrafficUpdate::Config(Arc::new(config))),
+            Err(error) => event!(EventCode::ConfigUnreadable, "cause={error}"),
+        }
     }
 }
 
@@ -229,12 +215,16 @@
 /// Reads the instances' announcements.
 struct InstancesReader;
 
-impl InstancesReader {
-    fn publish(record: &KeyedRecord, updates: &UpdateSender) {
-        let Some(value) = &record.value else {
+impl TopicReader for InstancesReader {
+    fn topic(&self) -> &'static str {
+        INSTANCES_TOPIC
+    }
+
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
+        let Some(value) = record.value else {
             return;
         };
-        match codec::decode::<InstanceEntry>(value) {
+        match codec::decode::<InstanceEntry>(&value) {
             Ok(entry) => tell(updates, TrafficUpdate::Instance(entry)),
             Err(error) => event!(
                 EventCode::AnnouncementUnreadable,
@@ -245,26 +235,6 @@
     }
 }
 
-impl TopicReader for InstancesReader {
-    fn topic(&self) -> &'static str {
-        INSTANCES_TOPIC
-    }
-
-    fn pause(&self) -> Duration {
-        Duration::ZERO
-    }
-
-    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
-        for record in &records {
-            Self::publish(record, updates);
-        }
-    }
-
-    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
-        Self::publish(&record, updates);
-    }
-}
-
 /// Follows the instances' announcements, after making the own one.
 pub(crate) fn follow_instances(store: &StoreClient, updates: &UpdateSender, own: &InstanceEntry) {
     announce(store, own);
@@ -272,7 +242,7 @@
 }
 
 /// Writes the announcement of `own`, however often it takes. Copies change
-/// nothing, and a late one of an ended process is older than its successor's.
+/// nothing.
 pub(crate) fn announce(store: &StoreClient, own: &InstanceEntry) {
     let value = match codec::encode(own) {
         Ok(value) => value,
@@ -297,7 +267,11 @@
         match store.read(
             account::STREAM,
             next,
-            if current { READ_WAIT } else { Duration::ZERO },
+            if current {
+                reach.wait()
+            } else {
+                Duration::ZERO
+            },
         ) {
             Ok(page) => {
                 reach.succeeded(account::STREAM);
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -1,6 +1,7 @@
 //! Which instances callers are told to use.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use hibiscus_types::DataCentre;
@@ -12,11 +13,17 @@
 /// Addresses in one answer; callers use no more.
 const ADDRESS_LIMIT: usize = 64;
 
+/// Replaced processes of an instance that are remembered: a late copy of an
+/// announcement comes within seconds.
+const REPLACED_KEPT: usize = 8;
+
 /// One instance and whether it answers.
 #[derive(Clone, Debug)]
 struct KnownInstance {
     entry: InstanceEntry,
     reachable: bool,
+    /// Processes that the present one replaced, oldest first.
+    replaced: VecDeque<IncarnationId>,
 }
 
 /// The instances of the fleet as this one sees them.
@@ -44,22 +51,36 @@
     }
 
     /// Takes an announcement over; true when it names a process that was not
-    /// known. An older process of the same instance changes nothing.
+    /// known. A process that was replaced changes nothing: announcements come
+    /// in the order of their topic, and the time of day that incarnations show
+    /// may have been set back.
     pub fn announce(&mut self, entry: InstanceEntry) -> bool {
         if entry.name == self.own.name {
             return false;
         }
-        let known = self.others.get(&entry.name);
-        let held: Option<IncarnationId> = known.map(|known| known.entry.incarnation);
-        if held.is_some_and(|held| entry.incarnation < held) {
+        let Some(known) = self.others.get_mut(&entry.name) else {
+            let known = KnownInstance {
+                entry,
+                reachable: false,
+                replaced: VecDeque::new(),
+            };
+            self.others.insert(known.entry.name.clone(), known);
+            return true;
+        };
+        if known.entry.incarnation == entry.incarnation {
+            known.entry = entry;
+            return false;
+        }
+        if known.replaced.contains(&entry.incarnation) {
             return false;
         }
-        let is_new = held != Some(entry.incarnation);
-        let reachable = known
-            .is_some_and(|known| known.reachable && known.entry.incarnation == entry.incarnation);
-        let known = KnownInstance { entry, reachable };
-        self.others.insert(known.entry.name.clone(), known);
-        is_new
+        known.replaced.push_back(known.entry.incarnation);
+        while known.replaced.len() > REPLACED_KEPT {
+            known.replaced.pop_front();
+        }
+        known.entry = entry;
+        known.reachable = false;
+        true
     }
 
     /// Notes whether the process that announced `entry` answers.
@@ -96,25 +117,27 @@
         others.map(|known| known.entry.peers).collect()
     }
 
-    /// Addresses for a caller in `data_centre`: those of the same data centre
-    /// while there are several, else all that serve. Callers pick one at
-    /// random, so a single near instance would get all of them. Never none.
-    pub fn addresses(&self, _data_centre: Option<&DataCentre>) -> Vec<SocketAddr> {
-        let mut addresses = Vec::new();
+    /// Addresses of the instances that serve, those in the data centre
+    /// `near` first, in random order within the two groups. Far ones are named
+    /// too: callers pick one at random, and the near ones alone would get all
+    /// of the load. Never none.
+    pub fn addresses(&self, near: Option<&DataCentre>) -> Vec<SocketAddr> {
+        let mut named: Vec<&InstanceEntry> = Vec::new();
         if self.ready {
-            addresses.push(self.own.callers);
+            named.push(&self.own);
         }
         for known in self.others.values() {
             if known.reachable && !known.entry.leaving {
-                addresses.push(known.entry.callers);
+                named.push(&known.entry);
             }
         }
-        if addresses.is_empty() {
-            let others = self.others.values();
-            addresses.extend(others.map(|known| known.entry.callers));
-            addresses.push(self.own.callers);
+        if named.is_empty() {
+            named.extend(self.others.values().map(|known| &known.entry));
+            named.push(&self.own);
         }
-        addresses.truncate(ADDRESS_LIMIT);
-        addresses
+        fastrand::shuffle(&mut named);
+        named.sort_by_key(|entry| Some(&entry.data_centre) != near);
+        named.truncate(ADDRESS_LIMIT);
+        named.into_iter().map(|entry| entry.callers).collect()
     }
 }
--- a/crates/hibiscus-traffic/tests/parts.rs
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -191,6 +191,42 @@
     assert_eq!(directory.addresses(None), [successor.callers]);
 }
 
+#[test]
+fn near_addresses_come_first_and_far_ones_follow() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    directory.set_ready(true);
+    for number in 1..6 {
+        let entry = InstanceEntry {
+            data_centre: if number < 3 { "b".into() } else { "a".into() },
+            ..instance(number, 1)
+        };
+        directory.announce(entry.clone());
+        directory.note_reachable(&entry, true);
+    }
+    let addresses = directory.addresses(Some(&"b".into()));
+    assert_eq!(addresses.len(), 6);
+    let near = [instance(1, 1).callers, instance(2, 1).callers];
+    assert!(addresses[..2].iter().all(|address| near.contains(address)));
+}
+
+/// A process takes the order of its name from the time of day, which may be
+/// set back while its machine restarts it.
+#[test]
+fn a_process_that_started_after_its_clock_was_set_back_is_known() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    directory.set_ready(true);
+    directory.announce(InstanceEntry {
+        leaving: true,
+        ..instance(1, 9)
+    });
+    let successor = instance(1, 3);
+    assert!(directory.announce(successor.clone()));
+    directory.note_reachable(&successor, true);
+    assert_eq!(directory.addresses(None).len(), 2);
+    assert!(!directory.announce(instance(1, 9)));
+    assert!(directory.knows(&successor));
+}
+
 #[test]
 fn an_instance_that_leaves_is_named_to_nobody() {
     let mut directory = InstanceDirectory::new(instance(0, 1));
