--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -70,7 +70,7 @@
     AccountUnreadable = "HS3101", Warn, "account record cannot be read";
     TokensDrawn = "HS3102", Info, "tokens drawn";
     AccountNotEncoded = "HS3103", Error, "account records not encoded";
-    AccountsExpired = "HS3104", Error, "account records have expired";
+    AccountsExpired = "HS3104", Info, "account records have expired, snapshots stand for them";
     AccountClosed = "HS3105", Info, "account of an ended process closed";
     AccountTooLate = "HS3106", Debug, "account records appended after the end of the traffic thread";
     TokensShort = "HS3107", Info, "tokens are short";
@@ -78,6 +78,9 @@
     TokensNotAnswered = "HS3109", Info, "instance did not answer for tokens";
     TokensNotReturned = "HS3110", Warn, "tokens were not given back, the store did not answer in time";
     TimeAgreed = "HS3111", Info, "other machines told the time";
+    SnapshotStale = "HS3112", Error, "snapshot is older than the oldest record, the whole total counts as spent";
+    SnapshotNotWritten = "HS3113", Warn, "snapshots of accounts were not written";
+    SnapshotUnreadable = "HS3114", Error, "snapshot of an account cannot be read";
     RequestAdmitted = "HS4001", Debug, "request admitted";
     RequestOpened = "HS4002", Debug, "open acknowledged";
     RequestDispatched = "HS4003", Debug, "request sent to a server";
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -7,6 +7,8 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account;
+use hibiscus_ledger::account::snapshot::AccountSnapshot;
+use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
@@ -258,22 +260,32 @@
     }
 }
 
-/// Follows the account stream from its oldest record.
+/// Follows the account stream from its oldest record, after the snapshots if
+/// records have expired.
 pub(crate) fn follow_accounts(store: &StoreClient, updates: &UpdateSender) {
     let mut reach = ReachLog::default();
     let mut next = 0;
     let mut current = false;
     loop {
-        match store.read(
-            account::STREAM,
-            next,
-            if current {
-                reach.wait()
-            } else {
-                Duration::ZERO
-            },
-        ) {
-            Ok(page) => {
+        let wait = if current {
+            reach.wait()
+        } else {
+            Duration::ZERO
+        };
+        let page = match store.read(account::STREAM, next, wait) {
+            Err(StoreError::Expired { first }) => {
+                event!(EventCode::AccountsExpired, "first={first} next={next}");
+                resume_accounts(store, updates, first).map(|()| {
+                    next = first;
+                    current = false;
+                    None
+                })
+            }
+            page => page.map(Some),
+        };
+        match page {
+            Ok(None) => {}
+            Ok(Some(page)) => {
                 reach.succeeded(account::STREAM);
                 let end = page.end;
                 for record in page.records {
@@ -289,10 +301,6 @@
                     thread::park_timeout(ACCOUNTS_PAUSE);
                 }
             }
-            Err(StoreError::Expired { first }) => {
-                event!(EventCode::AccountsExpired, "first={first} next={next}");
-                next = first;
-            }
             Err(error) => {
                 reach.failed(account::STREAM, &error);
                 thread::sleep(FAILURE_PAUSE);
@@ -300,3 +308,26 @@
         }
     }
 }
+
+/// Hands the snapshots over that stand for the records before `first`.
+fn resume_accounts(
+    store: &StoreClient,
+    updates: &UpdateSender,
+    first: u64,
+) -> platform::store::Result<()> {
+    let newest = store.newest(SNAPSHOT_TOPIC)?;
+    let mut snapshots = Vec::new();
+    for record in newest.records {
+        let value = record.value.unwrap_or_default();
+        match codec::decode::<AccountSnapshot>(&value) {
+            Ok(snapshot) => snapshots.push(snapshot),
+            Err(error) => event!(
+                EventCode::SnapshotUnreadable,
+                "budget={} cause={error}",
+                record.key
+            ),
+        }
+    }
+    tell(updates, TrafficUpdate::AccountsResumed { first, snapshots });
+    Ok(())
+}
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -279,16 +279,27 @@
             break;
         }
     }
+    if tokio::time::timeout_at(limit, settle_accounts(state, updates))
+        .await
+        .is_err()
+    {
+        event!(EventCode::TokensNotReturned, "");
+    }
+}
+
+/// Gives tokens back and writes the last snapshots, until the store has both.
+async fn settle_accounts(state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
     state.budgets.give_all_back();
-    let acknowledged = async {
-        while !state.budgets.is_acknowledged() {
-            if let Some(update) = updates.recv().await {
-                take(state, update);
-            }
+    while !state.budgets.is_acknowledged() || !state.budgets.is_read_back() {
+        if let Some(update) = updates.recv().await {
+            take(state, update);
+        }
+    }
+    state.budgets.write_snapshots();
+    while !state.budgets.is_acknowledged() {
+        if let Some(update) = updates.recv().await {
+            take(state, update);
         }
-    };
-    if tokio::time::timeout_at(limit, acknowledged).await.is_err() {
-        event!(EventCode::TokensNotReturned, "");
     }
 }
 
--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -24,6 +24,7 @@
 pub mod pace;
 pub mod policy;
 pub mod purse;
+pub mod snapshot;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -87,6 +88,18 @@
     },
 }
 
+impl AccountRecord {
+    /// The budget that it is about.
+    pub fn budget(&self) -> &BudgetName {
+        match self {
+            Self::Prepaid { budget, .. }
+            | Self::Draw { budget, .. }
+            | Self::Report(HolderReport { budget, .. })
+            | Self::Close { budget, .. } => budget,
+        }
+    }
+}
+
 /// What one holder reports of one budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderReport {
@@ -192,6 +205,9 @@
     pub holders: BTreeMap<IncarnationId, HolderAccount>,
     /// Sum of what closed holders spent.
     pub closed: TokenCount,
+    /// Offset of the first record that is not contained in a snapshot that
+    /// this account began with.
+    from: u64,
 }
 
 impl BudgetAccount {
@@ -260,6 +276,10 @@
         self.skip(offset);
         let mut verdicts = Vec::new();
         for record in records {
+            let account = self.budgets.get(record.budget());
+            if account.is_some_and(|account| offset < account.from) {
+                continue;
+            }
             match record {
                 AccountRecord::Prepaid {
                     budget,
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -13,6 +13,7 @@
 use hibiscus_ledger::account::purse::BudgetPurse;
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::HoldSource;
+use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -343,3 +344,72 @@
     assert!(decision.draw.is_zero(), "{decision:?}");
     assert!(decision.give_back >= tokens(120_000), "{decision:?}");
 }
+
+fn snapshots(fold: &AccountFold) -> Vec<AccountSnapshot> {
+    fold.snapshot(&budget()).into_iter().collect()
+}
+
+#[test]
+fn a_snapshot_and_the_records_after_it_say_what_all_records_say() {
+    let records = [
+        vec![prepaid(1, TOKENS), draw(1, 1, 300), report(1, 1, 20, 0)],
+        vec![draw(2, 1, 200), report(1, 2, 100, 50)],
+        vec![draw(1, 2, 100), report(2, 1, 70, 0)],
+        vec![draw(2, 2, 900), prepaid(2, TOKENS + 50)],
+    ];
+    let close = AccountRecord::Close {
+        budget: budget(),
+        holder: holder(1),
+        spent: tokens(120),
+    };
+    let mut whole = AccountFold::default();
+    for (offset, some) in (0..).zip(&records) {
+        whole.apply(offset, some);
+    }
+    whole.apply(4, std::slice::from_ref(&close));
+    for (taken, first) in [(1, 1), (2, 1), (2, 2), (3, 1), (4, 3)] {
+        let mut fold = AccountFold::default();
+        for (offset, some) in (0..).zip(&records[..taken]) {
+            fold.apply(offset, some);
+        }
+        let (mut resumed, stale) = AccountFold::resume(first, snapshots(&fold));
+        assert!(stale.is_empty(), "{stale:?}");
+        for (offset, some) in (0..).zip(&records).skip(first as usize) {
+            resumed.apply(offset, some);
+        }
+        resumed.apply(4, std::slice::from_ref(&close));
+        assert_eq!(free(&resumed), free(&whole), "{taken} {first}");
+        // The closed holder is remembered too.
+        assert!(resumed.apply(5, &[draw(1, 9, 1)]).is_empty());
+    }
+}
+
+#[test]
+fn a_snapshot_older_than_the_oldest_record_frees_nothing_until_the_total_is_raised() {
+    let mut fold = AccountFold::default();
+    fold.apply(0, &[prepaid(1, TOKENS), draw(1, 1, 300)]);
+    let (mut resumed, stale) = AccountFold::resume(7, snapshots(&fold));
+    assert_eq!(stale, [budget()]);
+    assert_eq!(free(&resumed), 0);
+    assert!(resumed.apply(7, &[draw(2, 1, 10)])[0].granted.is_zero());
+    // The line of the first holder may not be its last one.
+    let close = AccountRecord::Close {
+        budget: budget(),
+        holder: holder(1),
+        spent: tokens(0),
+    };
+    resumed.apply(8, &[close]);
+    assert_eq!(free(&resumed), 0);
+    resumed.apply(9, &[prepaid(2, TOKENS + 100)]);
+    assert_eq!(free(&resumed), 100);
+}
+
+#[test]
+fn a_budget_without_a_snapshot_begins_with_its_records() {
+    let (mut resumed, stale) = AccountFold::resume(7, Vec::new());
+    assert!(stale.is_empty());
+    resumed.apply(6, &[prepaid(1, TOKENS)]);
+    assert_eq!(free(&resumed), 0);
+    resumed.apply(7, &[prepaid(1, TOKENS), draw(1, 1, 300)]);
+    assert_eq!(free(&resumed), 700);
+}
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -25,6 +25,8 @@
 use hibiscus_ledger::account::purse::BudgetPurse;
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_ledger::account::snapshot::AccountSnapshot;
+use hibiscus_ledger::account::snapshot::SNAPSHOT_INTERVAL;
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -55,6 +57,8 @@
     pub number: u64,
     /// The records in order.
     pub records: Vec<AccountRecord>,
+    /// Snapshots that go to their own topic.
+    pub snapshots: Vec<AccountSnapshot>,
 }
 
 /// One budget at this holder.
@@ -66,6 +70,9 @@
     draw_serial: u64,
     /// Whether that draw has no verdict yet.
     pending: bool,
+    /// Number of the last draw whose verdict came: a stream that is read once
+    /// more brings verdicts again.
+    verdict_serial: u64,
     /// Number of the last report sent.
     report_serial: u64,
     /// When it was made.
@@ -107,11 +114,16 @@
     held: BTreeMap<BudgetName, HeldBudget>,
     outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
+    unsent_snapshots: Vec<AccountSnapshot>,
+    /// When each budget's snapshot was written, and the offset that it had.
+    snapshots: BTreeMap<BudgetName, (Duration, u64)>,
     /// Number of the batch that the unsent records will be.
     batch: u64,
     /// When the oldest batch that is not acknowledged was made.
     unacknowledged: Option<Duration>,
     acknowledged: u64,
+    /// Offset after the last record of this holder that the store has.
+    appended: u64,
     totals: BTreeMap<BudgetName, TokenCount>,
     recovery: RecoveryPhase,
     /// Time of day that has passed by the machines' records.
@@ -140,9 +152,12 @@
             held: BTreeMap::new(),
             outbox,
             unsent: Vec::new(),
+            unsent_snapshots: Vec::new(),
+            snapshots: BTreeMap::new(),
             batch: 1,
             unacknowledged: None,
             acknowledged: 0,
+            appended: 0,
             totals: BTreeMap::new(),
             recovery: RecoveryPhase::Reading,
             passed: PassedTime::default(),
@@ -204,6 +219,10 @@
                 continue;
             }
             let held = self.held.entry(verdict.budget.clone()).or_default();
+            if verdict.serial <= held.verdict_serial {
+                continue;
+            }
+            held.verdict_serial = verdict.serial;
             held.purse.add(verdict.granted);
             held.pending &= verdict.serial < held.draw_serial;
             held.changed.notify_waiters();
@@ -217,9 +236,20 @@
         }
     }
 
-    /// The store has all batches up to `number`.
-    pub fn acknowledge(&mut self, number: u64, now: Duration) {
+    /// Begins anew with snapshots, since the records before `first` are gone.
+    pub fn resume(&mut self, first: u64, snapshots: Vec<AccountSnapshot>) {
+        let (fold, stale) = AccountFold::resume(first, snapshots);
+        self.fold = fold;
+        for budget in stale {
+            event!(EventCode::SnapshotStale, "budget={budget} first={first}");
+        }
+    }
+
+    /// The store has all batches up to `number`, the last of which ends before
+    /// the offset `end` of the stream.
+    pub fn acknowledge(&mut self, number: u64, end: Option<u64>, now: Duration) {
         self.acknowledged = number;
+        self.appended = end.unwrap_or(self.appended);
         self.unacknowledged = (number + 1 < self.batch).then_some(now);
         let mut pending = false;
         for held in self.held.values_mut() {
@@ -410,15 +440,39 @@
     }
 
     /// Decides on draws, returns and reports, with `holders` live instances,
-    /// and hands the records to the thread that appends.
-    pub fn review(&mut self, holders: u32, now: Duration) {
+    /// and hands the records to the thread that appends. `is_keeper` tells
+    /// whether this instance writes the snapshots of a budget.
+    pub fn review(&mut self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool, now: Duration) {
         let names: Vec<BudgetName> = self.totals.keys().cloned().collect();
         for budget in names {
             self.review_one(&budget, holders, now);
+            if self.is_snapshot_due(&budget, now) && is_keeper(&budget) {
+                self.write_snapshot(&budget, now);
+            }
         }
         self.send(now);
     }
 
+    /// Whether the snapshot of `budget` is as old as it may be, and not the
+    /// present one.
+    fn is_snapshot_due(&self, budget: &BudgetName, now: Duration) -> bool {
+        if self.recovery == RecoveryPhase::Reading {
+            return false;
+        }
+        let written = self.snapshots.get(budget);
+        written.is_none_or(|(at, next)| {
+            now.saturating_sub(*at) >= SNAPSHOT_INTERVAL && *next < self.fold.next_offset()
+        })
+    }
+
+    fn write_snapshot(&mut self, budget: &BudgetName, now: Duration) {
+        let Some(snapshot) = self.fold.snapshot(budget) else {
+            return;
+        };
+        self.snapshots.insert(budget.clone(), (now, snapshot.next));
+        self.unsent_snapshots.push(snapshot);
+    }
+
     /// A planned stop has begun.
     pub fn begin_stop(&mut self) {
         self.stopping = true;
@@ -426,7 +480,23 @@
 
     /// Whether the store has all that was sent.
     pub fn is_acknowledged(&self) -> bool {
-        self.unsent.is_empty() && self.acknowledged + 1 >= self.batch
+        let is_empty = self.unsent.is_empty() && self.unsent_snapshots.is_empty();
+        is_empty && self.acknowledged + 1 >= self.batch
+    }
+
+    /// Whether all that the store has of this holder was read back.
+    pub fn is_read_back(&self) -> bool {
+        self.fold.next_offset() >= self.appended
+    }
+
+    /// Writes the snapshots of all budgets, at the end of a planned stop: the
+    /// fleet may stay away for longer than records are kept.
+    pub fn write_snapshots(&mut self, now: Duration) {
+        let names: Vec<BudgetName> = self.totals.keys().cloned().collect();
+        for budget in names {
+            self.write_snapshot(&budget, now);
+        }
+        self.send(now);
     }
 
     /// Gives back all that no request has reserved, at the end of a planned
@@ -519,12 +589,13 @@
     }
 
     fn send(&mut self, now: Duration) {
-        if self.unsent.is_empty() {
+        if self.unsent.is_empty() && self.unsent_snapshots.is_empty() {
             return;
         }
         let batch = AccountBatch {
             number: self.batch,
             records: std::mem::take(&mut self.unsent),
+            snapshots: std::mem::take(&mut self.unsent_snapshots),
         };
         match self.outbox.try_send(batch) {
             Ok(()) => {
@@ -533,6 +604,7 @@
             }
             Err(TrySendError::Full(batch) | TrySendError::Disconnected(batch)) => {
                 self.unsent = batch.records;
+                self.unsent_snapshots = batch.snapshots;
             }
         }
     }
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -7,6 +7,7 @@
 
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
 use tokio::sync::Notify;
@@ -43,10 +44,26 @@
         self.desk.borrow_mut().apply(offset, record, now);
     }
 
+    /// See [`BudgetDesk::resume`].
+    pub fn resume(&self, first: u64, snapshots: Vec<AccountSnapshot>) {
+        self.desk.borrow_mut().resume(first, snapshots);
+    }
+
     /// See [`BudgetDesk::acknowledge`].
-    pub fn acknowledge(&self, number: u64) {
+    pub fn acknowledge(&self, number: u64, end: Option<u64>) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().acknowledge(number, end, now);
+    }
+
+    /// See [`BudgetDesk::is_read_back`].
+    pub fn is_read_back(&self) -> bool {
+        self.desk.borrow().is_read_back()
+    }
+
+    /// See [`BudgetDesk::write_snapshots`].
+    pub fn write_snapshots(&self) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().acknowledge(number, now);
+        self.desk.borrow_mut().write_snapshots(now);
     }
 
     /// See [`BudgetDesk::recover`].
@@ -65,9 +82,9 @@
     }
 
     /// See [`BudgetDesk::review`].
-    pub fn review(&self, holders: u32) {
+    pub fn review(&self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().review(holders, now);
+        self.desk.borrow_mut().review(holders, is_keeper, now);
     }
 
     /// See [`BudgetDesk::count_demand`].
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -7,6 +7,7 @@
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
+use hibiscus_types::hash::stable_hash;
 
 use crate::model::InstanceEntry;
 
@@ -111,6 +112,18 @@
             .saturating_add(1)
     }
 
+    /// Whether this instance is the first of those that answer in the order
+    /// that `subject` gives them. All instances agree on it but for moments, so
+    /// it may only choose who does what may be done twice.
+    pub fn is_first_for(&self, subject: &str) -> bool {
+        let rank = |entry: &InstanceEntry| {
+            stable_hash(&[subject.as_bytes(), entry.name.as_str().as_bytes()])
+        };
+        let own = rank(&self.own);
+        let mut others = self.others.values().filter(|known| known.reachable);
+        others.all(|known| rank(&known.entry) > own)
+    }
+
     /// Where the instances that answer take questions.
     pub fn peers(&self) -> Vec<SocketAddr> {
         let others = self.others.values().filter(|known| known.reachable);
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -10,6 +10,7 @@
 use hibiscus_events::event;
 use hibiscus_peer::PinSet;
 use hibiscus_peer::PinnedLink;
+use hibiscus_types::BudgetName;
 use hibiscus_types::DataCentre;
 use tokio::sync::Notify;
 
@@ -176,8 +177,11 @@
                 self.budgets.recover();
                 self.review_budgets();
             }
-            TrafficUpdate::AccountsAppended(number) => {
-                self.budgets.acknowledge(number);
+            TrafficUpdate::AccountsResumed { first, snapshots } => {
+                self.budgets.resume(first, snapshots);
+            }
+            TrafficUpdate::AccountsAppended { number, end } => {
+                self.budgets.acknowledge(number, end);
                 self.review_budgets();
             }
             TrafficUpdate::Instance(entry) => {
@@ -201,8 +205,9 @@
 
     /// Decides on draws and reports.
     pub fn review_budgets(&self) {
-        let holders = self.directory.borrow().live();
-        self.budgets.review(holders);
+        let directory = self.directory.borrow();
+        let is_keeper = |budget: &BudgetName| directory.is_first_for(budget.as_str());
+        self.budgets.review(directory.live(), is_keeper);
     }
 
     /// Drops servers that did not come back.
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::ServerName;
 use tokio::sync::mpsc;
 
@@ -37,8 +38,21 @@
     },
     /// All account records that the store had were told.
     AccountsCurrent,
-    /// The store has all batches of account records up to this number.
-    AccountsAppended(u64),
+    /// The account records before an offset are gone; these snapshots stand for
+    /// them.
+    AccountsResumed {
+        /// Offset of the oldest record that is kept.
+        first: u64,
+        /// The snapshots.
+        snapshots: Vec<AccountSnapshot>,
+    },
+    /// The store has batches of account records.
+    AccountsAppended {
+        /// Number of the last batch.
+        number: u64,
+        /// Offset after its records; `None` if it had only snapshots.
+        end: Option<u64>,
+    },
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Another instance answers, or does not.
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -332,6 +332,50 @@
     assert!(prompts >= PREPAID * 6 / 10, "{prompts} tokens of {PREPAID}");
 }
 
+/// Spends all that `platform` lets a team spend; returns how much.
+fn spend_all(platform: &Platform, round: usize) -> u64 {
+    let mut spent = 0;
+    for number in 0..60 {
+        let answer = platform.stream(&format!("id-{round}-{number}"), 2_500, 15);
+        spent += if status(&answer) == "200" { 2_515 } else { 0 };
+    }
+    spent
+}
+
+#[test]
+fn a_fleet_that_was_away_for_longer_than_records_are_kept_goes_on_with_its_snapshots() {
+    let mut platform = Platform::start();
+    let mut spent = 0;
+    for number in 0..4 {
+        let answer = platform.stream(&format!("id-{number}"), 2_500, 15);
+        spent += if status(&answer) == "200" { 2_515 } else { 0 };
+    }
+    assert!(spent > 0);
+    platform.front.signal(Signal::SIGTERM);
+    assert!(platform.front.wait(Duration::from_secs(10)).is_some());
+    platform.store.forget_history("accounts");
+    let ports = platform.front.ports;
+    platform.front = FrontProcess::start("front-1", ports, platform.store.address());
+    platform.front.wait_ready();
+    spent += spend_all(&platform, 1);
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+    assert!(spent >= PREPAID * 9 / 10, "{spent} tokens of {PREPAID}");
+}
+
+#[test]
+fn draws_that_were_lost_with_the_history_are_never_spent_again() {
+    let mut platform = Platform::start();
+    let mut spent = spend_all(&platform, 0);
+    assert!(spent > 0);
+    platform.front.kill();
+    platform.store.forget_history("accounts");
+    let ports = platform.front.ports;
+    platform.front = FrontProcess::start("front-1", ports, platform.store.address());
+    platform.front.wait_ready();
+    spent += spend_all(&platform, 1);
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+}
+
 #[test]
 fn spending_goes_on_while_the_store_is_away() {
     let platform = Platform::start();
