Bound callers' connections, heads and bodies, and idle connections to servers

Cause: nothing bounded what callers may take: 3,900 connections of 24 KB are 94 of 110 MB, a head could take the 15 s of an idle connection, and bodies of 4 MB were kept without a sum. Found by reading.

Change: a registry of callers' connections bounded by memory and descriptors of the settings; the longest idle one makes room. Heads have the header limit of the configuration, idle connections the idle limit. Bodies together take a fifth of the memory, beyond it 503 `overloaded`, not run. Instances share half of what a server accepts for idle connections.

Tests: hibiscus-traffic/tests/callers.rs, and a process test of a slow head.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -54,6 +54,8 @@
     QuestionUnreadable = "HS1111", Warn, "question of an instance cannot be read";
     AnswerNotEncoded = "HS1112", Error, "answer to an instance not encoded";
     LinesDropped = "HS1113", Warn, "log lines were dropped to keep the volume bounded";
+    SlowHeadsEnded = "HS1114", Warn, "connections of callers ended, their heads took too long";
+    ConnectionsFull = "HS1115", Warn, "connection of a caller closed, too many are open and none is idle";
     ConfigInForce = "HS2001", Info, "configuration version is in force";
     ConfigUnreadable = "HS2002", Warn, "configuration stream cannot be read";
     TopicLost = "HS2003", Warn, "topic cannot be read";
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -14,6 +14,7 @@
 use hibiscus_peer::PinnedLink;
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::model::InstanceEntry;
@@ -24,6 +25,7 @@
 use hibiscus_traffic::relay::AnswerBody;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -156,13 +158,14 @@
         slack: settings.retry_slack,
         window: settings.retry_window,
     });
-    let state = Rc::new(TrafficState::new(
-        PlatformDialect,
-        settings.data_centre.clone(),
-        desk,
+    let state = Rc::new(TrafficState::new(TrafficParts {
+        dialect: PlatformDialect,
+        data_centre: settings.data_centre.clone(),
+        budgets: desk,
         retries,
-        InstanceDirectory::new(own.clone()),
-    ));
+        directory: InstanceDirectory::new(own.clone()),
+        bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+    }));
     let tasks = LocalSet::new();
     tasks.block_on(
         &runtime,
@@ -227,6 +230,8 @@
             }
             _at = tick.tick() => {
                 state.expire_servers();
+                state.end_slow_heads();
+                state.share_server_connections();
                 state.review_budgets();
             }
         }
@@ -274,7 +279,7 @@
         if !state.is_closing() {
             state.close_idle();
         }
-        let busy = state.in_progress() > 0 || state.connections() > 0;
+        let busy = state.in_progress() > 0 || !state.callers.is_empty();
         if !busy || tokio::time::Instant::now() >= limit {
             break;
         }
--- a/crates/hibiscus-front/tests/cli.rs
+++ b/crates/hibiscus-front/tests/cli.rs
@@ -13,6 +13,9 @@
 region = "r"
 ip = "127.0.0.1"
 internal-port-range = [7340,7355]
+[limits]
+memory-mb = 110
+max-fds = 4100
 [listen]
 front = "127.0.0.1:PORT"
 ready = "127.0.0.1:PORT"
--- a/crates/hibiscus-support/src/metadata/front.rs
+++ b/crates/hibiscus-support/src/metadata/front.rs
@@ -203,6 +203,9 @@
 region = "r"
 ip = "127.0.0.1"
 internal-port-range = [{},{last}]
+[limits]
+memory-mb = 110
+max-fds = 4100
 [listen]
 front = "{}"
 ready = "{}"
--- a/crates/hibiscus-traffic/src/answer.rs
+++ b/crates/hibiscus-traffic/src/answer.rs
@@ -34,6 +34,8 @@
     ServersFull,
     /// The caller's time ran out before the request was sent.
     TimeSpent,
+    /// The machine has no room for the body.
+    Overloaded,
     /// This instance is stopping.
     Stopping,
     /// The request was sent and its outcome is not known.
@@ -59,6 +61,7 @@
             | Self::NoServer
             | Self::ServersFull
             | Self::TimeSpent
+            | Self::Overloaded
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -76,6 +79,7 @@
             Self::NoServer => "no_server",
             Self::ServersFull => "servers_full",
             Self::TimeSpent => "time_spent",
+            Self::Overloaded => "overloaded",
             Self::Stopping => "stopping",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
@@ -85,7 +89,9 @@
     /// When the caller may try again, for refusals that may end.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfig | Self::BudgetUnconfirmed => Some(Duration::from_millis(500)),
+            Self::NoConfig | Self::BudgetUnconfirmed | Self::Overloaded => {
+                Some(Duration::from_millis(500))
+            }
             Self::NoServer | Self::ServersFull => Some(Duration::from_millis(200)),
             Self::Stopping => Some(Duration::from_millis(10)),
             _ => None,
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -13,6 +13,7 @@
 use hibiscus_types::TokenCount;
 
 use crate::budgets::BudgetHandle;
+use crate::callers::CallerRequest;
 use crate::connect::ServerLink;
 use crate::relay::RelayFault;
 use crate::servers::ChosenServer;
@@ -137,6 +138,15 @@
     }
 }
 
+/// Counts a request until its answer has passed.
+#[derive(Debug)]
+pub struct RequestProgress {
+    /// At its connection.
+    pub _request: CallerRequest,
+    /// At the instance.
+    pub _count: CountGuard,
+}
+
 /// Follows an answer that passes to a caller.
 #[derive(Debug)]
 pub struct FlightWatch {
@@ -151,7 +161,7 @@
     /// Output tokens in an event.
     pub tokens_per_event: u64,
     /// Counts the request until its answer has passed.
-    pub progress: CountGuard,
+    pub progress: RequestProgress,
 }
 
 impl FlightWatch {
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -3,8 +3,8 @@
 //! A current-thread runtime owns the callers' and the servers' connections.
 //! The parts meet as follows:
 //!
-//! - [`port`] accepts callers' connections and hands each request to
-//!   [`life`], which admits it, places it, forwards it and answers.
+//! - [`port`] accepts callers' connections, [`callers`] bounds them, and each
+//!   request goes to [`life`], which admits it, places it, forwards it and answers.
 //! - [`servers`] holds the backend servers that [`roster`] knows, with their
 //!   kept connections ([`connect`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
@@ -18,6 +18,7 @@
 
 pub mod answer;
 pub mod budgets;
+pub mod callers;
 pub mod clock;
 pub mod connect;
 pub mod dialect;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
@@ -28,11 +29,14 @@
 use crate::answer;
 use crate::answer::OwnReason;
 use crate::budgets::TokenRefusal;
+use crate::callers::BodyBytes;
+use crate::callers::CallerRequest;
 use crate::dialect::CallerSigns;
 use crate::dialect::RequestDialect;
 use crate::dialect::ServerSigns;
 use crate::flight::FlightWatch;
 use crate::flight::RequestCharge;
+use crate::flight::RequestProgress;
 use crate::flight::ServerFlight;
 use crate::model::RouteRule;
 use crate::model::TeamRule;
@@ -43,7 +47,6 @@
 use crate::send::OutgoingRequest;
 use crate::send::SendOutcome;
 use crate::send::ServerAnswer;
-use crate::state::CountGuard;
 use crate::state::TrafficState;
 use crate::table;
 use crate::table::RouteTable;
@@ -72,6 +75,8 @@
     target: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Counts the body's bytes for as long as it is kept.
+    _body_bytes: BodyBytes,
     /// When it arrived.
     arrived: Instant,
     /// When its caller or route has waited long enough.
@@ -82,8 +87,12 @@
 pub async fn serve<D: RequestDialect>(
     state: Rc<TrafficState<D>>,
     request: Request<Incoming>,
+    caller: CallerRequest,
 ) -> Response<AnswerBody> {
-    let progress = state.count_request();
+    let progress = RequestProgress {
+        _request: caller,
+        _count: state.count_request(),
+    };
     let (head, body) = request.into_parts();
     let signs = match state.dialect.caller_signs(&head.headers) {
         Ok(signs) => signs,
@@ -160,7 +169,10 @@
     let service = service.clone();
     let wait = signs.deadline.unwrap_or(route.timeout).min(route.timeout);
     let until = arrived + wait;
-    let body = read_body(body, table.config().limits.body_bytes, until).await?;
+    let limit = table.config().limits.body_bytes;
+    let reading = read_body(body, limit, state.callers.begin_body());
+    let read = tokio::time::timeout_at(until.into(), reading).await;
+    let (body, body_bytes) = read.map_err(|_elapsed| OwnReason::TimeSpent)??;
     let mut headers = head.headers;
     send::strip_connection_headers(&mut headers);
     state.dialect.strip_own(&mut headers);
@@ -175,26 +187,36 @@
         target: head.uri,
         headers,
         body,
+        _body_bytes: body_bytes,
         arrived,
         until,
     })
 }
 
-/// Reads a body of at most `limit` bytes.
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes> {
-    if hyper::body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
+/// Reads a body of at most `limit` bytes, which `held` counts.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    mut held: BodyBytes,
+) -> Result<(Bytes, BodyBytes)> {
+    if hyper::body::Body::size_hint(&body).lower() > limit as u64 {
+        return Err(OwnReason::BodyTooLong);
     }
-    let wait = until.saturating_duration_since(Instant::now());
-    let gathered = tokio::time::timeout(wait, Limited::new(body, limit).collect()).await;
-    match gathered {
-        Ok(Ok(gathered)) => Ok(gathered.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(OwnReason::BodyTooLong)
+    let mut gathered = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_broken| OwnReason::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if gathered.len() + data.len() > limit {
+            return Err(OwnReason::BodyTooLong);
         }
-        Ok(Err(_broken)) => Err(OwnReason::BadRequest),
-        Err(_elapsed) => Err(OwnReason::TimeSpent),
+        if !held.grow(data.len()) {
+            return Err(OwnReason::Overloaded);
+        }
+        gathered.extend_from_slice(&data);
     }
+    Ok((gathered.freeze(), held))
 }
 
 /// Sets aside the most that the request may cost.
@@ -494,7 +516,11 @@
 
 impl ForwardedAnswer {
     /// The caller's answer; a stream counts as in progress until it has passed.
-    fn into_answer(self, admitted: &AdmittedRequest, progress: CountGuard) -> Response<AnswerBody> {
+    fn into_answer(
+        self,
+        admitted: &AdmittedRequest,
+        progress: RequestProgress,
+    ) -> Response<AnswerBody> {
         let (head, body, flight, charge) = match self {
             Self::Whole(answer) => return answer.map(AnswerBody::whole),
             Self::Stream {
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::callers::CallerConnection;
 use crate::connect;
 use crate::dialect::RequestDialect;
 use crate::life;
@@ -29,6 +30,8 @@
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Least size of a connection's buffer, as the HTTP library requires.
 const LEAST_BUFFER: usize = 8 * 1024;
+/// Time for the last bytes on a connection that makes room for others.
+const LAST_WRITE: Duration = Duration::from_millis(200);
 /// Pause after a failure to accept, such as running out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -47,8 +50,15 @@
         let Some(stream) = accept(&listener).await else {
             continue;
         };
-        let state = Rc::clone(&state);
-        tokio::task::spawn_local(serve_caller(stream, state));
+        let Some(caller) = state.callers.open() else {
+            event!(
+                EventCode::ConnectionsFull,
+                "connections={}",
+                state.callers.len()
+            );
+            continue;
+        };
+        tokio::task::spawn_local(serve_caller(stream, caller, Rc::clone(&state)));
     }
 }
 
@@ -95,25 +105,35 @@
 }
 
 /// Serves the requests of one connection.
-async fn serve_caller<D: RequestDialect>(stream: TcpStream, state: Rc<TrafficState<D>>) {
-    let _counted = state.count_connection();
+async fn serve_caller<D: RequestDialect>(
+    stream: TcpStream,
+    caller: CallerConnection,
+    state: Rc<TrafficState<D>>,
+) {
     let limits = state.table().map(|table| table.config().limits);
     let idle = limits.map_or(FIRST_IDLE_LIMIT, |limits| limits.idle_timeout);
     let buffer = limits.map_or(LEAST_BUFFER, |limits| limits.header_bytes);
     let service = service_fn(|request: Request<Incoming>| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(life::serve(state, request).await) }
+        let progress = caller.begin_request();
+        async move { Ok::<_, Infallible>(life::serve(state, request, progress).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(buffer.max(LEAST_BUFFER) * 2)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(caller.watch(stream)), service);
     let mut connection = pin!(connection);
     // The end of a connection shows at its requests, whose tasks it drops.
     tokio::select! {
         _ended = connection.as_mut() => return,
-        () = state.closing() => connection.as_mut().graceful_shutdown(),
+        () = state.closing() => {
+            connection.as_mut().graceful_shutdown();
+            let _ended = connection.await;
+        }
+        () = caller.ended() => {
+            connection.as_mut().graceful_shutdown();
+            let _ended = tokio::time::timeout(LAST_WRITE, connection).await;
+        }
     }
-    let _ended = connection.await;
 }
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -27,8 +27,18 @@
 /// Time without a byte from a server that has work, after which new requests
 /// avoid it: steps take some 5 ms, calls 30 ms, and prompts some 300 ms.
 const SILENCE_LIMIT: Duration = Duration::from_millis(450);
-/// Idle connections kept to one server.
+/// Idle connections kept to one server at the most.
 const IDLE_LINKS: usize = 16;
+/// Part of the connections that a server accepts which all instances together
+/// keep idle; the rest is for requests in progress.
+const IDLE_PART: f64 = 0.5;
+
+/// Idle connections that one of `instances` keeps to a server that accepts
+/// `most` from all of them.
+pub fn idle_share(most: u32, instances: u32) -> usize {
+    let share = f64::from(most) * IDLE_PART / f64::from(instances.max(1));
+    (share as usize).clamp(1, IDLE_LINKS)
+}
 
 /// One server and what is known of it.
 #[derive(Debug)]
@@ -44,6 +54,7 @@
     health: RefCell<ServerHealth>,
     book: RefCell<PrefillBook>,
     idle: RefCell<Vec<ServerLink>>,
+    idle_limit: Cell<usize>,
 }
 
 impl ServerHandle {
@@ -58,6 +69,7 @@
             health: RefCell::default(),
             book: RefCell::default(),
             idle: RefCell::default(),
+            idle_limit: Cell::new(IDLE_LINKS),
         }
     }
 
@@ -100,7 +112,7 @@
         link.park();
         let mut idle = self.idle.borrow_mut();
         idle.retain(ServerLink::is_usable);
-        if idle.len() < IDLE_LINKS {
+        if idle.len() < self.idle_limit.get() {
             idle.push(link);
         }
     }
@@ -176,6 +188,14 @@
         }
     }
 
+    /// Keeps at most `limit` idle connections to each server of `service`.
+    pub fn set_idle_limit(&self, service: &ServiceName, limit: usize) {
+        for server in self.by_service.get(service).into_iter().flatten() {
+            server.idle_limit.set(limit);
+            server.idle.borrow_mut().truncate(limit);
+        }
+    }
+
     /// Whether there are no servers.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -16,15 +16,38 @@
 
 use crate::budgets::BudgetDesk;
 use crate::budgets::BudgetHandle;
+use crate::callers::CallerBounds;
+use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
+use crate::servers;
 use crate::servers::ServerPool;
 use crate::table::RouteTable;
 use crate::updates::TrafficUpdate;
 
+/// Time for a head while no configuration is known: the usual limit.
+const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(3);
+
+/// What the state of a request path is made of.
+#[expect(missing_debug_implementations, reason = "moved into the state at once")]
+pub struct TrafficParts<D> {
+    /// How requests are spelled.
+    pub dialect: D,
+    /// Where this instance is.
+    pub data_centre: DataCentre,
+    /// The budgets.
+    pub budgets: BudgetDesk,
+    /// The retries.
+    pub retries: RetryCounter,
+    /// The instances.
+    pub directory: InstanceDirectory,
+    /// What callers may take of the machine.
+    pub bounds: CallerBounds,
+}
+
 /// State of the request path. Tasks of one thread share it; no borrow is held
 /// over an await.
 pub struct TrafficState<D> {
@@ -42,12 +65,13 @@
     pub link: RefCell<Option<PinnedLink>>,
     /// The processes that the link accepts.
     pub pins: PinSet,
+    /// The callers' connections.
+    pub callers: Rc<CallerRegistry>,
     /// The servers.
     pub servers: RefCell<ServerPool>,
     roster: RefCell<ServerRoster>,
     table: RefCell<Option<Rc<RouteTable>>>,
     in_progress: Rc<Cell<usize>>,
-    connections: Rc<Cell<usize>>,
     stopping: Cell<Option<Instant>>,
     closing: Cell<bool>,
     close: Notify,
@@ -56,26 +80,20 @@
 
 impl<D: RequestDialect> TrafficState<D> {
     /// State before any news.
-    pub fn new(
-        dialect: D,
-        data_centre: DataCentre,
-        budgets: BudgetDesk,
-        retries: RetryCounter,
-        directory: InstanceDirectory,
-    ) -> Self {
+    pub fn new(parts: TrafficParts<D>) -> Self {
         Self {
-            dialect,
-            data_centre,
-            budgets: BudgetHandle::new(budgets),
-            retries: RefCell::new(retries),
-            directory: RefCell::new(directory),
+            dialect: parts.dialect,
+            data_centre: parts.data_centre,
+            budgets: BudgetHandle::new(parts.budgets),
+            retries: RefCell::new(parts.retries),
+            directory: RefCell::new(parts.directory),
+            callers: CallerRegistry::new(parts.bounds),
             link: RefCell::default(),
             pins: PinSet::default(),
             servers: RefCell::default(),
             roster: RefCell::default(),
             table: RefCell::default(),
             in_progress: Rc::default(),
-            connections: Rc::default(),
             stopping: Cell::new(None),
             closing: Cell::new(false),
             close: Notify::new(),
@@ -121,21 +139,11 @@
         self.in_progress.get()
     }
 
-    /// Callers' connections.
-    pub fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
     /// Counts a request until the returned guard is dropped.
     pub fn count_request(&self) -> CountGuard {
         CountGuard::new(&self.in_progress)
     }
 
-    /// Counts a caller's connection until the returned guard is dropped.
-    pub fn count_connection(&self) -> CountGuard {
-        CountGuard::new(&self.connections)
-    }
-
     /// Takes a piece of news over.
     pub fn apply(&self, update: TrafficUpdate) {
         match update {
@@ -210,6 +218,32 @@
         self.budgets.review(directory.live(), is_keeper);
     }
 
+    /// Ends callers' connections whose heads take too long.
+    pub fn end_slow_heads(&self) {
+        let limits = self.table().map(|table| table.config().limits);
+        let limit = limits.map_or(FIRST_HEAD_LIMIT, |limits| limits.header_timeout);
+        let ended = self.callers.end_slow_heads(limit);
+        if ended > 0 {
+            event!(
+                EventCode::SlowHeadsEnded,
+                "connections={ended} limit_ms={}",
+                limit.as_millis()
+            );
+        }
+    }
+
+    /// Shares the connections that servers accept among the instances.
+    pub fn share_server_connections(&self) {
+        let Some(table) = self.table() else {
+            return;
+        };
+        let instances = self.directory.borrow().live();
+        let servers = self.servers.borrow();
+        for (service, most) in &table.config().connections {
+            servers.set_idle_limit(service, servers::idle_share(*most, instances));
+        }
+    }
+
     /// Drops servers that did not come back.
     pub fn expire_servers(&self) {
         let changes = self.roster.borrow_mut().expire(self.now());
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/callers.rs
@@ -0,0 +1,89 @@
+//! Callers' connections and what they may take.
+
+use std::future::Future;
+use std::pin::pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
+use std::thread;
+use std::time::Duration;
+
+use hibiscus_traffic::callers::CallerBounds;
+use hibiscus_traffic::callers::CallerConnection;
+use hibiscus_traffic::callers::CallerRegistry;
+
+const BOUNDS: CallerBounds = CallerBounds {
+    connections: 3,
+    body_bytes: 1_000,
+};
+
+/// Whether the connection was told to end.
+fn is_ended(connection: &CallerConnection) -> bool {
+    let mut ended = pin!(connection.ended());
+    let mut context = Context::from_waker(Waker::noop());
+    matches!(ended.as_mut().poll(&mut context), Poll::Ready(()))
+}
+
+#[test]
+fn the_connection_that_was_idle_for_longest_makes_room() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let busy = registry.open().expect("there is room");
+    let _request = busy.begin_request();
+    let longest = registry.open().expect("there is room");
+    thread::sleep(Duration::from_millis(2));
+    let shorter = registry.open().expect("there is room");
+    let newest = registry.open().expect("an idle one makes room");
+    assert!(is_ended(&longest));
+    for other in [&busy, &shorter, &newest] {
+        assert!(!is_ended(other));
+    }
+    drop(longest);
+    assert_eq!(registry.len(), 3);
+}
+
+#[test]
+fn a_connection_is_refused_while_all_others_are_busy() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let open: Vec<_> = (0..3).filter_map(|_number| registry.open()).collect();
+    let requests: Vec<_> = open.iter().map(CallerConnection::begin_request).collect();
+    assert!(registry.open().is_none());
+    assert!(!open.iter().any(is_ended));
+    drop(requests);
+    assert!(registry.open().is_some());
+}
+
+#[test]
+fn a_connection_with_a_second_request_is_busy_until_both_have_passed() {
+    let registry = CallerRegistry::new(CallerBounds {
+        connections: 1,
+        ..BOUNDS
+    });
+    let only = registry.open().expect("there is room");
+    let first = only.begin_request();
+    let second = only.begin_request();
+    drop(first);
+    assert!(registry.open().is_none());
+    drop(second);
+    assert!(registry.open().is_some());
+}
+
+#[test]
+fn bodies_together_stay_within_their_bound() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let mut first = registry.begin_body();
+    assert!(first.grow(900));
+    let mut second = registry.begin_body();
+    assert!(!second.grow(101));
+    assert!(second.grow(100));
+    drop(first);
+    assert!(second.grow(900));
+    assert!(!second.grow(1));
+}
+
+#[test]
+fn a_small_machine_bounds_callers_by_its_memory_and_its_descriptors() {
+    let by_memory = CallerBounds::of_machine(88_000_000, 100_000);
+    assert!(by_memory.connections * 24 * 1024 <= 88_000_000 * 35 / 100);
+    let by_descriptors = CallerBounds::of_machine(1 << 40, 4_100);
+    assert_eq!(by_descriptors.connections, 2_460);
+}
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -1,5 +1,8 @@
 //! The daemon on the users' platform, as a process before stand-ins.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -376,6 +379,36 @@
     assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
 }
 
+/// Callers may stay idle between requests for longer than a head may take.
+#[test]
+fn a_head_that_takes_too_long_ends_its_connection_and_an_idle_one_stays() {
+    let platform = Platform::start();
+    let callers = platform.front.ports.callers;
+    let open = || {
+        let stream = TcpStream::connect(callers).expect("a connection");
+        let limit = Some(Duration::from_secs(6));
+        stream.set_read_timeout(limit).expect("a time-out");
+        stream
+    };
+    let mut idle = open();
+    let mut slow = open();
+    let begun = Instant::now();
+    slow.write_all(b"GET /often/x HTTP/1.1\r\nHost: ")
+        .expect("bytes are sent");
+    let mut rest = Vec::new();
+    let ended = slow.read_to_end(&mut rest);
+    assert!(ended.is_ok(), "{ended:?}");
+    // The configuration allows 3 s.
+    let taken = begun.elapsed();
+    assert!(taken >= Duration::from_millis(2_900), "{taken:?}");
+    assert!(taken < Duration::from_millis(4_500), "{taken:?}");
+    let request = request("/often/x", "id-idle", "");
+    idle.write_all(request.as_bytes()).expect("bytes are sent");
+    let mut answer = String::new();
+    idle.read_to_string(&mut answer).expect("an answer");
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
 #[test]
 fn spending_goes_on_while_the_store_is_away() {
     let platform = Platform::start();
