Make the lines of holders that spend nothing anew

Cause: a report was made only when sums had changed. A first draw's half that a line allows at once is lost in each crash as well.

Change: such a line is made anew each 2 s; a line allows 0.15 of a first draw.

--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -35,8 +35,9 @@
 /// Demand that a line allows, as a multiple of the present one.
 const PACE_FACTOR: f64 = 2.0;
 /// Part of a first draw that a line allows at once, so that a quiet team's
-/// first requests pass while the store is away.
-const BURST_PART: f64 = 0.5;
+/// first requests pass while the store is away. A half served worse, since a
+/// crash takes it along (docs/MEASUREMENTS.md).
+const BURST_PART: f64 = 0.15;
 /// Time within which a line lets a holder spend all that it drew first, while
 /// no demand is known.
 const FIRST_PACE: Duration = Duration::from_secs(10);
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -42,6 +42,9 @@
 /// Time between two reports of what was spent: a crash loses what a line
 /// allows over this time and the restart.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// Age from which on the line of a holder that spends nothing is made anew: a
+/// crash loses what the line has come to allow, though nothing was spent.
+const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Age of an unacknowledged batch from which on the store counts as away, so
 /// that nothing waits for it: it usually acknowledges within 10 ms.
 const STORE_PATIENCE: Duration = Duration::from_millis(600);
@@ -556,7 +559,9 @@
         let sums = (held.purse.used(), held.purse.returned());
         let due = sums != held.reported && now.saturating_sub(held.report_made) >= REPORT_INTERVAL;
         let first = held.report_serial == 0 && held.draw_serial > 0;
-        if first || returns || due || !held.wanted.is_zero() {
+        let age = now.saturating_sub(held.report_made);
+        let idle = age >= IDLE_INTERVAL && !held.purse.available().is_zero();
+        if first || idle || returns || due || !held.wanted.is_zero() {
             self.report(budget, &decision, now);
         }
     }
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -0,0 +1,138 @@
+//! One holder's desk: what it reports and when.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+use hibiscus_ledger::account::AccountRecord;
+use hibiscus_ledger::account::HolderReport;
+use hibiscus_ledger::account::purse::HoldFault;
+use hibiscus_traffic::budgets::AccountBatch;
+use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::clock::MachineClock;
+use hibiscus_traffic::model::CallerLimits;
+use hibiscus_traffic::model::FleetConfig;
+use hibiscus_traffic::model::TeamRule;
+use hibiscus_types::BudgetName;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::TokenCount;
+use hibiscus_types::codec;
+
+const PREPAID: u64 = 700_000;
+
+fn config() -> FleetConfig {
+    FleetConfig {
+        version: 1,
+        routes: Vec::new(),
+        connections: BTreeMap::new(),
+        engines: BTreeMap::new(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+        teams: vec![Arc::new(TeamRule {
+            name: "team".into(),
+            keys: Vec::new(),
+            priority: None,
+            prepaid: Some(TokenCount::new(PREPAID)),
+        })],
+        needs_key: true,
+    }
+}
+
+/// A desk, and the stream that its batches go to.
+struct DeskCase {
+    desk: BudgetDesk,
+    batches: Receiver<AccountBatch>,
+    offset: u64,
+}
+
+impl DeskCase {
+    fn start() -> Self {
+        let (outbox, batches) = mpsc::sync_channel(16);
+        let clock = MachineClock::of_this_boot();
+        let holder = IncarnationId::from_u128(1);
+        let mut desk = BudgetDesk::new(holder, "front-1".into(), clock, outbox);
+        desk.set_totals(&config());
+        desk.recover();
+        Self {
+            desk,
+            batches,
+            offset: 0,
+        }
+    }
+
+    /// Reviews at `now`, and has the store take what is sent; returns the
+    /// reports among it.
+    fn review(&mut self, now: Duration) -> Vec<HolderReport> {
+        self.desk.review(7, |_budget| true, now);
+        let mut reports = Vec::new();
+        while let Ok(batch) = self.batches.try_recv() {
+            let record = codec::encode(&batch.records).expect("records are encoded");
+            self.desk.acknowledge(batch.number, None, now);
+            self.desk.apply(self.offset, &record, now);
+            self.offset += 1;
+            for record in batch.records {
+                if let AccountRecord::Report(report) = record {
+                    reports.push(report);
+                }
+            }
+        }
+        reports
+    }
+}
+
+/// A power cut of all machines: a line that was made long ago allows all that
+/// was drawn, so a team without requests lost it (seamline trouble-1).
+#[test]
+fn a_holder_that_spends_nothing_makes_its_line_anew() {
+    let mut case = DeskCase::start();
+    assert_eq!(case.review(Duration::ZERO).len(), 1);
+    assert!(case.review(Duration::from_millis(1_500)).is_empty());
+    let reports = case.review(Duration::from_millis(2_100));
+    assert_eq!(reports.len(), 1);
+    let line = reports[0].pace;
+    assert!(line.base.is_zero());
+    // Half of the first draw, a tenth of the total among seven, at the most.
+    let most = TokenCount::new(PREPAID / 10 / 7 / 2);
+    assert!(line.limit_after(2_000) < most, "{line:?}");
+}
+
+#[test]
+fn a_keeper_writes_a_snapshot_at_once_and_then_each_minute() {
+    let mut case = DeskCase::start();
+    let mut written = Vec::new();
+    for second in 0..130 {
+        let now = Duration::from_secs(second);
+        case.desk.review(7, |_budget| true, now);
+        while let Ok(batch) = case.batches.try_recv() {
+            let record = codec::encode(&batch.records).expect("records are encoded");
+            case.desk.acknowledge(batch.number, None, now);
+            case.desk.apply(case.offset, &record, now);
+            case.offset += 1;
+            written.extend(batch.snapshots.iter().map(|_snapshot| second));
+        }
+    }
+    assert_eq!(written, [1, 61, 121]);
+}
+
+#[test]
+fn records_that_are_read_once_more_bring_no_tokens_twice() {
+    let mut case = DeskCase::start();
+    case.review(Duration::ZERO);
+    case.desk.resume(0, Vec::new());
+    let mut other = DeskCase::start();
+    other.desk.review(7, |_budget| false, Duration::ZERO);
+    let batch = other.batches.try_recv().expect("a first draw");
+    let record = codec::encode(&batch.records).expect("records are encoded");
+    case.desk.apply(0, &record, Duration::ZERO);
+    let budget = BudgetName::from("team");
+    let drawn = TokenCount::new(PREPAID / 10 / 7);
+    let more = drawn + TokenCount::new(1);
+    let reserved = case.desk.reserve(&budget, more);
+    assert_eq!(reserved, Err(HoldFault::NotDrawn));
+}
