Write log lines by a thread of their own, and count unseen instances for retries

Cause: lines went to standard output from whoever wrote them, so a reader that stops would have stopped the request path. And the share of retries was divided by the instances that answer: cut off from all others, each took the whole slack. Both found by reading; both have tests, which were not run against the code of before (the function that one calls is new).

Change: a bounded ring and a thread that writes many lines a call; what does not fit is dropped and counted. Instances count for the share of retries until they have not answered for 10 minutes.

--- a/crates/hibiscus-events/src/lib.rs
+++ b/crates/hibiscus-events/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod catalogue;
 pub mod logging;
+pub mod output;
 pub mod recorder;
 
 pub use catalogue::EventCode;
--- a/crates/hibiscus-events/src/logging.rs
+++ b/crates/hibiscus-events/src/logging.rs
@@ -1,6 +1,8 @@
 //! Where a process writes its log.
 
+use std::fmt;
 use std::fmt::Arguments;
+use std::io;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -8,15 +10,19 @@
 
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
 use log::Level;
 
 use crate::catalogue::EventCode;
+use crate::output::OutputRing;
 
 /// Lines of routine events a second: 20 requests a second are usual for an
 /// instance, and a line costs some 20 us.
 const ROUTINE_LINES: u32 = 150;
 /// Lines of all events a second.
 const ALL_LINES: u32 = 400;
+/// Metric that counts lines that were not written.
+pub const DROPPED_METRIC: &str = "hibiscus_log_lines_dropped_total";
 /// Span over which lines are counted.
 const LINE_WINDOW: Duration = Duration::from_secs(1);
 
@@ -45,6 +51,7 @@
         };
         if self.written >= limit {
             self.dropped += 1;
+            metrics::counter!(DROPPED_METRIC, "cause" => "volume").increment(1);
             return false;
         }
         self.written += 1;
@@ -104,26 +111,34 @@
     Ok(())
 }
 
-/// Writes lines of at least `level` to standard output.
+/// Writes lines of at least `level` to standard output, which never blocks
+/// who writes one. Dropping the returned value writes the last lines.
 ///
 /// # Errors
 ///
-/// Fails when `level` names no level or a logger was started before.
-pub fn start_stdout(level: &str) -> Result<()> {
+/// Fails when `level` names no level, a logger was started before or the
+/// system refuses a thread.
+pub fn start_stdout(level: &str) -> Result<LogGuard> {
+    let ring = OutputRing::start(io::stdout())?;
     let handle = Logger::try_with_str(level)?
-        .log_to_stdout()
-        .format(plain_line)
+        .log_to_writer(Box::new(ring))
         .start()?;
-    // The logger must outlive the process's threads.
-    std::mem::forget(handle);
-    Ok(())
+    Ok(LogGuard { handle })
+}
+
+/// Writes the last lines when it is dropped.
+pub struct LogGuard {
+    handle: LoggerHandle,
 }
 
-/// One line: level and text; the platform adds the time and the process.
-fn plain_line(
-    out: &mut dyn std::io::Write,
-    _now: &mut flexi_logger::DeferredNow,
-    record: &log::Record<'_>,
-) -> std::io::Result<()> {
-    write!(out, "{} {}", record.level(), record.args())
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.handle.flush();
+    }
+}
+
+impl fmt::Debug for LogGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LogGuard").finish_non_exhaustive()
+    }
 }
--- a/crates/hibiscus-front/src/cli.rs
+++ b/crates/hibiscus-front/src/cli.rs
@@ -49,10 +49,20 @@
 
 /// Runs the daemon until a signal stops it.
 pub(crate) fn exec(command: &FrontCommand) -> ExitCode {
-    if let Err(error) = hibiscus_events::logging::start_stdout(&command.log) {
-        eprintln!("error: failed to start the log: {error}");
-        return ExitCode::FAILURE;
-    }
+    let log = match hibiscus_events::logging::start_stdout(&command.log) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("error: failed to start the log: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let code = start(command);
+    drop(log);
+    code
+}
+
+/// Reads the settings and serves.
+fn start(command: &FrontCommand) -> ExitCode {
     let path = command.settings.clone();
     let path = path.unwrap_or_else(settings::settings_path);
     let settings = match settings::load(&path) {
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
@@ -18,11 +20,17 @@
 /// announcement comes within seconds.
 const REPLACED_KEPT: usize = 8;
 
+/// Time after which an instance that does not answer is taken for gone: cuts
+/// between instances last seconds, and replaced ones must not count for ever.
+const FORGOTTEN_TIME: Duration = Duration::from_secs(600);
+
 /// One instance and whether it answers.
 #[derive(Clone, Debug)]
 struct KnownInstance {
     entry: InstanceEntry,
     reachable: bool,
+    /// When it answered last, or announced itself.
+    heard: Instant,
     /// Processes that the present one replaced, oldest first.
     replaced: VecDeque<IncarnationId>,
 }
@@ -63,6 +71,7 @@
             let known = KnownInstance {
                 entry,
                 reachable: false,
+                heard: Instant::now(),
                 replaced: VecDeque::new(),
             };
             self.others.insert(known.entry.name.clone(), known);
@@ -81,6 +90,7 @@
         }
         known.entry = entry;
         known.reachable = false;
+        known.heard = Instant::now();
         true
     }
 
@@ -91,6 +101,9 @@
         };
         if known.entry.incarnation == entry.incarnation {
             known.reachable = reachable;
+            if reachable {
+                known.heard = Instant::now();
+            }
         }
     }
 
@@ -112,6 +125,16 @@
             .saturating_add(1)
     }
 
+    /// Instances that may be serving, this one included: also those that do
+    /// not answer, since they may be cut off from here only.
+    pub fn may_serve(&self) -> u32 {
+        let others = self.others.values();
+        let others = others.filter(|known| known.heard.elapsed() < FORGOTTEN_TIME);
+        u32::try_from(others.count())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1)
+    }
+
     /// Whether this instance is the first of those that answer in the order
     /// that `subject` gives them. All instances agree on it but for moments, so
     /// it may only choose who does what may be done twice.
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -385,7 +385,7 @@
             NextStep::Elsewhere => {}
             NextStep::End => break,
             NextStep::Retry => {
-                let instances = state.directory.borrow().live();
+                let instances = state.directory.borrow().may_serve();
                 let mut retries = state.retries.borrow_mut();
                 if !retries.take_retry(&admitted.service, instances, state.now()) {
                     break;
--- a/crates/hibiscus-traffic/tests/parts.rs
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -227,6 +227,21 @@
     assert!(directory.knows(&successor));
 }
 
+/// Instances on both sides of a cut send retries: each must keep to a share
+/// that leaves room for those it cannot see.
+#[test]
+fn instances_that_do_not_answer_still_count_for_the_share_of_retries() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    for number in 1..7 {
+        let other = instance(number, 1);
+        directory.announce(other.clone());
+        directory.note_reachable(&other, true);
+        directory.note_reachable(&other, false);
+    }
+    assert_eq!(directory.live(), 1);
+    assert_eq!(directory.may_serve(), 7);
+}
+
 #[test]
 fn an_instance_that_leaves_is_named_to_nobody() {
     let mut directory = InstanceDirectory::new(instance(0, 1));
