Count requests, times, levels and store calls

Change: `measures` in hibiscus-traffic with handles looked up once, levels each 2 s, store calls by verdict in the store client, bounds of the histograms in the daemon. A request's life is split into `work` and its ways out, so that each end is counted at one place; HS4202 tells the time taken.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -17,6 +17,7 @@
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::measures;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
@@ -34,8 +35,11 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use metrics_exporter_prometheus::PrometheusRecorder;
 use platform::answers;
 use platform::headers::PlatformDialect;
 use platform::settings::ProcessSettings;
@@ -54,6 +58,8 @@
 const ADDRESS_LIFETIME: Duration = Duration::from_secs(2);
 /// Time between two looks at budgets and servers.
 const TICK: Duration = Duration::from_millis(250);
+/// Time between two looks at the levels; the platform reads them each 5 s.
+const LEVELS_PAUSE: Duration = Duration::from_secs(2);
 /// Time after the begin of a planned stop during which new requests are still
 /// served: callers keep addresses for up to three lifetimes, and streams need
 /// their time before the process is killed.
@@ -77,6 +83,9 @@
     /// The system refuses a runtime, a thread or a signal handler.
     #[error("failed to start a thread or a handler")]
     Start(#[from] io::Error),
+    /// The recorder of the metrics cannot be had.
+    #[error("failed to start the metrics")]
+    Metrics(#[from] BuildError),
     /// The link to the other instances cannot be had.
     #[error("failed to start the link to the other instances")]
     Link(#[from] PinnedError),
@@ -94,7 +103,7 @@
 ///
 /// Fails when a port, a thread or a signal handler cannot be had.
 pub(crate) fn run(settings: ProcessSettings) -> Result<()> {
-    let recorder = PrometheusBuilder::new().build_recorder();
+    let recorder = recorder()?;
     let metrics = recorder.handle();
     if metrics::set_global_recorder(recorder).is_err() {
         event!(EventCode::MetricsRunning, "");
@@ -177,6 +186,22 @@
     Ok(())
 }
 
+/// The recorder of the metrics, with the bounds of its histograms.
+fn recorder() -> Result<PrometheusRecorder> {
+    let times = &measures::TIME_BOUNDS;
+    let bounds = [
+        (measures::FIRST_EVENT, &times[..]),
+        (measures::REQUEST_TIME, &times[..]),
+        (measures::EVENT_GAP, &measures::GAP_BOUNDS[..]),
+        (platform::store::CALL_TIME, &times[..]),
+    ];
+    let mut builder = PrometheusBuilder::new();
+    for (name, bounds) in bounds {
+        builder = builder.set_buckets_for_metric(Matcher::Full(name.to_owned()), bounds)?;
+    }
+    Ok(builder.build_recorder())
+}
+
 /// Starts a thread that only moves records.
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> io::Result<thread::JoinHandle<()>> {
     thread::Builder::new()
@@ -214,11 +239,11 @@
         Rc::clone(&state),
         move |state: &FrontState, request| answer_addresses(state, request, lifetime),
     ));
-    tokio::task::spawn_local(port::serve_calls(
-        operators,
-        Rc::clone(&state),
-        move |_state: &FrontState, request| answer_metrics(&metrics, request),
-    ));
+    tokio::task::spawn_local(port::serve_calls(operators, Rc::clone(&state), {
+        let metrics = metrics.clone();
+        move |_state: &FrontState, request: &Request<Incoming>| answer_metrics(&metrics, request)
+    }));
+    tokio::task::spawn_local(show_levels(Rc::clone(&state), metrics));
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     while state.stopping().is_none() {
@@ -247,6 +272,16 @@
     Ok(())
 }
 
+/// Shows levels for as long as the runtime runs, and lets the recorder sort
+/// what the histograms took: until then it keeps every value.
+async fn show_levels(state: Rc<FrontState>, metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(LEVELS_PAUSE).await;
+        state.show_levels();
+        metrics.run_upkeep();
+    }
+}
+
 /// Takes news over, and watches an instance that was not known.
 fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
     if let TrafficUpdate::Instance(entry) = &update
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -428,6 +428,24 @@
         );
     }
 
+    /// Tokens over all budgets: free to spend here, reserved by requests, and
+    /// spent since the start.
+    pub fn token_sums(&self) -> (u64, u64, u64) {
+        let mut sums = (0, 0, 0);
+        for held in self.held.values() {
+            sums.0 += held.purse.available().get();
+            sums.1 += held.purse.reserved().get();
+            sums.2 += held.purse.spent().get();
+        }
+        sums
+    }
+
+    /// Tokens that may still be granted, over all budgets.
+    pub fn free_tokens(&self) -> u64 {
+        let budgets = self.fold.budgets().values();
+        budgets.map(|account| account.free().get()).sum()
+    }
+
     /// Says that a request waits for `tokens`; the returned signal tells of
     /// changes.
     fn want(&mut self, budget: &BudgetName, tokens: TokenCount) -> Rc<Notify> {
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -143,6 +143,16 @@
         self.desk.borrow_mut().add_given(budget, tokens);
     }
 
+    /// See [`BudgetDesk::token_sums`].
+    pub fn token_sums(&self) -> (u64, u64, u64) {
+        self.desk.borrow().token_sums()
+    }
+
+    /// See [`BudgetDesk::free_tokens`].
+    pub fn free_tokens(&self) -> u64 {
+        self.desk.borrow().free_tokens()
+    }
+
     /// See [`BudgetDesk::log_shortage`].
     pub fn log_shortage(&self, id: &str, budget: &BudgetName, tokens: TokenCount) {
         let now = self.started.elapsed();
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -15,6 +15,9 @@
 use crate::budgets::BudgetHandle;
 use crate::callers::CallerRequest;
 use crate::connect::ServerLink;
+use crate::measures::RequestOutcome;
+use crate::measures::TrafficMeasures;
+use crate::model::RequestKind;
 use crate::relay::RelayFault;
 use crate::servers::ChosenServer;
 use crate::servers::ServerHandle;
@@ -152,8 +155,14 @@
 pub struct FlightWatch {
     /// The request's number, for the log.
     pub id: String,
+    /// What may be repeated.
+    pub kind: RequestKind,
     /// When it arrived.
     pub arrived: Instant,
+    /// When its last event passed.
+    pub heard: Option<Instant>,
+    /// Where its times are counted.
+    pub measures: Rc<TrafficMeasures>,
     /// Where it runs.
     pub flight: ServerFlight,
     /// What it costs.
@@ -170,6 +179,11 @@
         if events == 0 {
             return;
         }
+        let now = Instant::now();
+        match self.heard.replace(now) {
+            None => self.measures.first_event(self.kind, now - self.arrived),
+            Some(before) => self.measures.event_gap(now - before),
+        }
         self.flight.note_read();
         self.flight.server().note_heard();
         if let Some(charge) = &self.charge {
@@ -177,8 +191,14 @@
         }
     }
 
+    fn count_end(&self, outcome: RequestOutcome) {
+        self.measures
+            .ended(Some(self.kind), outcome, self.arrived.elapsed());
+    }
+
     /// The caller left before the answer was whole.
     pub fn left(&self) {
+        self.count_end(RequestOutcome::Left);
         event!(
             EventCode::CallerLeft,
             "request={} server={} server_silent={} total_ms={}",
@@ -191,6 +211,11 @@
 
     /// The answer ended; it was whole unless there is a fault.
     pub fn ended(&mut self, fault: Option<RelayFault>) {
+        self.count_end(if fault.is_none() {
+            RequestOutcome::Passed
+        } else {
+            RequestOutcome::Broken
+        });
         let server = self.flight.server();
         match fault {
             None => {
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -10,6 +10,7 @@
 //!   checks that it is whole.
 //! - [`budgets`] holds the tokens that requests reserve, [`retries`] what may
 //!   be sent twice, [`directory`] which instances callers are told of.
+//! - [`measures`] counts what passes, for the operators' metrics.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
 //!   everything is decided on this thread, so nothing here is locked.
 //!
@@ -25,6 +26,7 @@
 pub mod directory;
 pub mod flight;
 pub mod life;
+pub mod measures;
 pub mod model;
 pub mod peers;
 pub mod port;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -38,6 +38,9 @@
 use crate::flight::RequestCharge;
 use crate::flight::RequestProgress;
 use crate::flight::ServerFlight;
+use crate::measures::RequestOutcome;
+use crate::measures::TrafficMeasures;
+use crate::model::RequestKind;
 use crate::model::RouteRule;
 use crate::model::TeamRule;
 use crate::peers;
@@ -83,6 +86,14 @@
     until: Instant,
 }
 
+/// What is known of a request so far, for the log and the metrics.
+#[derive(Debug)]
+struct KnownRequest {
+    id: String,
+    kind: Option<RequestKind>,
+    arrived: Instant,
+}
+
 /// Serves one request; every way out is an answer.
 pub async fn serve<D: RequestDialect>(
     state: Rc<TrafficState<D>>,
@@ -93,45 +104,57 @@
         _request: caller,
         _count: state.count_request(),
     };
-    let (head, body) = request.into_parts();
-    let signs = match state.dialect.caller_signs(&head.headers) {
-        Ok(signs) => signs,
-        Err(_fault) => return refuse(&state, OwnReason::BadRequest, ""),
+    let mut known = KnownRequest {
+        id: String::new(),
+        kind: None,
+        arrived: Instant::now(),
     };
-    let id = signs.id.clone();
-    if state.is_closing() {
-        return refuse(&state, OwnReason::Stopping, &id);
-    }
-    let admitted = match admit(&state, signs, head, body).await {
-        Ok(admitted) => admitted,
-        Err(reason) => return refuse(&state, reason, &id),
-    };
-    let charge = match reserve(&state, &admitted).await {
-        Ok(charge) => charge,
-        Err(reason) => {
-            log_shortage(&state, &admitted);
-            return refuse(&state, reason, &id);
+    match work(&state, request, &mut known).await {
+        Ok((admitted, forwarded)) => {
+            let measures = Rc::clone(&state.measures);
+            forwarded.into_answer(&admitted, progress, measures)
         }
-    };
-    match forward(&state, &admitted, charge).await {
-        Ok(forwarded) => forwarded.into_answer(&admitted, progress),
-        Err(reason) => refuse(&state, reason, &id),
+        Err(reason) => refuse(&state, reason, &known),
     }
 }
 
-/// Logs and makes an answer of this instance.
+/// Admits the request, reserves its tokens and forwards it.
+async fn work<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    request: Request<Incoming>,
+    known: &mut KnownRequest,
+) -> Result<(AdmittedRequest, ForwardedAnswer)> {
+    let (head, body) = request.into_parts();
+    let signs = state.dialect.caller_signs(&head.headers);
+    let signs = signs.map_err(|_fault| OwnReason::BadRequest)?;
+    known.id.clone_from(&signs.id);
+    if state.is_closing() {
+        return Err(OwnReason::Stopping);
+    }
+    let admitted = admit(state, signs, head, body, known).await?;
+    let charge = reserve(state, &admitted).await;
+    let charge = charge.inspect_err(|_reason| log_shortage(state, &admitted))?;
+    let forwarded = forward(state, &admitted, charge).await?;
+    Ok((admitted, forwarded))
+}
+
+/// Logs, counts and makes an answer of this instance.
 fn refuse<D: RequestDialect>(
     state: &TrafficState<D>,
     reason: OwnReason,
-    id: &str,
+    known: &KnownRequest,
 ) -> Response<AnswerBody> {
+    let taken = known.arrived.elapsed();
     event!(
         EventCode::OwnAnswer,
-        "request={id} reason={}",
-        reason.word()
+        "request={} reason={} total_ms={}",
+        known.id,
+        reason.word(),
+        taken.as_millis()
     );
-    metrics::counter!("hibiscus_own_answers_total", "reason" => reason.word()).increment(1);
-    answer::own_answer(&state.dialect, reason, id)
+    state.measures.own_answer(reason);
+    state.measures.ended(known.kind, RequestOutcome::Own, taken);
+    answer::own_answer(&state.dialect, reason, &known.id)
 }
 
 /// Logs what was held when a request got no tokens.
@@ -152,13 +175,15 @@
     signs: CallerSigns,
     head: http::request::Parts,
     body: Incoming,
+    known: &mut KnownRequest,
 ) -> Result<AdmittedRequest> {
-    let arrived = Instant::now();
+    let arrived = known.arrived;
     let table = state.table().ok_or(OwnReason::NoConfig)?;
     let host = head.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table.route(host, head.uri.path());
     let route = Arc::clone(route.ok_or(OwnReason::UnknownRoute)?);
+    known.kind = Some(route.kind);
     let team = signs.key.as_deref().and_then(|key| table.team(key));
     let team = team.map(Arc::clone);
     if table.config().needs_key && !route.anonymous && team.is_none() {
@@ -390,6 +415,7 @@
                 if !retries.take_retry(&admitted.service, instances, state.now()) {
                     break;
                 }
+                state.measures.retried();
             }
         }
     }
@@ -520,9 +546,16 @@
         self,
         admitted: &AdmittedRequest,
         progress: RequestProgress,
+        measures: Rc<TrafficMeasures>,
     ) -> Response<AnswerBody> {
+        let kind = admitted.route.kind;
         let (head, body, flight, charge) = match self {
-            Self::Whole(answer) => return answer.map(AnswerBody::whole),
+            Self::Whole(answer) => {
+                let taken = admitted.arrived.elapsed();
+                measures.first_event(kind, taken);
+                measures.ended(Some(kind), RequestOutcome::Passed, taken);
+                return answer.map(AnswerBody::whole);
+            }
             Self::Stream {
                 head,
                 body,
@@ -533,7 +566,10 @@
         let engine = admitted.table.engine(&admitted.service);
         let watch = FlightWatch {
             id: admitted.signs.id.clone(),
+            kind,
             arrived: admitted.arrived,
+            heard: None,
+            measures,
             flight,
             charge,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
--- a/crates/hibiscus-traffic/src/retries.rs
+++ b/crates/hibiscus-traffic/src/retries.rs
@@ -33,6 +33,14 @@
     retries: VecDeque<Duration>,
 }
 
+impl ServiceCounts {
+    fn left(&self, bound: RetryBound, instances: u32) -> f64 {
+        let slack = bound.slack / f64::from(instances.max(1));
+        let limit = (self.requests.len() as f64 * bound.share + slack) * USED_PART;
+        limit - self.retries.len() as f64
+    }
+}
+
 /// Counts requests and retries.
 #[derive(Clone, Debug)]
 pub struct RetryCounter {
@@ -64,14 +72,25 @@
         let counts = self.services.entry(service.clone()).or_default();
         drop_old(&mut counts.requests, now, bound.window);
         drop_old(&mut counts.retries, now, bound.window);
-        let slack = bound.slack / f64::from(instances.max(1));
-        let limit = (counts.requests.len() as f64 * bound.share + slack) * USED_PART;
-        if counts.retries.len() as f64 + 1.0 > limit {
+        if counts.left(bound, instances) < 1.0 {
             return false;
         }
         counts.retries.push_back(now);
         true
     }
+
+    /// Retries that may be sent now, over all services, with `instances` that
+    /// may send some.
+    pub fn left(&mut self, instances: u32, now: Duration) -> f64 {
+        let bound = self.bound;
+        let mut left = 0.0;
+        for counts in self.services.values_mut() {
+            drop_old(&mut counts.requests, now, bound.window);
+            drop_old(&mut counts.retries, now, bound.window);
+            left += counts.left(bound, instances).max(0.0);
+        }
+        left
+    }
 }
 
 /// Removes times that left the window.
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -196,6 +196,19 @@
         }
     }
 
+    /// Servers that take requests, and servers that are leaving.
+    pub fn count(&self) -> (usize, usize) {
+        let serving = self.by_name.values().filter(|server| server.is_serving());
+        let serving = serving.count();
+        (serving, self.by_name.len() - serving)
+    }
+
+    /// Servers with work that have been silent for long.
+    pub fn count_silent(&self) -> usize {
+        let silent = self.by_name.values().filter(|server| server.is_silent());
+        silent.count()
+    }
+
     /// Whether there are no servers.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -20,6 +20,8 @@
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
+use crate::measures::TrafficLevels;
+use crate::measures::TrafficMeasures;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
@@ -67,10 +69,14 @@
     pub pins: PinSet,
     /// The callers' connections.
     pub callers: Rc<CallerRegistry>,
+    /// Counters and histograms.
+    pub measures: Rc<TrafficMeasures>,
     /// The servers.
     pub servers: RefCell<ServerPool>,
     roster: RefCell<ServerRoster>,
     table: RefCell<Option<Rc<RouteTable>>>,
+    /// When the table came into force.
+    table_since: Cell<Duration>,
     in_progress: Rc<Cell<usize>>,
     stopping: Cell<Option<Instant>>,
     closing: Cell<bool>,
@@ -89,10 +95,12 @@
             directory: RefCell::new(parts.directory),
             callers: CallerRegistry::new(parts.bounds),
             link: RefCell::default(),
+            measures: Rc::default(),
             pins: PinSet::default(),
             servers: RefCell::default(),
             roster: RefCell::default(),
             table: RefCell::default(),
+            table_since: Cell::default(),
             in_progress: Rc::default(),
             stopping: Cell::new(None),
             closing: Cell::new(false),
@@ -160,6 +168,7 @@
                     config.teams.len()
                 );
                 self.budgets.set_totals(&config);
+                self.table_since.set(self.now());
                 *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
                 self.review_budgets();
             }
@@ -244,6 +253,28 @@
         }
     }
 
+    /// Shows what is the case now on the metrics' address.
+    pub fn show_levels(&self) {
+        let now = self.now();
+        let directory = self.directory.borrow();
+        let servers = self.servers.borrow();
+        let instances = directory.may_serve();
+        let levels = TrafficLevels {
+            in_progress: self.in_progress(),
+            connections: self.callers.len(),
+            instances: directory.live(),
+            config_version: self.table().map_or(0, |table| table.config().version),
+            config_age: now.saturating_sub(self.table_since.get()),
+            servers: servers.count(),
+            silent_servers: servers.count_silent(),
+            retries_left: self.retries.borrow_mut().left(instances, now),
+            tokens: self.budgets.token_sums(),
+            tokens_free: self.budgets.free_tokens(),
+            ready: directory.is_ready(),
+        };
+        levels.show();
+    }
+
     /// Drops servers that did not come back.
     pub fn expire_servers(&self) {
         let changes = self.roster.borrow_mut().expire(self.now());
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
@@ -379,6 +380,41 @@
     assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
 }
 
+#[test]
+fn metrics_tell_requests_times_levels_and_store_calls() {
+    let platform = Platform::start();
+    assert_eq!(status(&platform.stream("id-1", 50, 15)), "200");
+    assert_eq!(status(&platform.call("/often/x", "id-2", "")), "200");
+    assert_eq!(status(&platform.call("/nowhere/x", "id-3", "")), "404");
+    thread::sleep(Duration::from_millis(2_300));
+    let address = SocketAddr::from(([127, 0, 0, 1], platform.front.ports.internal));
+    let request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let metrics = exchange(address, request).expect("an answer");
+    for line in [
+        "hibiscus_requests_total{kind=\"stream\",outcome=\"passed\"} 1\n",
+        "hibiscus_requests_total{kind=\"idempotent\",outcome=\"passed\"} 1\n",
+        "hibiscus_requests_total{kind=\"unknown\",outcome=\"own_answer\"} 1\n",
+        "hibiscus_own_answers_total{reason=\"unknown_route\"} 1\n",
+        "hibiscus_first_event_seconds_bucket{kind=\"stream\",le=\"+Inf\"} 1\n",
+        "hibiscus_event_gap_seconds_count ",
+        "hibiscus_request_seconds_count{kind=\"stream\"} 1\n",
+        "hibiscus_config_version 1\n",
+        "hibiscus_servers{state=\"serving\"} 2\n",
+        "hibiscus_requests_in_progress 0\n",
+        "hibiscus_ready 1\n",
+        "hibiscus_tokens_held ",
+        "hibiscus_retries_left ",
+        "hibiscus_store_calls_total{call=\"append\",verdict=\"done\"} ",
+        "hibiscus_store_call_seconds_bucket{call=\"newest\",le=\"0.5\"} ",
+    ] {
+        assert!(metrics.contains(line), "{line} is missing in\n{metrics}");
+    }
+    let spent = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("hibiscus_tokens_spent "));
+    assert_eq!(spent, Some("65"));
+}
+
 /// Callers may stay idle between requests for longer than a head may take.
 #[test]
 fn a_head_that_takes_too_long_ends_its_connection_and_an_idle_one_stays() {
