Read saved log lines in hibiscus-timeline, and follow three faults by the log

Cause: on-call engineers have logs and metrics only, and the time line read live rings of the old router alone.

Change: files of log lines, with or without the platform's time and machine in front, become events; a process test injects a store that is away, a server that breaks a stream off and one that resets, and finds each by the commands of OPERATIONS. The daemon of the tests writes its log to a file.

--- a/crates/hibiscus-support/src/metadata/front.rs
+++ b/crates/hibiscus-support/src/metadata/front.rs
@@ -8,11 +8,11 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::net::UdpSocket;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -79,6 +79,7 @@
     pub ports: FrontPorts,
     child: Child,
     settings_file: PathBuf,
+    log_file: PathBuf,
 }
 
 impl FrontProcess {
@@ -94,20 +95,28 @@
             fastrand::u64(..)
         ));
         fs::write(&settings_file, settings(name, &ports, store)).expect("the file is written");
+        let log_file = settings_file.with_extension("log");
+        let log = fs::File::create(&log_file).expect("the file is made");
         let child = Command::new(process::program("hibiscus-front"))
             .arg("--log")
-            .arg(env::var("RUST_LOG").unwrap_or("error".to_owned()))
+            .arg(env::var("RUST_LOG").unwrap_or("info".to_owned()))
             .env("HIBISCUSSWITCH_NODE_FILE", &settings_file)
-            .stdout(Stdio::inherit())
+            .stdout(log)
             .spawn()
             .expect("the daemon starts");
         Self {
             ports,
             child,
             settings_file,
+            log_file,
         }
     }
 
+    /// The file that takes its log lines.
+    pub fn log_file(&self) -> &Path {
+        &self.log_file
+    }
+
     /// Waits until it says that it is ready.
     ///
     /// # Panics
@@ -174,6 +183,7 @@
         let _gone = self.child.kill();
         let _status = self.child.wait();
         let _gone = fs::remove_file(&self.settings_file);
+        let _gone = fs::remove_file(&self.log_file);
     }
 }
 
--- a/crates/hibiscus-timeline/src/cli.rs
+++ b/crates/hibiscus-timeline/src/cli.rs
@@ -69,7 +69,7 @@
         .argument::<PathBuf>("FILE")
         .optional();
     let sources = positional::<EventSource>("SOURCE")
-        .help("Address of an instance's operators' port, or a saved file")
+        .help("Address of an instance's operators' port, or a file of saved events or log lines")
         .some("name at least one address or file");
     construct!(TimelineCommand {
         filter,
--- a/crates/hibiscus-timeline/src/source.rs
+++ b/crates/hibiscus-timeline/src/source.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 use ureq::Agent;
 
+use crate::log;
+
 /// Time after which a live process counts as unreachable.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest ring that is read, in bytes.
@@ -36,6 +38,12 @@
         /// The cause.
         source: std::io::Error,
     },
+    /// A file has neither pages of events nor lines with events.
+    #[error("failed to read `{}`: no line is an event", path.display())]
+    NoEvents {
+        /// The file.
+        path: PathBuf,
+    },
     /// The text is no page of events.
     #[error("failed to read `{name}`: line {line} is no page of events")]
     Malformed {
@@ -56,7 +64,7 @@
 pub enum EventSource {
     /// The operators' port of a live process.
     Live(SocketAddr),
-    /// A saved file: one page a line.
+    /// A saved file: one page a line, or the log lines of processes.
     Saved(PathBuf),
 }
 
@@ -139,12 +147,15 @@
     })
 }
 
-/// Reads a file of one page a line.
+/// Reads a file of one page a line, or of log lines.
 fn read_saved(path: &Path) -> Result<Vec<SourcePage>> {
     let text = fs::read_to_string(path).map_err(|source| SourceError::File {
         path: path.to_owned(),
         source,
     })?;
+    if !text.trim_start().starts_with('{') {
+        return read_log(path, &text);
+    }
     let mut pages = Vec::new();
     for (index, line) in text.lines().enumerate() {
         if line.trim().is_empty() {
@@ -164,6 +175,22 @@
     Ok(pages)
 }
 
+/// Reads the log lines of one or more processes.
+fn read_log(path: &Path, text: &str) -> Result<Vec<SourcePage>> {
+    let stem = path.file_stem().unwrap_or(path.as_os_str());
+    let events = log::parse(&stem.to_string_lossy(), text);
+    if events.is_empty() && !text.trim().is_empty() {
+        return Err(SourceError::NoEvents {
+            path: path.to_owned(),
+        });
+    }
+    Ok(vec![SourcePage {
+        source: path.display().to_string(),
+        failure: String::new(),
+        page: EventPage { dropped: 0, events },
+    }])
+}
+
 /// Writes `pages` to a file that can be read again.
 ///
 /// # Errors
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -126,7 +126,7 @@
     let mut connection = pin!(connection);
     // The end of a connection shows at its requests, whose tasks it drops.
     tokio::select! {
-        _ended = connection.as_mut() => return,
+        _ended = connection.as_mut() => {}
         () = state.closing() => {
             connection.as_mut().graceful_shutdown();
             let _ended = connection.await;
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::process::Command;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,6 +16,7 @@
 use hibiscus_support::metadata::StoreStandin;
 use hibiscus_support::metadata::front::FrontPorts;
 use hibiscus_support::metadata::front::exchange;
+use hibiscus_support::process;
 use nix::sys::signal::Signal;
 
 /// Tokens prepaid in these tests.
@@ -415,6 +417,62 @@
     assert_eq!(spent, Some("65"));
 }
 
+/// What `hibiscus-timeline` shows with `arguments` of the daemon's log.
+fn timeline(platform: &Platform, arguments: &[&str]) -> String {
+    // Lines are gathered for 100 ms before they are written.
+    thread::sleep(Duration::from_millis(300));
+    let output = Command::new(process::program("hibiscus-timeline"))
+        .args(arguments)
+        .arg(platform.front.log_file())
+        .output()
+        .expect("the program starts");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+/// The three ways of docs/OPERATIONS.md, each with the cause injected.
+#[test]
+fn the_log_of_a_fault_leads_from_a_request_to_its_cause() {
+    let platform = Platform::start();
+    // A refusal for the budget: the store goes away, then more is asked for
+    // than is held.
+    platform.store.set_faults(StoreFaults {
+        refuse: Some(503),
+        ..StoreFaults::default()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let refused = (0..20).find_map(|number| {
+        let id = format!("id-refused-{number}");
+        let answer = platform.stream(&id, 9_000, 15);
+        (status(&answer) == "503").then_some(id)
+    });
+    let refused = refused.expect("the holding ends");
+    let shown = timeline(&platform, &["--request", &refused]);
+    assert!(shown.contains("HS3107 tokens are short"), "{shown}");
+    assert!(shown.contains("reason=budget_unconfirmed"), "{shown}");
+    let all = timeline(&platform, &[]);
+    let lost = "HS3005 append failed and will be repeated detail=cause=failed to call the store: it refused with status 503";
+    assert!(all.contains(lost), "{all}");
+    // A stream broken midway: its server breaks off.
+    platform.store.set_faults(StoreFaults::default());
+    platform.engine.set_behaviour(BackendBehaviour::CutEvents);
+    thread::sleep(Duration::from_millis(1_500));
+    platform.stream("id-broken", 50, 15);
+    let shown = timeline(&platform, &["--request", "id-broken"]);
+    assert!(shown.contains("HS4201 answer broken off"), "{shown}");
+    assert!(shown.contains("server=i-engine"), "{shown}");
+    // A late answer: the first server that was tried broke off.
+    platform.add_second();
+    platform.plain.set_behaviour(BackendBehaviour::Reset);
+    let late = (0..20).find_map(|number| {
+        let id = format!("id-late-{number}");
+        assert_eq!(status(&platform.call("/often/x", &id, "")), "200");
+        let shown = timeline(&platform, &["--request", &id]);
+        shown.contains("HS4206 server failed").then_some(shown)
+    });
+    let shown = late.expect("a request meets the failing server first");
+    assert!(shown.contains("server=i-plain"), "{shown}");
+}
+
 /// Callers may stay idle between requests for longer than a head may take.
 #[test]
 fn a_head_that_takes_too_long_ends_its_connection_and_an_idle_one_stays() {
