Split the request's life and the budgets by step

Change: admission, reservation and forwarding are modules of the life; reservations, what goes to the store, and what processes leave each other are modules of the budgets. No behaviour changed.

--- /dev/null
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -0,0 +1,162 @@
+//! Tokens that requests reserve, and those that instances give each other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_ledger::account::BudgetAccount;
+use hibiscus_ledger::account::purse::HoldFault;
+use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_types::BudgetName;
+use hibiscus_types::TokenCount;
+use tokio::sync::Notify;
+
+use crate::budgets::BudgetDesk;
+use crate::budgets::TokenRefusal;
+
+/// Age of an unacknowledged batch from which on the store counts as away, so
+/// that nothing waits for it: it usually acknowledges within 10 ms.
+const STORE_PATIENCE: Duration = Duration::from_millis(600);
+/// Time without a record of the stream after which what is known of a budget
+/// is too old to say that it is spent: every instance reports each second.
+const PROOF_AGE: Duration = Duration::from_millis(1_500);
+
+impl BudgetDesk {
+    /// Sets `tokens` of `budget` aside.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they were not drawn, or when no line allows them.
+    pub fn reserve(
+        &mut self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+    ) -> std::result::Result<TokenHold, HoldFault> {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.purse.reserve(tokens, self.clock.now())
+    }
+
+    /// Counts a request that needs `tokens`.
+    pub fn count_demand(&mut self, budget: &BudgetName, tokens: TokenCount, now: Duration) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.demand.reserve(tokens, now);
+    }
+
+    /// Ends a reservation of which `charge` was used.
+    pub fn settle(&mut self, budget: &BudgetName, hold: TokenHold, charge: TokenCount) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.purse.settle(hold, charge);
+        held.demand.settle(hold.tokens, charge);
+        held.changed.notify_waiters();
+    }
+
+    /// Why `tokens` of `budget` cannot be had at `now`, or `None` while a
+    /// draw or a report on its way may still bring them.
+    pub fn refusal(
+        &self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+        now: Duration,
+    ) -> Option<TokenRefusal> {
+        let waiting = self.unacknowledged.map(|since| now.saturating_sub(since));
+        if waiting.is_some_and(|waiting| waiting > STORE_PATIENCE) {
+            return Some(TokenRefusal::Unconfirmed);
+        }
+        let held = self.held.get(budget);
+        if held.is_some_and(|held| held.pending) {
+            return None;
+        }
+        let account = self.fold.budget(budget)?;
+        let here = held.map_or(TokenCount::ZERO, |held| held.purse.available());
+        let reachable = here + account.free();
+        if tokens <= reachable {
+            return None;
+        }
+        let elsewhere = self.unreported_elsewhere(account);
+        let reserved = held.map_or(TokenCount::ZERO, |held| held.purse.reserved());
+        let is_fresh = now.saturating_sub(self.heard) <= PROOF_AGE;
+        if is_fresh && tokens > reachable + elsewhere + reserved {
+            Some(TokenRefusal::Spent)
+        } else {
+            Some(TokenRefusal::Unconfirmed)
+        }
+    }
+
+    /// Gives up to `tokens` of `budget` to another instance, half of what is
+    /// held here at the most.
+    pub fn give(&mut self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
+        let now = self.clock.now();
+        let Some(held) = self.held.get_mut(budget) else {
+            return TokenCount::ZERO;
+        };
+        let half = TokenCount::new(held.purse.available().get() / 2);
+        held.purse.give(tokens.min(half), now)
+    }
+
+    /// Takes tokens over that another instance gave.
+    pub fn add_given(&mut self, budget: &BudgetName, tokens: TokenCount) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.purse.add_given(tokens);
+        held.changed.notify_waiters();
+    }
+
+    /// Logs why `tokens` of `budget` could not be had for the request `id`.
+    pub fn log_shortage(&self, id: &str, budget: &BudgetName, tokens: TokenCount, now: Duration) {
+        let account = self.fold.budget(budget);
+        let free = account.map(BudgetAccount::free).unwrap_or_default();
+        let prepaid = account.map(|account| account.prepaid).unwrap_or_default();
+        let waiting = self.unacknowledged.map(|since| now.saturating_sub(since));
+        let Some(held) = self.held.get(budget) else {
+            return;
+        };
+        event!(
+            EventCode::TokensShort,
+            "request={id} budget={budget} tokens={tokens} available={} used={} allowed={:?} reserved={} free={free} prepaid={prepaid} unacknowledged_ms={:?}",
+            held.purse.available(),
+            held.purse.used(),
+            held.purse.allowed(self.clock.now()).map(TokenCount::get),
+            held.purse.reserved(),
+            waiting.map(|waiting| waiting.as_millis())
+        );
+    }
+
+    /// Tokens over all budgets: free to spend here, reserved by requests, and
+    /// spent since the start.
+    pub fn token_sums(&self) -> (u64, u64, u64) {
+        let mut sums = (0, 0, 0);
+        for held in self.held.values() {
+            sums.0 += held.purse.available().get();
+            sums.1 += held.purse.reserved().get();
+            sums.2 += held.purse.spent().get();
+        }
+        sums
+    }
+
+    /// Tokens that may still be granted, over all budgets.
+    pub fn free_tokens(&self) -> u64 {
+        let budgets = self.fold.budgets().values();
+        budgets.map(|account| account.free().get()).sum()
+    }
+
+    /// Says that a request waits for `tokens`; the returned signal tells of
+    /// changes.
+    pub(super) fn want(&mut self, budget: &BudgetName, tokens: TokenCount) -> Rc<Notify> {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.wanted = held.wanted + tokens;
+        Rc::clone(&held.changed)
+    }
+
+    /// Ends [`Self::want`].
+    pub(super) fn unwant(&mut self, budget: &BudgetName, tokens: TokenCount) {
+        let held = self.held.entry(budget.clone()).or_default();
+        held.wanted = held.wanted.saturating_sub(tokens);
+    }
+
+    /// Tokens that other holders have not reported as spent.
+    pub(super) fn unreported_elsewhere(&self, account: &BudgetAccount) -> TokenCount {
+        let others = account.holders.iter();
+        let others = others.filter(|(holder, _held)| **holder != self.holder);
+        others.map(|(_holder, held)| held.unreported()).sum()
+    }
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/life/admission.rs
@@ -0,0 +1,123 @@
+//! Whether a request may be sent at all, and where to.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use hibiscus_types::ServiceName;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::answer::OwnReason;
+use crate::callers::BodyBytes;
+use crate::dialect::CallerSigns;
+use crate::dialect::RequestDialect;
+use crate::life::KnownRequest;
+use crate::life::Result;
+use crate::model::RouteRule;
+use crate::model::TeamRule;
+use crate::send;
+use crate::state::TrafficState;
+use crate::table;
+use crate::table::RouteTable;
+
+/// A request that may be sent.
+#[derive(Debug)]
+pub(super) struct AdmittedRequest {
+    pub(super) signs: CallerSigns,
+    pub(super) table: Rc<RouteTable>,
+    pub(super) route: Arc<RouteRule>,
+    pub(super) team: Option<Arc<TeamRule>>,
+    pub(super) service: ServiceName,
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// Counts the body's bytes for as long as it is kept.
+    pub(super) _body_bytes: BodyBytes,
+    /// When it arrived.
+    pub(super) arrived: Instant,
+    /// When its caller or route has waited long enough.
+    pub(super) until: Instant,
+}
+
+/// Finds route and team and reads the body.
+pub(super) async fn admit<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    signs: CallerSigns,
+    head: http::request::Parts,
+    body: Incoming,
+    known: &mut KnownRequest,
+) -> Result<AdmittedRequest> {
+    let arrived = known.arrived;
+    let table = state.table().ok_or(OwnReason::NoConfig)?;
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = table.route(host, head.uri.path());
+    let route = Arc::clone(route.ok_or(OwnReason::UnknownRoute)?);
+    known.kind = Some(route.kind);
+    let team = signs.key.as_deref().and_then(|key| table.team(key));
+    let team = team.map(Arc::clone);
+    if table.config().needs_key && !route.anonymous && team.is_none() {
+        return Err(OwnReason::UnknownKey);
+    }
+    let pick = fastrand::u32(..);
+    let service = table::service_of(&route, pick).ok_or(OwnReason::NoServer)?;
+    let service = service.clone();
+    let wait = signs.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let until = arrived + wait;
+    let limit = table.config().limits.body_bytes;
+    let reading = read_body(body, limit, state.callers.begin_body());
+    let read = tokio::time::timeout_at(until.into(), reading).await;
+    let (body, body_bytes) = read.map_err(|_elapsed| OwnReason::TimeSpent)??;
+    let mut headers = head.headers;
+    send::strip_connection_headers(&mut headers);
+    state.dialect.strip_own(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    Ok(AdmittedRequest {
+        signs,
+        table,
+        route,
+        team,
+        service,
+        method: head.method,
+        target: head.uri,
+        headers,
+        body,
+        _body_bytes: body_bytes,
+        arrived,
+        until,
+    })
+}
+
+/// Reads a body of at most `limit` bytes, which `held` counts.
+async fn read_body(
+    mut body: Incoming,
+    limit: usize,
+    mut held: BodyBytes,
+) -> Result<(Bytes, BodyBytes)> {
+    if hyper::body::Body::size_hint(&body).lower() > limit as u64 {
+        return Err(OwnReason::BodyTooLong);
+    }
+    let mut gathered = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_broken| OwnReason::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if gathered.len() + data.len() > limit {
+            return Err(OwnReason::BodyTooLong);
+        }
+        if !held.grow(data.len()) {
+            return Err(OwnReason::Overloaded);
+        }
+        gathered.extend_from_slice(&data);
+    }
+    Ok((gathered.freeze(), held))
+}
--- /dev/null
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -0,0 +1,366 @@
+//! Sends a request to one server after the other until one answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_routing::placement::PartTokens;
+use hibiscus_routing::placement::PlacementCase;
+use hibiscus_types::ServerName;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+
+use crate::answer::OwnReason;
+use crate::dialect::CallerSigns;
+use crate::dialect::RequestDialect;
+use crate::dialect::ServerSigns;
+use crate::flight::FlightWatch;
+use crate::flight::RequestCharge;
+use crate::flight::RequestProgress;
+use crate::flight::ServerFlight;
+use crate::life::Result;
+use crate::life::admission::AdmittedRequest;
+use crate::measures::RequestOutcome;
+use crate::measures::TrafficMeasures;
+use crate::relay::AnswerBody;
+use crate::relay::StreamRelay;
+use crate::send;
+use crate::send::OutgoingRequest;
+use crate::send::SendOutcome;
+use crate::send::ServerAnswer;
+use crate::state::TrafficState;
+
+/// Servers tried for one request while none has run it.
+const TRIES: usize = 4;
+
+/// Longest answer that is gathered before its head goes out, in bytes.
+const GATHER_LIMIT: usize = 256 * 1024;
+
+/// Time below which sending to another server is not worth it.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+
+/// What was tried for one request so far.
+struct ForwardTrail {
+    tried: Vec<ServerName>,
+    /// Servers that may have run the request.
+    runs: u32,
+    /// The answer when nothing better comes.
+    reason: OwnReason,
+    /// A server's own failure, which says more than the reason.
+    failure: Option<Response<Bytes>>,
+}
+
+/// What follows an attempt.
+enum NextStep {
+    /// The caller gets this.
+    Answer(Box<ForwardedAnswer>),
+    /// Another server may be tried, as a retry.
+    Retry,
+    /// Another server may be tried: nothing arrived at this one.
+    Elsewhere,
+    /// Nothing more may be tried.
+    End,
+}
+
+impl ForwardTrail {
+    /// No server ran the request at this attempt.
+    fn note_not_run(&mut self, reason: OwnReason, charge: Option<&Rc<RequestCharge>>) {
+        if self.runs > 0 {
+            return;
+        }
+        self.reason = reason;
+        if let Some(charge) = charge {
+            charge.note_sent(false);
+        }
+    }
+
+    /// A server may have run the request, and its answer is no use.
+    fn note_failed(
+        &mut self,
+        admitted: &AdmittedRequest,
+        server: &ServerName,
+        cause: &str,
+    ) -> NextStep {
+        event!(
+            EventCode::ServerFailed,
+            "request={} server={server} cause={cause} after_ms={}",
+            admitted.signs.id,
+            admitted.arrived.elapsed().as_millis()
+        );
+        self.runs += 1;
+        self.reason = OwnReason::Unknown;
+        if may_run_again(admitted, self.runs) {
+            NextStep::Retry
+        } else {
+            NextStep::End
+        }
+    }
+
+    /// The end without an answer of a server that is of use.
+    fn end(self) -> Result<ForwardedAnswer> {
+        self.failure.map(ForwardedAnswer::Whole).ok_or(self.reason)
+    }
+}
+
+/// Sends the request until a server answers or nothing more may be tried.
+pub(super) async fn forward<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+    charge: Option<Rc<RequestCharge>>,
+) -> Result<ForwardedAnswer> {
+    let mut trail = ForwardTrail {
+        tried: Vec::new(),
+        runs: 0,
+        reason: OwnReason::NoServer,
+        failure: None,
+    };
+    state
+        .retries
+        .borrow_mut()
+        .count_request(&admitted.service, state.now());
+    while trail.tried.len() < TRIES {
+        let left = admitted.until.saturating_duration_since(Instant::now());
+        if left < LEAST_TIME {
+            let sent = trail.runs > 0;
+            trail.reason = if sent {
+                OwnReason::TimedOut
+            } else {
+                OwnReason::TimeSpent
+            };
+            break;
+        }
+        match attempt(state, admitted, charge.as_ref(), &mut trail).await {
+            NextStep::Answer(answer) => return Ok(*answer),
+            NextStep::Elsewhere => {}
+            NextStep::End => break,
+            NextStep::Retry => {
+                let instances = state.directory.borrow().may_serve();
+                let mut retries = state.retries.borrow_mut();
+                if !retries.take_retry(&admitted.service, instances, state.now()) {
+                    break;
+                }
+                state.measures.retried();
+            }
+        }
+    }
+    trail.end()
+}
+
+/// Chooses a server that was not tried and sends the request there.
+async fn attempt<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    admitted: &AdmittedRequest,
+    charge: Option<&Rc<RequestCharge>>,
+    trail: &mut ForwardTrail,
+) -> NextStep {
+    let (shared, own_tokens) = shared_parts(&admitted.signs);
+    let case = PlacementCase {
+        shared: &shared,
+        own_tokens,
+        now: state.now(),
+    };
+    let others = state.directory.borrow().live().saturating_sub(1);
+    let chosen = state.servers.borrow().choose(
+        &admitted.service,
+        &trail.tried,
+        &state.data_centre,
+        others,
+        &case,
+    );
+    let Some(chosen) = chosen else {
+        return NextStep::End;
+    };
+    let name = chosen.server.entry.name.clone();
+    trail.tried.push(name.clone());
+    let mut headers = admitted.headers.clone();
+    let signs = ServerSigns {
+        server: &name,
+        team: admitted.team.as_ref().map(|team| &team.name),
+        time_left: admitted.until.saturating_duration_since(Instant::now()),
+        urgency: urgency(admitted),
+        resume_after: None,
+    };
+    state.dialect.set_server_signs(&signs, &mut headers);
+    let outgoing = OutgoingRequest {
+        method: &admitted.method,
+        target: &admitted.target,
+        headers: &headers,
+        body: &admitted.body,
+        id: &admitted.signs.id,
+        until: admitted.until,
+        leaves_silent: may_run_again(admitted, trail.runs + 1),
+    };
+    let flight = ServerFlight::begin(&chosen, &shared, state.now());
+    if let Some(charge) = charge {
+        charge.note_sent(true);
+    }
+    event!(
+        EventCode::RequestForwarded,
+        "request={} server={name}",
+        admitted.signs.id
+    );
+    let outcome = send::send(&state.dialect, flight, &outgoing).await;
+    follow(admitted, charge, trail, &name, outcome).await
+}
+
+/// Decides what follows the outcome of an attempt at the server `name`.
+async fn follow(
+    admitted: &AdmittedRequest,
+    charge: Option<&Rc<RequestCharge>>,
+    trail: &mut ForwardTrail,
+    name: &ServerName,
+    outcome: SendOutcome,
+) -> NextStep {
+    match outcome {
+        SendOutcome::Answered(answer) => match take_answer(admitted, *answer, charge).await {
+            Ok(ForwardedAnswer::Whole(answer)) if answer.status().is_server_error() => {
+                trail.failure = Some(answer);
+                trail.note_failed(admitted, name, "the server answered with a failure")
+            }
+            Ok(answer) => NextStep::Answer(Box::new(answer)),
+            Err(cause) => trail.note_failed(admitted, name, cause),
+        },
+        SendOutcome::NotSent(fault) => {
+            event!(
+                EventCode::ServerNotReached,
+                "request={} server={name} cause={fault:?}",
+                admitted.signs.id
+            );
+            trail.note_not_run(OwnReason::NoServer, charge);
+            NextStep::Elsewhere
+        }
+        SendOutcome::NotRun(status) => {
+            event!(
+                EventCode::ServerRefused,
+                "request={} server={name} status={status}",
+                admitted.signs.id
+            );
+            trail.note_not_run(OwnReason::ServersFull, charge);
+            NextStep::Retry
+        }
+        SendOutcome::Unknown(cause) => trail.note_failed(admitted, name, cause),
+        SendOutcome::TimedOut => {
+            trail.reason = OwnReason::TimedOut;
+            NextStep::End
+        }
+    }
+}
+
+/// Whether another server may run the request after `runs` may have.
+fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
+    admitted.route.kind.is_repeatable() && runs < admitted.route.attempts
+}
+
+/// An answer that may go to the caller.
+pub(super) enum ForwardedAnswer {
+    /// All of it is here.
+    Whole(Response<Bytes>),
+    /// A stream that has begun.
+    Stream {
+        head: http::response::Parts,
+        body: Incoming,
+        flight: ServerFlight,
+        charge: Option<Rc<RequestCharge>>,
+    },
+}
+
+impl ForwardedAnswer {
+    /// The caller's answer; a stream counts as in progress until it has passed.
+    pub(super) fn into_answer(
+        self,
+        admitted: &AdmittedRequest,
+        progress: RequestProgress,
+        measures: Rc<TrafficMeasures>,
+    ) -> Response<AnswerBody> {
+        let kind = admitted.route.kind;
+        let (head, body, flight, charge) = match self {
+            Self::Whole(answer) => {
+                let taken = admitted.arrived.elapsed();
+                measures.first_event(kind, taken);
+                measures.ended(Some(kind), RequestOutcome::Passed, taken);
+                return answer.map(AnswerBody::whole);
+            }
+            Self::Stream {
+                head,
+                body,
+                flight,
+                charge,
+            } => (head, body, flight, charge),
+        };
+        let engine = admitted.table.engine(&admitted.service);
+        let watch = FlightWatch {
+            id: admitted.signs.id.clone(),
+            kind,
+            arrived: admitted.arrived,
+            heard: None,
+            measures,
+            flight,
+            charge,
+            tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
+            progress,
+        };
+        let deadline = tokio::time::sleep_until(admitted.until.into());
+        let relay = StreamRelay::new(body, admitted.signs.resume_after, deadline, watch);
+        Response::from_parts(head, AnswerBody::Stream(Box::new(relay)))
+    }
+}
+
+/// Takes a server's answer over: a stream passes as it comes, any other body
+/// is gathered first, so that a broken one is never begun.
+async fn take_answer(
+    admitted: &AdmittedRequest,
+    answer: ServerAnswer,
+    charge: Option<&Rc<RequestCharge>>,
+) -> std::result::Result<ForwardedAnswer, &'static str> {
+    let (mut head, body) = answer.answer.into_parts();
+    send::strip_connection_headers(&mut head.headers);
+    let mut flight = answer.flight;
+    if admitted.route.kind.is_stream() && head.status.is_success() {
+        return Ok(ForwardedAnswer::Stream {
+            head,
+            body,
+            flight,
+            charge: charge.map(Rc::clone),
+        });
+    }
+    let wait = admitted.until.saturating_duration_since(Instant::now());
+    let gathered = Limited::new(body, GATHER_LIMIT).collect();
+    let gathered = tokio::time::timeout(wait, gathered).await;
+    let Ok(Ok(gathered)) = gathered else {
+        flight.server().note_failed();
+        return Err("the answer broke off");
+    };
+    flight.note_read();
+    flight.server().note_healthy();
+    event!(
+        EventCode::RequestEnded,
+        "request={} server={} status={} total_ms={}",
+        admitted.signs.id,
+        flight.server().entry.name,
+        head.status.as_u16(),
+        admitted.arrived.elapsed().as_millis()
+    );
+    flight.keep_link();
+    let answer = Response::from_parts(head, gathered.to_bytes());
+    Ok(ForwardedAnswer::Whole(answer))
+}
+
+/// The team's priority goes before the route's.
+fn urgency(admitted: &AdmittedRequest) -> u8 {
+    let team = admitted.team.as_ref().and_then(|team| team.priority);
+    team.unwrap_or(admitted.route.priority)
+}
+
+/// The parts of a prompt that other requests may share, and the rest's tokens.
+fn shared_parts(signs: &CallerSigns) -> (Vec<PartTokens>, u64) {
+    let Some((own, shared)) = signs.parts.split_last() else {
+        return (Vec::new(), signs.prompt_tokens);
+    };
+    let shared = shared.iter().map(|part| (part.id, part.tokens)).collect();
+    (shared, own.tokens)
+}
