--- a/crates/hibiscus-ledger/src/account/snapshot.rs
+++ b/crates/hibiscus-ledger/src/account/snapshot.rs
@@ -29,6 +29,10 @@
 /// 300 s, so three may fail.
 pub const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Closed holders that a snapshot names, the newest: late records come within
+/// seconds, and a record of the store takes 262,144 bytes.
+const ENDED_WRITTEN: usize = 4_000;
+
 /// One budget as the records before an offset leave it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountSnapshot {
@@ -38,7 +42,7 @@
     pub next: u64,
     /// The account.
     pub account: BudgetAccount,
-    /// Its closed holders.
+    /// Its closed holders, the newest ones.
     pub ended: Vec<IncarnationId>,
 }
 
@@ -57,7 +61,9 @@
     /// The present snapshot of `budget`, if it is known.
     pub fn snapshot(&self, budget: &BudgetName) -> Option<AccountSnapshot> {
         let account = self.budgets.get(budget)?.clone();
-        let ended = self.ended.iter().filter(|(name, _holder)| name == budget);
+        let ended = self.ended.iter().rev();
+        let ended = ended.filter(|(name, _holder)| name == budget);
+        let ended = ended.take(ENDED_WRITTEN);
         Some(AccountSnapshot {
             budget: budget.clone(),
             next: self.next,
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -18,6 +18,7 @@
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
 use hibiscus_types::TokenCount;
+use hibiscus_types::codec;
 
 const TOKENS: u64 = 1_000;
 
@@ -404,6 +405,26 @@
     assert_eq!(free(&resumed), 100);
 }
 
+#[test]
+fn a_snapshot_of_a_budget_with_many_closed_holders_fits_one_record() {
+    const RECORD_BYTES: usize = 262_144;
+    let mut fold = AccountFold::default();
+    fold.apply(0, &[prepaid(1, TOKENS)]);
+    for number in 1..30_000 {
+        let close = AccountRecord::Close {
+            budget: budget(),
+            holder: holder(number),
+            spent: tokens(0),
+        };
+        fold.apply(number as u64, &[draw(number, 1, 0), close]);
+    }
+    let snapshots = snapshots(&fold);
+    let bytes = codec::encode(&snapshots[0]).expect("a snapshot is encoded");
+    assert!(bytes.len() < RECORD_BYTES, "{} bytes", bytes.len());
+    let (mut resumed, _stale) = AccountFold::resume(30_000, snapshots);
+    assert!(resumed.apply(30_000, &[draw(29_999, 2, 1)]).is_empty());
+}
+
 #[test]
 fn a_budget_without_a_snapshot_begins_with_its_records() {
     let (mut resumed, stale) = AccountFold::resume(7, Vec::new());
