Close own accounts at a planned stop, and give test daemons ports of their own

And a test failed once at 00:56: "failed to open the port 127.0.0.1:37681, address already in use": ports were found by binding them and letting them go, within the range from which the system serves all connections.

Change: a stop without requests in progress closes its accounts along with the last report, and reserves and gives nothing after, also if a draw is granted late (two tests). Test daemons get blocks below that range.

--- a/crates/hibiscus-support/src/metadata/front.rs
+++ b/crates/hibiscus-support/src/metadata/front.rs
@@ -13,6 +13,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -43,36 +45,55 @@
     pub internal: u16,
 }
 
+/// First of the ports that daemons get. The system gives ports of its own
+/// choice from 32,768 on, also to the connections of other tests, so a port
+/// there may be taken between a look and the daemon's start.
+const FIRST_PORT: u16 = 10_000;
+/// Blocks of ports.
+const BLOCKS: u16 = 2_000;
+/// Ports of one daemon.
+const BLOCK_PORTS: u16 = 5;
+/// Blocks between those that two test processes begin with.
+const PROCESS_STRIDE: u32 = 37;
+
+/// Blocks that this process has given out.
+static GIVEN_BLOCKS: AtomicU16 = AtomicU16::new(0);
+
 impl FrontPorts {
-    /// Ports that are free now.
+    /// Ports that are free now and that nobody else is given.
     ///
     /// # Panics
     ///
     /// Panics when no ports are free.
     pub fn find() -> Self {
-        let listeners: Vec<TcpListener> = (0..3)
-            .map(|_index| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let address = |index: usize| listeners[index].local_addr().expect("an address");
-        for _attempt in 0..100 {
-            let first = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            let internal = first.local_addr().expect("an address").port();
-            let Some(second) = internal.checked_add(1) else {
+        let own = std::process::id().wrapping_mul(PROCESS_STRIDE) % u32::from(BLOCKS);
+        let own = u16::try_from(own).expect("a block's number fits");
+        for _attempt in 0..BLOCKS {
+            let given = GIVEN_BLOCKS.fetch_add(1, Ordering::Relaxed);
+            let block = (own.wrapping_add(given)) % BLOCKS;
+            let first = FIRST_PORT + block * BLOCK_PORTS;
+            let ports = first..first + BLOCK_PORTS;
+            if !ports.into_iter().all(is_free) {
                 continue;
-            };
-            if UdpSocket::bind(("127.0.0.1", second)).is_ok() {
-                return Self {
-                    callers: address(0),
-                    readiness: address(1),
-                    directory: address(2),
-                    internal,
-                };
             }
+            let address = |index: u16| SocketAddr::from(([127, 0, 0, 1], first + index));
+            return Self {
+                callers: address(0),
+                readiness: address(1),
+                directory: address(2),
+                internal: first + 3,
+            };
         }
-        panic!("no two neighbouring ports are free");
+        panic!("no block of ports is free");
     }
 }
 
+/// Whether `port` can be bound for both protocols.
+fn is_free(port: u16) -> bool {
+    let address = ("127.0.0.1", port);
+    TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
+}
+
 /// A daemon process. Dropping it kills the process.
 pub struct FrontProcess {
     /// Its ports.
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -118,6 +118,8 @@
     heard: Duration,
     /// Whether a planned stop has begun.
     stopping: bool,
+    /// Whether the own accounts were closed.
+    closed: bool,
     /// The thread that reads the stream, once it runs.
     reader: Option<Thread>,
 }
@@ -149,6 +151,7 @@
             passed: PassedTime::default(),
             heard: Duration::ZERO,
             stopping: false,
+            closed: false,
             reader: None,
         }
     }
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -54,8 +54,11 @@
     }
 
     /// Gives back all that no request has reserved, at the end of a planned
-    /// stop.
+    /// stop, and closes the accounts if no request is left: an account that
+    /// nobody closes stays in the store's snapshots for ever.
     pub fn give_all_back(&mut self, now: Duration) {
+        let mut held = self.held.values();
+        self.closed = held.all(|held| held.purse.reserved().is_zero() && held.wanted.is_zero());
         let names: Vec<BudgetName> = self.held.keys().cloned().collect();
         for budget in names {
             if let Some(held) = self.held.get_mut(&budget) {
@@ -63,10 +66,26 @@
                 held.purse.give_back(available);
             }
             self.report(&budget, &DrawDecision::default(), now);
+            if self.closed {
+                self.close_own(&budget);
+            }
         }
         self.send(now);
     }
 
+    /// Queues the end of the own account; from now on nothing of it is spent,
+    /// also if a draw is granted late.
+    fn close_own(&mut self, budget: &BudgetName) {
+        let Some(held) = self.held.get(budget) else {
+            return;
+        };
+        self.unsent.push(AccountRecord::Close {
+            budget: budget.clone(),
+            holder: self.holder,
+            spent: held.purse.spent(),
+        });
+    }
+
     fn review_one(&mut self, budget: &BudgetName, holders: u32, now: Duration) {
         let held = self.held.entry(budget.clone()).or_default();
         let account = self.fold.budget(budget);
--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -33,6 +33,9 @@
         budget: &BudgetName,
         tokens: TokenCount,
     ) -> std::result::Result<TokenHold, HoldFault> {
+        if self.closed {
+            return Err(HoldFault::NotDrawn);
+        }
         let held = self.held.entry(budget.clone()).or_default();
         held.purse.reserve(tokens, self.clock.now())
     }
@@ -86,6 +89,9 @@
     /// Gives up to `tokens` of `budget` to another instance, half of what is
     /// held here at the most.
     pub fn give(&mut self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
+        if self.closed {
+            return TokenCount::ZERO;
+        }
         let now = self.clock.now();
         let Some(held) = self.held.get_mut(budget) else {
             return TokenCount::ZERO;
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
+use hibiscus_ledger::account::AccountFold;
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::HolderReport;
 use hibiscus_ledger::account::purse::HoldFault;
@@ -120,6 +121,44 @@
     assert_eq!(written, [1, 61, 121]);
 }
 
+/// A draw may be granted after the account was closed: the fold has freed it.
+#[test]
+fn a_holder_that_stops_closes_its_account_and_spends_nothing_after() {
+    let mut case = DeskCase::start();
+    let budget = BudgetName::from("team");
+    let now = Duration::ZERO;
+    // The first draw is on its way when the stop ends.
+    case.desk.review(7, |_budget| false, now);
+    case.desk.give_all_back(now);
+    let mut fold = AccountFold::default();
+    while let Ok(batch) = case.batches.try_recv() {
+        let record = codec::encode(&batch.records).expect("records are encoded");
+        fold.apply(case.offset, &batch.records);
+        case.desk.acknowledge(batch.number, None, now);
+        case.desk.apply(case.offset, &record, now);
+        case.offset += 1;
+    }
+    let account = fold.budget(&budget).expect("the budget is known");
+    assert_eq!(account.free(), TokenCount::new(PREPAID));
+    assert!(account.holders.is_empty());
+    let one = TokenCount::new(1);
+    assert!(case.desk.reserve(&budget, one).is_err());
+    assert!(case.desk.give(&budget, one).is_zero());
+}
+
+#[test]
+fn a_holder_that_stops_with_a_request_in_progress_keeps_its_account_open() {
+    let mut case = DeskCase::start();
+    let budget = BudgetName::from("team");
+    case.review(Duration::ZERO);
+    let hold = case.desk.reserve(&budget, TokenCount::new(10));
+    assert!(hold.is_ok(), "{hold:?}");
+    case.desk.give_all_back(Duration::from_secs(1));
+    let batch = case.batches.try_recv().expect("a batch");
+    let mut records = batch.records.iter();
+    assert!(!records.any(|record| matches!(record, AccountRecord::Close { .. })));
+}
+
 #[test]
 fn records_that_are_read_once_more_bring_no_tokens_twice() {
     let mut case = DeskCase::start();
