--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -58,11 +58,11 @@
 
 /// Appends `records` as one record of the stream, however often it takes;
 /// returns the offset after it.
-fn append_records(store: &StoreClient, records: &Vec<AccountRecord>) -> Option<u64> {
+fn append_records(store: &StoreClient, records: &[AccountRecord]) -> Option<u64> {
     if records.is_empty() {
         return None;
     }
-    let record = match codec::encode(records) {
+    let record = match codec::encode(&records) {
         Ok(record) => record,
         Err(error) => {
             event!(EventCode::AccountNotEncoded, "cause={error}");
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -145,9 +145,19 @@
 #[derive(Debug)]
 pub struct RequestProgress {
     /// At its connection.
-    pub _request: CallerRequest,
+    _request: CallerRequest,
     /// At the instance.
-    pub _count: CountGuard,
+    _count: CountGuard,
+}
+
+impl RequestProgress {
+    /// Counts `request` of a connection, and one more at the instance.
+    pub fn new(request: CallerRequest, count: CountGuard) -> Self {
+        Self {
+            _request: request,
+            _count: count,
+        }
+    }
 }
 
 /// Follows an answer that passes to a caller.
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -46,10 +46,7 @@
     request: Request<Incoming>,
     caller: CallerRequest,
 ) -> Response<AnswerBody> {
-    let progress = RequestProgress {
-        _request: caller,
-        _count: state.count_request(),
-    };
+    let progress = RequestProgress::new(caller, state.count_request());
     let mut known = KnownRequest {
         id: String::new(),
         kind: None,
--- a/crates/hibiscus-traffic/src/life/admission.rs
+++ b/crates/hibiscus-traffic/src/life/admission.rs
@@ -40,7 +40,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     /// Counts the body's bytes for as long as it is kept.
-    pub(super) _body_bytes: BodyBytes,
+    _body_bytes: BodyBytes,
     /// When it arrived.
     pub(super) arrived: Instant,
     /// When its caller or route has waited long enough.
