--- a/crates/hibiscus-front/tests/cli.rs
+++ b/crates/hibiscus-front/tests/cli.rs
@@ -2,33 +2,27 @@
 
 use std::env;
 use std::fs;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
 
-/// Settings that are complete, with callers on the port `PORT`.
-const SETTINGS: &str = r#"node-name = "front-1"
-zone = "a"
-region = "r"
-ip = "127.0.0.1"
-internal-port-range = [7340,7355]
-[limits]
-memory-mb = 110
-max-fds = 4100
-[listen]
-front = "127.0.0.1:PORT"
-ready = "127.0.0.1:PORT"
-directory = "127.0.0.1:PORT"
-[bounds]
-grace-period-s = 8
-retry-budget-ratio = 0.2
-budget-window-s = 10
-budget-slack = 54
-ttl_max_s = 5
-[platform]
-address = "127.0.0.1:9"
-"#;
+use platform_standins::front::FrontPorts;
+use platform_standins::front::settings_text;
+
+/// Settings that are complete, with callers on `port`.
+fn settings(port: u16) -> String {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    let ports = FrontPorts {
+        callers: address,
+        readiness: address,
+        directory: address,
+        internal: 7_340,
+    };
+    let store = SocketAddr::from(([127, 0, 0, 1], 9));
+    settings_text("front-1", &ports, store)
+}
 
 fn run(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hibiscus-front"))
@@ -87,7 +81,7 @@
 
 #[test]
 fn settings_that_are_complete_pass_the_check() {
-    let file = SettingsFile::write("complete", &SETTINGS.replace("PORT", "8227"));
+    let file = SettingsFile::write("complete", &settings(8_227));
     let output = run(&["--check", "--settings", file.path()]);
     assert_eq!(output.status.code(), Some(0), "{}", error_of(&output));
 }
@@ -100,8 +94,8 @@
         error_of(&output),
         "error: failed to read the settings file /nonexistent/node.toml\n  caused by: No such file or directory (os error 2)\n"
     );
-    let text = SETTINGS.replace("zone = \"a\"\n", "");
-    let file = SettingsFile::write("field", &text.replace("PORT", "8227"));
+    let text = settings(8_227).replace("zone = \"a\"\n", "");
+    let file = SettingsFile::write("field", &text);
     let output = run(&["--check", "--settings", file.path()]);
     assert_eq!(output.status.code(), Some(2));
     let error = error_of(&output);
@@ -116,8 +110,8 @@
 #[test]
 fn a_port_in_use_ends_the_start_with_its_own_code() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let port = taken.local_addr().expect("an address").port().to_string();
-    let file = SettingsFile::write("port", &SETTINGS.replace("PORT", &port));
+    let port = taken.local_addr().expect("an address").port();
+    let file = SettingsFile::write("port", &settings(port));
     let output = run(&["--log", "error", "--settings", file.path()]);
     assert_eq!(output.status.code(), Some(3), "{}", error_of(&output));
     let error = error_of(&output);
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -162,6 +162,34 @@
 /// The protocol of the link is TLS 1.3 only.
 const NO_TLS12: Error = Error::PeerIncompatible(rustls::PeerIncompatible::Tls12NotOffered);
 
+/// The checks of signatures, which both verifier traits ask for under the same
+/// names.
+macro_rules! check_signatures {
+    () => {
+        fn verify_tls12_signature(
+            &self,
+            _message: &[u8],
+            _certificate: &CertificateDer<'_>,
+            _signature: &DigitallySignedStruct,
+        ) -> std::result::Result<HandshakeSignatureValid, Error> {
+            Err(NO_TLS12)
+        }
+
+        fn verify_tls13_signature(
+            &self,
+            message: &[u8],
+            certificate: &CertificateDer<'_>,
+            signature: &DigitallySignedStruct,
+        ) -> std::result::Result<HandshakeSignatureValid, Error> {
+            self.verify(message, certificate, signature)
+        }
+
+        fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+            self.schemes()
+        }
+    };
+}
+
 impl ServerCertVerifier for PinVerifier {
     fn verify_server_cert(
         &self,
@@ -175,27 +203,7 @@
         Ok(ServerCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _message: &[u8],
-        _certificate: &CertificateDer<'_>,
-        _signature: &DigitallySignedStruct,
-    ) -> std::result::Result<HandshakeSignatureValid, Error> {
-        Err(NO_TLS12)
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        certificate: &CertificateDer<'_>,
-        signature: &DigitallySignedStruct,
-    ) -> std::result::Result<HandshakeSignatureValid, Error> {
-        self.verify(message, certificate, signature)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
+    check_signatures!();
 }
 
 impl ClientCertVerifier for PinVerifier {
@@ -213,27 +221,7 @@
         Ok(ClientCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _message: &[u8],
-        _certificate: &CertificateDer<'_>,
-        _signature: &DigitallySignedStruct,
-    ) -> std::result::Result<HandshakeSignatureValid, Error> {
-        Err(NO_TLS12)
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        certificate: &CertificateDer<'_>,
-        signature: &DigitallySignedStruct,
-    ) -> std::result::Result<HandshakeSignatureValid, Error> {
-        self.verify(message, certificate, signature)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
+    check_signatures!();
 }
 
 /// A call received from a peer.
--- a/crates/hibiscus-support/src/http.rs
+++ b/crates/hibiscus-support/src/http.rs
@@ -18,9 +18,9 @@
 
 /// A running HTTP server that stops when it is dropped.
 #[derive(Debug)]
-pub(crate) struct HttpServer {
+pub struct HttpServer {
     /// Address it listens on.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     stopping: Arc<AtomicBool>,
 }
 
@@ -30,7 +30,7 @@
     /// # Panics
     ///
     /// Panics when the port cannot be opened: no test can go on without it.
-    pub(crate) fn start<F>(address: &str, handler: F) -> Self
+    pub fn start<F>(address: &str, handler: F) -> Self
     where
         F: Fn(&Request) -> Response + Send + Sync + 'static,
     {
@@ -56,7 +56,7 @@
 }
 
 /// A query parameter as a number, zero when missing.
-pub(crate) fn number_param(request: &Request, name: &str) -> u64 {
+pub fn number_param(request: &Request, name: &str) -> u64 {
     request
         .get_param(name)
         .and_then(|text| text.parse().ok())
@@ -64,6 +64,6 @@
 }
 
 /// An empty answer with `status`.
-pub(crate) fn status(status: u16) -> Response {
+pub fn status(status: u16) -> Response {
     Response::text("").with_status_code(status)
 }
--- a/crates/hibiscus-support/src/lib.rs
+++ b/crates/hibiscus-support/src/lib.rs
@@ -15,13 +15,12 @@
 pub mod keys;
 pub mod list;
 pub mod log;
-pub mod metadata;
 pub mod plain;
 pub mod process;
 pub mod proxy;
 pub mod requests;
 
-mod http;
+pub mod http;
 
 pub use engine::EngineStandin;
 pub use list::ListStandin;
--- a/crates/hibiscus-support/src/process.rs
+++ b/crates/hibiscus-support/src/process.rs
@@ -96,8 +96,7 @@
 
     /// Sends `signal`.
     pub fn signal(&self, signal: Signal) {
-        let id = Pid::from_raw(i32::try_from(self.child.id()).expect("a process id fits"));
-        signal::kill(id, signal).expect("the process is there");
+        signal_child(&self.child, signal);
     }
 
     /// Asks the process for its planned stop.
@@ -123,15 +122,30 @@
 
     /// Waits up to `limit` for the process to end.
     pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
-        let deadline = Instant::now() + limit;
-        while Instant::now() < deadline {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return Some(status);
-            }
-            thread::sleep(EXIT_POLL);
+        wait_child(&mut self.child, limit)
+    }
+}
+
+/// Sends `signal` to `child`.
+///
+/// # Panics
+///
+/// Panics when the process is gone.
+pub fn signal_child(child: &Child, signal: Signal) {
+    let id = Pid::from_raw(i32::try_from(child.id()).expect("a process id fits"));
+    signal::kill(id, signal).expect("the process is there");
+}
+
+/// Waits up to `limit` for `child` to end.
+pub fn wait_child(child: &mut Child, limit: Duration) -> Option<ExitStatus> {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if let Ok(Some(status)) = child.try_wait() {
+            return Some(status);
         }
-        None
+        thread::sleep(EXIT_POLL);
     }
+    None
 }
 
 impl Drop for RouterProcess {
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_support::metadata::BackendBehaviour;
-use hibiscus_support::metadata::BackendStandin;
-use hibiscus_support::metadata::FrontProcess;
-use hibiscus_support::metadata::StoreStandin;
-use hibiscus_support::metadata::front::FrontPorts;
+use platform_standins::BackendBehaviour;
+use platform_standins::BackendStandin;
+use platform_standins::FrontProcess;
+use platform_standins::StoreStandin;
+use platform_standins::front::FrontPorts;
 
 /// Tokens prepaid in these tests.
 const PREPAID: u64 = 100_000;
--- a/tests/testsuite/front/accounts.rs
+++ b/tests/testsuite/front/accounts.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
-use hibiscus_support::metadata::StoreFaults;
 use nix::sys::signal::Signal;
+use platform_standins::StoreFaults;
 
 use crate::front::PREPAID;
 use crate::front::Platform;
--- a/tests/testsuite/front/forwarding.rs
+++ b/tests/testsuite/front/forwarding.rs
@@ -2,11 +2,11 @@
 
 use std::thread;
 
-use hibiscus_support::metadata::BackendBehaviour;
-use hibiscus_support::metadata::FrontProcess;
-use hibiscus_support::metadata::StoreFaults;
-use hibiscus_support::metadata::StoreStandin;
-use hibiscus_support::metadata::front::FrontPorts;
+use platform_standins::BackendBehaviour;
+use platform_standins::FrontProcess;
+use platform_standins::StoreFaults;
+use platform_standins::StoreStandin;
+use platform_standins::front::FrontPorts;
 
 use crate::front::POLL;
 use crate::front::Platform;
--- a/tests/testsuite/front/lifetime.rs
+++ b/tests/testsuite/front/lifetime.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hibiscus_support::metadata::BackendBehaviour;
-use hibiscus_support::metadata::FrontProcess;
-use hibiscus_support::metadata::front::FrontPorts;
-use hibiscus_support::metadata::front::exchange;
 use nix::sys::signal::Signal;
+use platform_standins::BackendBehaviour;
+use platform_standins::FrontProcess;
+use platform_standins::front::FrontPorts;
+use platform_standins::front::exchange;
 
 use crate::front::NEWS_LIMIT;
 use crate::front::PREPAID;
--- a/tests/testsuite/front/operations.rs
+++ b/tests/testsuite/front/operations.rs
@@ -5,10 +5,10 @@
 use std::thread;
 use std::time::Duration;
 
-use hibiscus_support::metadata::BackendBehaviour;
-use hibiscus_support::metadata::StoreFaults;
-use hibiscus_support::metadata::front::exchange;
 use hibiscus_support::process;
+use platform_standins::BackendBehaviour;
+use platform_standins::StoreFaults;
+use platform_standins::front::exchange;
 
 use crate::front::Platform;
 use crate::front::status;
