Decide who is silent in a fleet whose instances watch a few others each

The request path asks every other instance each 400 ms. What follows decides the same with four watchers an instance: rings over hashed names say who watches whom, verdicts that name both processes and the watcher's counter say what was found, and the majority of watchers that answer themselves holds.

--- a/crates/hibiscus-membership/src/lib.rs
+++ b/crates/hibiscus-membership/src/lib.rs
@@ -6,10 +6,13 @@
 //! fold decides. [`view`] merges the list with the heartbeats, [`neighbours`]
 //! chooses with whom an instance exchanges them and [`gossip`] what they tell
 //! each other, [`ranking`] orders instances for a shard or a caller, and
-//! [`address`] makes the answers that callers get.
+//! [`address`] makes the answers that callers get. [`rings`] and [`silence`]
+//! say who answers in a fleet whose instances watch a few others each.
 
 pub mod address;
 pub mod gossip;
 pub mod neighbours;
 pub mod ranking;
+pub mod rings;
+pub mod silence;
 pub mod view;
