Have an instance of a large fleet watched by four others, not by all

Callers saw little of it directly: instances had less processor for them. Cause: each instance asked every other one for its readiness each 400 ms, 152 questions a second out and as many in for each of 62 instances with 0.12 of a core, over a kept connection a pair; 2,000 a second each for 810.

Above 9 instances four watch each, at 800 ms, and a closed connection is asked about at once. Findings go over the peer link in bounded messages (hibiscus_membership::silence). By these times 22 messages a second an instance in and out, at any size. Up to 9 instances nothing changes.

Also bounded here: counts of instances and the order for a subject are remembered until the instances that answer change (they were worked out for each record and budget), and the link accepts no replaced process any more.

Failed before: with all watching all (FULL_WATCH_LIMIT 8,000), an_instance_of_a_large_fleet_asks_few_others and instances_of_a_large_fleet_serve_until_a_watcher_says_else.

Ruled out: longer pauses between the questions of all (a death is told late, and the square stays). Open: machines killed for good stay on the rings.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -18,10 +18,10 @@
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::measures;
+use hibiscus_traffic::members;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
-use hibiscus_traffic::probe;
 use hibiscus_traffic::recovery;
 use hibiscus_traffic::relay::AnswerBody;
 use hibiscus_traffic::retries::RetryBound;
@@ -29,7 +29,6 @@
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates;
-use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateReceiver;
 use hibiscus_types::IncarnationId;
 use http::Request;
@@ -227,6 +226,7 @@
     *state.link.borrow_mut() = Some(link);
     tokio::task::spawn_local(peers::answer_calls(Rc::clone(&state), calls));
     tokio::task::spawn_local(recovery::close_unproven(Rc::clone(&state)));
+    tokio::task::spawn_local(members::keep(Rc::clone(&state), answers::READINESS_PATH));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_calls(
         readiness,
@@ -250,11 +250,13 @@
         tokio::select! {
             update = updates.recv() => {
                 if let Some(update) = update {
-                    take(&state, update);
+                    state.apply(update);
                 }
             }
             _at = tick.tick() => {
                 state.expire_servers();
+                state.directory.borrow_mut().tick();
+                state.members.notify_one();
                 state.end_slow_heads();
                 state.share_server_connections();
                 state.review_budgets();
@@ -282,17 +284,6 @@
     }
 }
 
-/// Takes news over, and watches an instance that was not known.
-fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
-    if let TrafficUpdate::Instance(entry) = &update
-        && state.directory.borrow_mut().announce(entry.clone())
-    {
-        let watch = probe::watch(Rc::clone(state), entry.clone(), answers::READINESS_PATH);
-        tokio::task::spawn_local(watch);
-    }
-    state.apply(update);
-}
-
 /// Serves on while callers learn of the stop, then refuses what is new and
 /// waits for what is in progress.
 async fn stop(settings: &ProcessSettings, state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
@@ -303,7 +294,7 @@
         tokio::select! {
             update = updates.recv() => {
                 if let Some(update) = update {
-                    take(state, update);
+                    state.apply(update);
                 }
             }
             _at = tick.tick() => state.review_budgets(),
@@ -332,13 +323,13 @@
     state.budgets.give_all_back();
     while !state.budgets.is_acknowledged() || !state.budgets.is_read_back() {
         if let Some(update) = updates.recv().await {
-            take(state, update);
+            state.apply(update);
         }
     }
     state.budgets.write_snapshots();
     while !state.budgets.is_acknowledged() {
         if let Some(update) = updates.recv().await {
-            take(state, update);
+            state.apply(update);
         }
     }
 }
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -1,11 +1,16 @@
 //! Which instances callers are told to use.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_membership::silence::SilenceBoard;
+use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_peer::CertificatePin;
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -24,13 +29,15 @@
 /// between instances last seconds, and replaced ones must not count for ever.
 const FORGOTTEN_TIME: Duration = Duration::from_secs(600);
 
+/// Subjects whose first instance is remembered: more than there are budgets.
+const FIRST_KEPT: usize = 4_096;
+
 /// One instance and whether it answers.
 #[derive(Clone, Debug)]
 struct KnownInstance {
     entry: InstanceEntry,
-    reachable: bool,
-    /// When it answered last, or announced itself.
-    heard: Instant,
+    /// Since when it is held not to answer.
+    silent_since: Option<Instant>,
     /// Processes that the present one replaced, oldest first.
     replaced: VecDeque<IncarnationId>,
 }
@@ -41,15 +48,32 @@
     own: InstanceEntry,
     ready: bool,
     others: BTreeMap<InstanceName, KnownInstance>,
+    board: SilenceBoard,
+    begun: Instant,
+    /// Others that are held to answer.
+    answering: u32,
+    /// Others that are not forgotten.
+    remembered: u32,
+    /// Pins of processes that were replaced since they were last asked for.
+    replaced_pins: Vec<CertificatePin>,
+    /// For which subjects this instance is the first, until the instances
+    /// that answer change.
+    firsts: RefCell<HashMap<String, bool>>,
 }
 
 impl InstanceDirectory {
     /// A directory that knows only its own instance.
     pub fn new(own: InstanceEntry) -> Self {
         Self {
+            board: SilenceBoard::new(own.name.clone(), own.incarnation),
             own,
             ready: false,
             others: BTreeMap::new(),
+            begun: Instant::now(),
+            answering: 0,
+            remembered: 0,
+            replaced_pins: Vec::new(),
+            firsts: RefCell::default(),
         }
     }
 
@@ -67,44 +91,140 @@
         if entry.name == self.own.name {
             return false;
         }
-        let Some(known) = self.others.get_mut(&entry.name) else {
+        let now = self.begun.elapsed();
+        let (name, incarnation) = (entry.name.clone(), entry.incarnation);
+        let leaving = entry.leaving;
+        let Some(known) = self.others.get_mut(&name) else {
             let known = KnownInstance {
                 entry,
-                reachable: false,
-                heard: Instant::now(),
+                silent_since: None,
                 replaced: VecDeque::new(),
             };
-            self.others.insert(known.entry.name.clone(), known);
+            self.others.insert(name.clone(), known);
+            self.board.announce(&name, incarnation, leaving, now);
+            self.recount();
             return true;
         };
-        if known.entry.incarnation == entry.incarnation {
-            known.entry = entry;
-            return false;
-        }
-        if known.replaced.contains(&entry.incarnation) {
+        if known.replaced.contains(&incarnation) {
             return false;
         }
-        known.replaced.push_back(known.entry.incarnation);
-        while known.replaced.len() > REPLACED_KEPT {
-            known.replaced.pop_front();
+        let replaced = known.entry.incarnation != incarnation;
+        if replaced {
+            known.replaced.push_back(known.entry.incarnation);
+            while known.replaced.len() > REPLACED_KEPT {
+                known.replaced.pop_front();
+            }
+            known.silent_since = None;
+            if known.entry.pin != entry.pin {
+                self.replaced_pins.push(known.entry.pin);
+            }
         }
         known.entry = entry;
-        known.reachable = false;
-        known.heard = Instant::now();
-        true
+        self.board.announce(&name, incarnation, leaving, now);
+        self.recount();
+        replaced
+    }
+
+    /// Pins of the processes that were replaced since the last call.
+    pub fn take_replaced_pins(&mut self) -> Vec<CertificatePin> {
+        std::mem::take(&mut self.replaced_pins)
     }
 
     /// Notes whether the process that announced `entry` answers.
     pub fn note_reachable(&mut self, entry: &InstanceEntry, reachable: bool) {
-        let Some(known) = self.others.get_mut(&entry.name) else {
-            return;
-        };
-        if known.entry.incarnation == entry.incarnation {
-            known.reachable = reachable;
-            if reachable {
-                known.heard = Instant::now();
+        let now = self.begun.elapsed();
+        self.board
+            .note(&entry.name, entry.incarnation, reachable, now);
+        self.recount();
+    }
+
+    /// Lets time pass: whom to watch, and who is forgotten.
+    pub fn tick(&mut self) {
+        self.board.tick(self.begun.elapsed());
+        self.recount();
+    }
+
+    /// Takes over what another instance found, and answers it.
+    pub fn take_message(&mut self, message: SilenceMessage) -> SilenceMessage {
+        let answer = self.board.take(message, self.begun.elapsed());
+        self.recount();
+        answer
+    }
+
+    /// Takes over an answer, to a question for all that is known if `joining`.
+    pub fn take_answer(&mut self, answer: SilenceMessage, joining: bool) {
+        self.board.take_answer(answer, self.begun.elapsed());
+        if joining {
+            self.board.note_joined();
+        }
+        self.recount();
+    }
+
+    /// Whether this instance found something that others must learn.
+    pub fn has_news(&self) -> bool {
+        self.board.has_news()
+    }
+
+    /// What others must learn.
+    pub fn next_news(&mut self) -> Option<SilenceMessage> {
+        self.board.next_news()
+    }
+
+    /// A message that repairs what others missed.
+    pub fn next_exchange(&mut self) -> SilenceMessage {
+        self.board.next_exchange()
+    }
+
+    /// Whether the fleet is so large that this instance watches a few others.
+    pub fn is_large(&self) -> bool {
+        self.board.is_large()
+    }
+
+    /// The processes that this instance watches.
+    pub fn watched(&self) -> Vec<&InstanceEntry> {
+        let watched = self.board.watched().iter();
+        let known = watched.filter_map(|name| self.others.get(name));
+        known.map(|known| &known.entry).collect()
+    }
+
+    /// Whether this instance watches the process that announced `entry`.
+    pub fn watches(&self, entry: &InstanceEntry) -> bool {
+        self.knows(entry) && self.board.watched().contains(&entry.name)
+    }
+
+    /// Where the instances take questions that learn of news from this one.
+    pub fn contacts(&self) -> Vec<SocketAddr> {
+        let known = self
+            .board
+            .contacts()
+            .filter_map(|name| self.others.get(name));
+        known.map(|known| known.entry.peers).collect()
+    }
+
+    /// Counts the others anew.
+    fn recount(&mut self) {
+        let mut changed = false;
+        let (mut answering, mut remembered) = (0_u32, 0_u32);
+        for (name, known) in &mut self.others {
+            let silent = self.board.is_silent(name);
+            changed |= silent != known.silent_since.is_some();
+            if !silent {
+                known.silent_since = None;
+                answering += 1;
+                remembered += 1;
+                continue;
+            }
+            let since = known.silent_since.get_or_insert_with(Instant::now);
+            if since.elapsed() < FORGOTTEN_TIME {
+                remembered += 1;
             }
         }
+        // One more that answers since its announcement changes the count.
+        if changed || answering != self.answering {
+            self.firsts.borrow_mut().clear();
+        }
+        self.answering = answering;
+        self.remembered = remembered;
     }
 
     /// Notes whether this instance serves.
@@ -119,38 +239,45 @@
 
     /// Instances that may serve, this one included.
     pub fn live(&self) -> u32 {
-        let others = self.others.values().filter(|known| known.reachable);
-        u32::try_from(others.count())
-            .unwrap_or(u32::MAX)
-            .saturating_add(1)
+        self.answering.saturating_add(1)
     }
 
     /// Instances that may be serving, this one included: also those that do
     /// not answer, since they may be cut off from here only.
     pub fn may_serve(&self) -> u32 {
-        let others = self.others.values();
-        let others = others.filter(|known| known.heard.elapsed() < FORGOTTEN_TIME);
-        u32::try_from(others.count())
-            .unwrap_or(u32::MAX)
-            .saturating_add(1)
+        self.remembered.saturating_add(1)
     }
 
     /// Whether this instance is the first of those that answer in the order
     /// that `subject` gives them. All instances agree on it but for moments, so
     /// it may only choose who does what may be done twice.
     pub fn is_first_for(&self, subject: &str) -> bool {
+        if let Some(first) = self.firsts.borrow().get(subject) {
+            return *first;
+        }
         let rank = |entry: &InstanceEntry| {
             stable_hash(&[subject.as_bytes(), entry.name.as_str().as_bytes()])
         };
         let own = rank(&self.own);
-        let mut others = self.others.values().filter(|known| known.reachable);
-        others.all(|known| rank(&known.entry) > own)
+        let mut others = self.answering();
+        let first = others.all(|known| rank(&known.entry) > own);
+        let mut firsts = self.firsts.borrow_mut();
+        if firsts.len() >= FIRST_KEPT {
+            firsts.clear();
+        }
+        firsts.insert(subject.to_owned(), first);
+        first
+    }
+
+    /// The others that are held to answer.
+    fn answering(&self) -> impl Iterator<Item = &KnownInstance> {
+        let others = self.others.values();
+        others.filter(|known| known.silent_since.is_none())
     }
 
     /// Where the instances that answer take questions.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        let others = self.others.values().filter(|known| known.reachable);
-        others.map(|known| known.entry.peers).collect()
+        self.answering().map(|known| known.entry.peers).collect()
     }
 
     /// Addresses of the instances that serve, those in the data centre
@@ -162,8 +289,8 @@
         if self.ready {
             named.push(&self.own);
         }
-        for known in self.others.values() {
-            if known.reachable && !known.entry.leaving {
+        for known in self.answering() {
+            if !known.entry.leaving {
                 named.push(&known.entry);
             }
         }
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -9,7 +9,8 @@
 //!   kept connections ([`connect`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
 //! - [`budgets`] holds the tokens that requests reserve, [`retries`] what may
-//!   be sent twice, [`directory`] which instances callers are told of.
+//!   be sent twice, [`directory`] which instances callers are told of; [`members`]
+//!   has them watched ([`probe`]) and passes on what watchers find.
 //! - [`measures`] counts what passes, for the operators' metrics.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
 //!   everything is decided on this thread, so nothing here is locked.
@@ -27,6 +28,7 @@
 pub mod flight;
 pub mod life;
 pub mod measures;
+pub mod members;
 pub mod model;
 pub mod peers;
 pub mod port;
--- /dev/null
+++ b/crates/hibiscus-traffic/src/members.rs
@@ -0,0 +1,124 @@
+//! Has other instances watched, and passes on what watchers find.
+//!
+//! Which of them this instance watches and what it must tell, the directory
+//! decides ([`hibiscus_membership::silence`]); here are the tasks and the
+//! times. News go to the contacts at once, and again after a pause; an
+//! exchange with one of them repairs what got lost.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_types::IncarnationId;
+use tokio::time::Instant;
+
+use crate::dialect::RequestDialect;
+use crate::model::InstanceEntry;
+use crate::peers;
+use crate::probe;
+use crate::state::TrafficState;
+
+/// Least time between two messages of news to a contact: findings that come
+/// together go together, and the loss of many machines costs no more.
+const NEWS_PAUSE: Duration = Duration::from_millis(100);
+/// Time between two exchanges that repair.
+const EXCHANGE_PAUSE: Duration = Duration::from_secs(2);
+
+/// The processes that are asked now.
+type RunningWatches = Rc<RefCell<BTreeSet<IncarnationId>>>;
+
+/// Watches others at `path` for as long as the runtime runs.
+pub async fn keep<D: RequestDialect>(state: Rc<TrafficState<D>>, path: &'static str) {
+    let running = RunningWatches::default();
+    let mut next_news = Instant::now();
+    let mut next_exchange = Instant::now() + EXCHANGE_PAUSE;
+    loop {
+        let has_news = state.directory.borrow().has_news();
+        let due = if has_news { next_news } else { next_exchange };
+        tokio::select! {
+            () = state.members.notified() => {}
+            () = tokio::time::sleep_until(due) => {}
+        }
+        start_watches(&state, &running, path);
+        let now = Instant::now();
+        if now >= next_news {
+            let news = state.directory.borrow_mut().next_news();
+            if let Some(message) = news {
+                tell_contacts(&state, &message);
+                next_news = now + NEWS_PAUSE;
+            }
+        }
+        if now >= next_exchange {
+            next_exchange = now + EXCHANGE_PAUSE;
+            exchange(&state);
+        }
+    }
+}
+
+/// Starts to ask those that this instance is to watch and does not yet.
+fn start_watches<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    running: &RunningWatches,
+    path: &'static str,
+) {
+    let directory = state.directory.borrow();
+    for entry in directory.watched() {
+        if !running.borrow_mut().insert(entry.incarnation) {
+            continue;
+        }
+        let watch = watch(Rc::clone(state), entry.clone(), path, Rc::clone(running));
+        tokio::task::spawn_local(watch);
+    }
+}
+
+/// Asks one process for as long as this instance is to watch it.
+async fn watch<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    entry: InstanceEntry,
+    path: &'static str,
+    running: RunningWatches,
+) {
+    let incarnation = entry.incarnation;
+    probe::watch(Rc::clone(&state), entry, path).await;
+    running.borrow_mut().remove(&incarnation);
+    // It may have become one to watch again since the last look.
+    state.members.notify_one();
+}
+
+/// Passes news on to all contacts.
+fn tell_contacts<D: RequestDialect>(state: &Rc<TrafficState<D>>, message: &SilenceMessage) {
+    for contact in state.directory.borrow().contacts() {
+        tokio::task::spawn_local(tell(Rc::clone(state), contact, message.clone()));
+    }
+}
+
+/// Repairs what one of the contacts and this instance missed.
+fn exchange<D: RequestDialect>(state: &Rc<TrafficState<D>>) {
+    let mut directory = state.directory.borrow_mut();
+    let contact = fastrand::choice(directory.contacts());
+    let Some(contact) = contact.filter(|_contact| directory.is_large()) else {
+        return;
+    };
+    let message = directory.next_exchange();
+    tokio::task::spawn_local(tell(Rc::clone(state), contact, message));
+}
+
+/// Tells one instance, and takes its answer over.
+async fn tell<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    contact: SocketAddr,
+    message: SilenceMessage,
+) {
+    let Some(link) = state.link.borrow().clone() else {
+        return;
+    };
+    let joining = message.joining;
+    let Some(answer) = peers::tell_silence(&link, contact, message).await else {
+        return;
+    };
+    state.directory.borrow_mut().take_answer(answer, joining);
+    state.members.notify_one();
+}
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -11,6 +11,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_membership::silence::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
@@ -50,6 +51,8 @@
     },
     /// Tells the time of day of the machine.
     TimeOfDay,
+    /// Takes over which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// The answer to a question.
@@ -59,6 +62,8 @@
     Tokens(TokenCount),
     /// Milliseconds since the Unix epoch.
     TimeOfDay(u64),
+    /// Which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// Answers other instances for as long as the runtime runs.
@@ -74,7 +79,7 @@
                 continue;
             }
         };
-        let answer = answer(&state, &question);
+        let answer = answer(&state, question);
         match codec::encode(&answer) {
             Ok(body) => call.reply(body),
             Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
@@ -83,10 +88,10 @@
 }
 
 /// Decides on one question.
-fn answer<D: RequestDialect>(state: &TrafficState<D>, question: &PeerQuestion) -> PeerAnswer {
+fn answer<D: RequestDialect>(state: &TrafficState<D>, question: PeerQuestion) -> PeerAnswer {
     match question {
         PeerQuestion::Tokens { budget, tokens } => {
-            let given = state.budgets.give(budget, *tokens);
+            let given = state.budgets.give(&budget, tokens);
             event!(
                 EventCode::TokensGiven,
                 "budget={budget} asked={tokens} given={given}"
@@ -94,6 +99,11 @@
             PeerAnswer::Tokens(given)
         }
         PeerQuestion::TimeOfDay => PeerAnswer::TimeOfDay(UnixMillis::now().get()),
+        PeerQuestion::Silence(message) => {
+            let answer = state.directory.borrow_mut().take_message(message);
+            state.members.notify_one();
+            PeerAnswer::Silence(answer)
+        }
     }
 }
 
@@ -138,7 +148,7 @@
     };
     match ask(link, peer, &question, ANSWER_LIMIT).await? {
         PeerAnswer::Tokens(given) => Some(given),
-        PeerAnswer::TimeOfDay(_millis) => None,
+        PeerAnswer::TimeOfDay(_) | PeerAnswer::Silence(_) => None,
     }
 }
 
@@ -147,7 +157,20 @@
 pub async fn ask_time(link: &PinnedLink, peer: SocketAddr) -> Option<u64> {
     match ask(link, peer, &PeerQuestion::TimeOfDay, TIME_LIMIT).await? {
         PeerAnswer::TimeOfDay(millis) => Some(millis),
-        PeerAnswer::Tokens(_given) => None,
+        PeerAnswer::Tokens(_) | PeerAnswer::Silence(_) => None,
+    }
+}
+
+/// Tells one instance which others are silent; `None` when it does not answer.
+pub async fn tell_silence(
+    link: &PinnedLink,
+    peer: SocketAddr,
+    message: SilenceMessage,
+) -> Option<SilenceMessage> {
+    let question = PeerQuestion::Silence(message);
+    match ask(link, peer, &question, TIME_LIMIT).await? {
+        PeerAnswer::Silence(answer) => Some(answer),
+        PeerAnswer::Tokens(_) | PeerAnswer::TimeOfDay(_) => None,
     }
 }
 
--- a/crates/hibiscus-traffic/src/probe.rs
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hibiscus_events::EventCode;
@@ -20,11 +21,17 @@
 
 /// Time between two questions: callers are told of a death within a second.
 const INTERVAL: Duration = Duration::from_millis(400);
+/// The same in a large fleet, where a question more costs every instance, and
+/// several watch each.
+const LARGE_INTERVAL: Duration = Duration::from_millis(800);
+/// Time between two looks whether the kept connection was closed: a process
+/// that ends closes its own, so its watchers need not wait to ask.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
 
-/// Asks the process that announced `entry` at `path` until it is replaced by
-/// another or has stopped.
+/// Asks the process that announced `entry` at `path` for as long as this
+/// instance is to watch it.
 pub async fn watch<D: RequestDialect>(
     state: Rc<TrafficState<D>>,
     entry: InstanceEntry,
@@ -32,7 +39,7 @@
 ) {
     let mut link = None;
     let mut last = None;
-    while state.directory.borrow().knows(&entry) {
+    while state.directory.borrow().watches(&entry) {
         let asked = ask(&mut link, &entry, path);
         let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
         let serves = matches!(answer, Ok(Some(StatusCode::OK)));
@@ -48,7 +55,22 @@
             last = Some(serves);
         }
         state.apply(TrafficUpdate::Reachable(entry.clone(), serves));
+        rest(&state, link.as_ref()).await;
+    }
+}
+
+/// Waits until the next question is due.
+async fn rest<D: RequestDialect>(state: &TrafficState<D>, link: Option<&ServerLink>) {
+    if !state.directory.borrow().is_large() {
         tokio::time::sleep(INTERVAL).await;
+        return;
+    }
+    let begun = Instant::now();
+    while begun.elapsed() < LARGE_INTERVAL {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        if link.is_some_and(|link| !link.is_usable()) {
+            return;
+        }
     }
 }
 
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -22,6 +22,7 @@
 use crate::directory::InstanceDirectory;
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
+use crate::model::InstanceEntry;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
@@ -65,6 +66,9 @@
     pub directory: RefCell<InstanceDirectory>,
     /// The link to the other instances, once it is open.
     pub link: RefCell<Option<PinnedLink>>,
+    /// Tells [`crate::members`] that whom to watch or what to pass on may
+    /// have changed.
+    pub members: Notify,
     /// The processes that the link accepts.
     pub pins: PinSet,
     /// The callers' connections.
@@ -95,6 +99,7 @@
             directory: RefCell::new(parts.directory),
             callers: CallerRegistry::new(parts.bounds),
             link: RefCell::default(),
+            members: Notify::new(),
             measures: Rc::default(),
             pins: PinSet::default(),
             servers: RefCell::default(),
@@ -202,14 +207,14 @@
                 self.review_budgets();
             }
             TrafficUpdate::Instance(entry) => {
-                self.pins.insert(entry.pin);
-                // Whoever watches instances has announced it already.
-                let _known = self.directory.borrow_mut().announce(entry);
+                self.announce(entry);
+                self.members.notify_one();
+            }
+            TrafficUpdate::Reachable(entry, reachable) => {
+                let mut directory = self.directory.borrow_mut();
+                directory.note_reachable(&entry, reachable);
+                self.members.notify_one();
             }
-            TrafficUpdate::Reachable(entry, reachable) => self
-                .directory
-                .borrow_mut()
-                .note_reachable(&entry, reachable),
             TrafficUpdate::Stop => {
                 self.stopping.set(Some(Instant::now()));
                 self.budgets.begin_stop();
@@ -220,6 +225,21 @@
         self.update_ready();
     }
 
+    /// Takes an announcement over; the link accepts the newest process of
+    /// each instance only.
+    fn announce(&self, entry: InstanceEntry) {
+        let mut directory = self.directory.borrow_mut();
+        let pin = entry.pin;
+        let newest = entry.clone();
+        let _was_new = directory.announce(entry);
+        if directory.knows(&newest) {
+            self.pins.insert(pin);
+        }
+        for pin in directory.take_replaced_pins() {
+            self.pins.remove(&pin);
+        }
+    }
+
     /// Decides on draws and reports.
     pub fn review_budgets(&self) {
         let directory = self.directory.borrow();
