Look at waiting budgets alone when account records arrive

Callers of a fleet of 62 saw requests refused, late and lost: the traffic thread of the small machines (0.12 of a core) had no time for them.

Cause: each record of the account stream made the thread look at all budgets, and each look sums over all holders. 62 instances append some 750 records a second, so the work grows with the square of the instances times the budgets. Ruled out: the looks are not needed, since a record can only help a budget that requests wait for; all others are due at the next tick.

A page of the stream is one piece of news now, and after it only budgets that requests wait for are looked at.

--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -288,10 +288,11 @@
             Ok(Some(page)) => {
                 reach.succeeded(account::STREAM);
                 let end = page.end;
-                for record in page.records {
-                    let offset = next;
-                    next += 1;
-                    tell(updates, TrafficUpdate::Account { offset, record });
+                let first = next;
+                let records = page.records;
+                next += u64::try_from(records.len()).unwrap_or(u64::MAX);
+                if !records.is_empty() {
+                    tell(updates, TrafficUpdate::Accounts { first, records });
                 }
                 if next >= end && !current {
                     current = true;
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -11,6 +11,7 @@
 mod tokens;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::thread::Thread;
@@ -98,6 +99,10 @@
     clock: MachineClock,
     fold: AccountFold,
     held: BTreeMap<BudgetName, HeldBudget>,
+    /// Budgets that requests wait for.
+    waiting: BTreeSet<BudgetName>,
+    /// Looks at a budget since the start.
+    reviews: u64,
     outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
     unsent_snapshots: Vec<AccountSnapshot>,
@@ -138,6 +143,8 @@
             clock,
             fold: AccountFold::default(),
             held: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            reviews: 0,
             outbox,
             unsent: Vec::new(),
             unsent_snapshots: Vec::new(),
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -87,6 +87,17 @@
         self.desk.borrow_mut().review(holders, is_keeper, now);
     }
 
+    /// See [`BudgetDesk::review_waiting`].
+    pub fn review_waiting(&self, holders: u32) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().review_waiting(holders, now);
+    }
+
+    /// See [`BudgetDesk::reviews`].
+    pub fn reviews(&self) -> u64 {
+        self.desk.borrow().reviews()
+    }
+
     /// See [`BudgetDesk::count_demand`].
     pub fn count_demand(&self, budget: &BudgetName, tokens: TokenCount) {
         let now = self.started.elapsed();
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -37,6 +37,21 @@
         self.send(now);
     }
 
+    /// Decides on draws and reports of the budgets that requests wait for:
+    /// news of the stream concerns no other before the next look at all.
+    pub fn review_waiting(&mut self, holders: u32, now: Duration) {
+        let names: Vec<BudgetName> = self.waiting.iter().cloned().collect();
+        for budget in names {
+            self.review_one(&budget, holders, now);
+        }
+        self.send(now);
+    }
+
+    /// Budgets that were looked at since the start, each time counted.
+    pub fn reviews(&self) -> u64 {
+        self.reviews
+    }
+
     /// A planned stop has begun.
     pub fn begin_stop(&mut self) {
         self.stopping = true;
@@ -87,6 +102,7 @@
     }
 
     fn review_one(&mut self, budget: &BudgetName, holders: u32, now: Duration) {
+        self.reviews += 1;
         let held = self.held.entry(budget.clone()).or_default();
         let account = self.fold.budget(budget);
         let total = self.totals.get(budget).copied();
--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -150,6 +150,7 @@
     pub(super) fn want(&mut self, budget: &BudgetName, tokens: TokenCount) -> Rc<Notify> {
         let held = self.held.entry(budget.clone()).or_default();
         held.wanted = held.wanted + tokens;
+        self.waiting.insert(budget.clone());
         Rc::clone(&held.changed)
     }
 
@@ -157,6 +158,9 @@
     pub(super) fn unwant(&mut self, budget: &BudgetName, tokens: TokenCount) {
         let held = self.held.entry(budget.clone()).or_default();
         held.wanted = held.wanted.saturating_sub(tokens);
+        if held.wanted.is_zero() {
+            self.waiting.remove(budget);
+        }
     }
 
     /// Tokens that other holders have not reported as spent.
--- a/crates/hibiscus-traffic/src/life/reservation.rs
+++ b/crates/hibiscus-traffic/src/life/reservation.rs
@@ -73,7 +73,7 @@
         return Ok(hold);
     }
     let want = state.budgets.want(budget, tokens);
-    state.review_budgets();
+    state.review_waiting();
     loop {
         match state.budgets.refusal(budget, tokens) {
             Some(TokenRefusal::Spent) => return Err(OwnReason::BudgetSpent),
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -186,9 +186,11 @@
             }
             TrafficUpdate::ServersLost => self.roster.borrow_mut().note_store_lost(),
             TrafficUpdate::ServersRead => self.roster.borrow_mut().note_store_read(self.now()),
-            TrafficUpdate::Account { offset, record } => {
-                self.budgets.apply(offset, &record);
-                self.review_budgets();
+            TrafficUpdate::Accounts { first, records } => {
+                for (offset, record) in (first..).zip(&records) {
+                    self.budgets.apply(offset, record);
+                }
+                self.review_waiting();
             }
             TrafficUpdate::AccountsCurrent => {
                 self.budgets.recover();
@@ -199,7 +201,7 @@
             }
             TrafficUpdate::AccountsAppended { number, end } => {
                 self.budgets.acknowledge(number, end);
-                self.review_budgets();
+                self.review_waiting();
             }
             TrafficUpdate::Instance(entry) => {
                 self.pins.insert(entry.pin);
@@ -220,7 +222,13 @@
         self.update_ready();
     }
 
-    /// Decides on draws and reports.
+    /// Decides on draws and reports of the budgets that requests wait for.
+    pub fn review_waiting(&self) {
+        let holders = self.directory.borrow().live();
+        self.budgets.review_waiting(holders);
+    }
+
+    /// Decides on draws and reports of all budgets.
     pub fn review_budgets(&self) {
         let directory = self.directory.borrow();
         let is_keeper = |budget: &BudgetName| directory.is_first_for(budget.as_str());
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -29,12 +29,12 @@
     ServersLost,
     /// The servers' topic was read.
     ServersRead,
-    /// An encoded record of the account stream.
-    Account {
-        /// Its offset.
-        offset: u64,
-        /// Its bytes.
-        record: Vec<u8>,
+    /// Encoded records of the account stream, one after the other.
+    Accounts {
+        /// Offset of the first of them.
+        first: u64,
+        /// Their bytes.
+        records: Vec<Vec<u8>>,
     },
     /// All account records that the store had were told.
     AccountsCurrent,
