Draw without waiting requests only once the other instances are known

Cause: an instance that has just started knows nobody, so each of 62 drew a tenth of each total for itself; the first ones took all, and the rest went round after round to get some back. Ruled out: too small totals, since the same budgets were free again seconds later.

An instance draws without a waiting request only 1.5 s after it has read the announcements. Until then, and whenever others hold in its place, it draws what waits and gives the rest back (DrawView::relieved).

--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -222,6 +222,13 @@
         INSTANCES_TOPIC
     }
 
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in records {
+            self.take(record, updates);
+        }
+        tell(updates, TrafficUpdate::InstancesRead);
+    }
+
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
         let Some(value) = record.value else {
             return;
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -14,8 +14,9 @@
 /// off from the store for up to 10 s at a time, and demand nearly doubles
 /// meanwhile. 12 s served worse, 24 s no better (docs/MEASUREMENTS.md).
 const HORIZON: Duration = Duration::from_secs(18);
-/// Time that a holder provides for once its planned stop has begun.
-const STOPPING_HORIZON: Duration = Duration::from_secs(2);
+/// Time that a holder provides for once its planned stop has begun, or others
+/// hold in its place.
+const LEAVING_HORIZON: Duration = Duration::from_secs(2);
 /// Typical requests that a holder keeps at least while a budget is ample.
 const REQUESTS_KEPT: u64 = 1;
 /// A holder without a known demand draws the total divided by this and by the
@@ -65,6 +66,8 @@
     pub holders: u32,
     /// Whether this holder has begun a planned stop.
     pub stopping: bool,
+    /// Whether others draw in its place: it draws only for requests that wait.
+    pub relieved: bool,
 }
 
 /// What a holder should do now.
@@ -83,12 +86,13 @@
 /// Decides for one budget.
 pub fn decide(view: &DrawView) -> DrawDecision {
     let decision = decide_serving(view);
-    if !view.stopping {
+    if !view.stopping && !view.relieved {
         return decision;
     }
-    // The store may be out of reach when the stop ends: what the last requests
-    // will not need goes back at once.
-    let needed = view.demand_per_second * STOPPING_HORIZON.as_secs_f64();
+    // The store may be out of reach when a stop ends, and a relieved holder's
+    // tokens are missing elsewhere: what the last requests will not need goes
+    // back at once.
+    let needed = view.demand_per_second * LEAVING_HORIZON.as_secs_f64();
     let kept = tokens(needed) + view.wanted;
     DrawDecision {
         draw: view.wanted.saturating_sub(view.available).min(view.free),
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -434,3 +434,24 @@
     resumed.apply(7, &[prepaid(1, TOKENS), draw(1, 1, 300)]);
     assert_eq!(free(&resumed), 700);
 }
+
+/// Guards against tokens that lie where no request needs them, while others
+/// are refused (issue 17, SHORT on seamline-grown).
+#[test]
+fn a_relieved_holder_draws_for_waiting_requests_only_and_gives_the_rest_back() {
+    let view = DrawView {
+        available: tokens(50_000),
+        free: tokens(500_000),
+        prepaid: tokens(1_000_000),
+        holders: 8,
+        relieved: true,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.draw.is_zero(), "{decision:?}");
+    assert_eq!(decision.give_back, view.available);
+    let wanted = tokens(60_000);
+    let decision = policy::decide(&DrawView { wanted, ..view });
+    assert_eq!(decision.draw, tokens(10_000));
+    assert!(decision.give_back.is_zero(), "{decision:?}");
+}
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -81,6 +81,18 @@
     Unconfirmed,
 }
 
+/// What this instance does for one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetRole {
+    /// Instances that draw of the budget.
+    pub holders: u32,
+    /// Whether this one is among them. Others draw only for requests that
+    /// wait.
+    pub holds: bool,
+    /// Whether it writes the budget's snapshots.
+    pub keeps: bool,
+}
+
 /// How far the accounts of earlier processes of this machine are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecoveryPhase {
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 
 use crate::budgets::BudgetDesk;
+use crate::budgets::BudgetRole;
 use crate::budgets::RecoveryPhase;
 use crate::budgets::TokenRefusal;
 use crate::model::FleetConfig;
@@ -82,15 +83,15 @@
     }
 
     /// See [`BudgetDesk::review`].
-    pub fn review(&self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool) {
+    pub fn review(&self, role_of: impl Fn(&BudgetName) -> BudgetRole) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().review(holders, is_keeper, now);
+        self.desk.borrow_mut().review(role_of, now);
     }
 
     /// See [`BudgetDesk::review_waiting`].
-    pub fn review_waiting(&self, holders: u32) {
+    pub fn review_waiting(&self, role_of: impl Fn(&BudgetName) -> BudgetRole) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().review_waiting(holders, now);
+        self.desk.borrow_mut().review_waiting(role_of, now);
     }
 
     /// See [`BudgetDesk::reviews`].
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -14,6 +14,7 @@
 
 use crate::budgets::AccountBatch;
 use crate::budgets::BudgetDesk;
+use crate::budgets::BudgetRole;
 
 /// Time between two reports of what was spent: a crash loses what a line
 /// allows over this time and the restart.
@@ -23,14 +24,15 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 
 impl BudgetDesk {
-    /// Decides on draws, returns and reports, with `holders` live instances,
-    /// and hands the records to the thread that appends. `is_keeper` tells
-    /// whether this instance writes the snapshots of a budget.
-    pub fn review(&mut self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool, now: Duration) {
+    /// Decides on draws, returns and reports, and hands the records to the
+    /// thread that appends. `role_of` tells what this instance does for a
+    /// budget.
+    pub fn review(&mut self, role_of: impl Fn(&BudgetName) -> BudgetRole, now: Duration) {
         let names: Vec<BudgetName> = self.totals.keys().cloned().collect();
         for budget in names {
-            self.review_one(&budget, holders, now);
-            if self.is_snapshot_due(&budget, now) && is_keeper(&budget) {
+            let role = role_of(&budget);
+            self.review_one(&budget, role, now);
+            if role.keeps && self.is_snapshot_due(&budget, now) {
                 self.write_snapshot(&budget, now);
             }
         }
@@ -39,10 +41,10 @@
 
     /// Decides on draws and reports of the budgets that requests wait for:
     /// news of the stream concerns no other before the next look at all.
-    pub fn review_waiting(&mut self, holders: u32, now: Duration) {
+    pub fn review_waiting(&mut self, role_of: impl Fn(&BudgetName) -> BudgetRole, now: Duration) {
         let names: Vec<BudgetName> = self.waiting.iter().cloned().collect();
         for budget in names {
-            self.review_one(&budget, holders, now);
+            self.review_one(&budget, role_of(&budget), now);
         }
         self.send(now);
     }
@@ -101,7 +103,7 @@
         });
     }
 
-    fn review_one(&mut self, budget: &BudgetName, holders: u32, now: Duration) {
+    fn review_one(&mut self, budget: &BudgetName, role: BudgetRole, now: Duration) {
         self.reviews += 1;
         let held = self.held.entry(budget.clone()).or_default();
         let account = self.fold.budget(budget);
@@ -120,8 +122,9 @@
             held: account.map(BudgetAccount::held).unwrap_or_default(),
             others_per_second: account
                 .map_or(0.0, |account| account.demand_of_others(self.holder) as f64),
-            holders,
+            holders: role.holders,
             stopping: self.stopping,
+            relieved: !role.holds,
         };
         let decision = policy::decide(&view);
         if !held.pending && !decision.draw.is_zero() {
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::budgets::BudgetDesk;
 use crate::budgets::BudgetHandle;
+use crate::budgets::BudgetRole;
 use crate::callers::CallerBounds;
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
@@ -32,6 +33,9 @@
 
 /// Time for a head while no configuration is known: the usual limit.
 const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time for instances that start together to announce themselves and to be
+/// found by each other: they start within 0.3 s, an append takes milliseconds.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// What the state of a request path is made of.
 #[expect(missing_debug_implementations, reason = "moved into the state at once")]
@@ -77,6 +81,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// When the table came into force.
     table_since: Cell<Duration>,
+    /// When the instances' announcements were first read.
+    instances_read: Cell<Option<Duration>>,
     in_progress: Rc<Cell<usize>>,
     stopping: Cell<Option<Instant>>,
     closing: Cell<bool>,
@@ -101,6 +107,7 @@
             roster: RefCell::default(),
             table: RefCell::default(),
             table_since: Cell::default(),
+            instances_read: Cell::default(),
             in_progress: Rc::default(),
             stopping: Cell::new(None),
             closing: Cell::new(false),
@@ -208,6 +215,11 @@
                 // Whoever watches instances has announced it already.
                 let _known = self.directory.borrow_mut().announce(entry);
             }
+            TrafficUpdate::InstancesRead => {
+                if self.instances_read.get().is_none() {
+                    self.instances_read.set(Some(self.now()));
+                }
+            }
             TrafficUpdate::Reachable(entry, reachable) => self
                 .directory
                 .borrow_mut()
@@ -224,15 +236,34 @@
 
     /// Decides on draws and reports of the budgets that requests wait for.
     pub fn review_waiting(&self) {
-        let holders = self.directory.borrow().live();
-        self.budgets.review_waiting(holders);
+        let directory = self.directory.borrow();
+        self.budgets
+            .review_waiting(|budget| self.role_of(&directory, budget));
     }
 
     /// Decides on draws and reports of all budgets.
     pub fn review_budgets(&self) {
         let directory = self.directory.borrow();
-        let is_keeper = |budget: &BudgetName| directory.is_first_for(budget.as_str());
-        self.budgets.review(directory.live(), is_keeper);
+        self.budgets
+            .review(|budget| self.role_of(&directory, budget));
+    }
+
+    /// What this instance does for `budget`. Before the other instances are
+    /// known it draws for requests that wait only: a whole fleet that starts
+    /// would else draw as if each instance were alone.
+    fn role_of(&self, directory: &InstanceDirectory, budget: &BudgetName) -> BudgetRole {
+        BudgetRole {
+            holders: directory.live(),
+            holds: self.knows_fleet(),
+            keeps: directory.is_first_for(budget.as_str()),
+        }
+    }
+
+    /// Whether instances that started together have had time to announce
+    /// themselves.
+    fn knows_fleet(&self) -> bool {
+        let read = self.instances_read.get();
+        read.is_some_and(|read| self.now().saturating_sub(read) >= SETTLE_TIME)
     }
 
     /// Ends callers' connections whose heads take too long.
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -53,6 +53,8 @@
         /// Offset after its records; `None` if it had only snapshots.
         end: Option<u64>,
     },
+    /// The announcements that the store had were told.
+    InstancesRead,
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Another instance answers, or does not.
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -12,6 +12,7 @@
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::budgets::BudgetRole;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::model::CallerLimits;
 use hibiscus_traffic::model::FleetConfig;
@@ -45,6 +46,15 @@
     }
 }
 
+/// The role of one of seven holders.
+fn role(keeps: bool) -> BudgetRole {
+    BudgetRole {
+        holders: 7,
+        holds: true,
+        keeps,
+    }
+}
+
 /// A desk, and the stream that its batches go to.
 struct DeskCase {
     desk: BudgetDesk,
@@ -70,7 +80,7 @@
     /// Reviews at `now`, and has the store take what is sent; returns the
     /// reports among it.
     fn review(&mut self, now: Duration) -> Vec<HolderReport> {
-        self.desk.review(7, |_budget| true, now);
+        self.desk.review(|_budget| role(true), now);
         let mut reports = Vec::new();
         while let Ok(batch) = self.batches.try_recv() {
             let record = codec::encode(&batch.records).expect("records are encoded");
@@ -109,7 +119,7 @@
     let mut written = Vec::new();
     for second in 0..130 {
         let now = Duration::from_secs(second);
-        case.desk.review(7, |_budget| true, now);
+        case.desk.review(|_budget| role(true), now);
         while let Ok(batch) = case.batches.try_recv() {
             let record = codec::encode(&batch.records).expect("records are encoded");
             case.desk.acknowledge(batch.number, None, now);
@@ -128,7 +138,7 @@
     let budget = BudgetName::from("team");
     let now = Duration::ZERO;
     // The first draw is on its way when the stop ends.
-    case.desk.review(7, |_budget| false, now);
+    case.desk.review(|_budget| role(false), now);
     case.desk.give_all_back(now);
     let mut fold = AccountFold::default();
     while let Ok(batch) = case.batches.try_recv() {
@@ -165,7 +175,7 @@
     case.review(Duration::ZERO);
     case.desk.resume(0, Vec::new());
     let mut other = DeskCase::start();
-    other.desk.review(7, |_budget| false, Duration::ZERO);
+    other.desk.review(|_budget| role(false), Duration::ZERO);
     let batch = other.batches.try_recv().expect("a first draw");
     let record = codec::encode(&batch.records).expect("records are encoded");
     case.desk.apply(0, &record, Duration::ZERO);
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use hibiscus_ledger::account::AccountRecord;
+use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetDesk;
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
@@ -24,6 +26,7 @@
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
@@ -87,12 +90,13 @@
     }
 }
 
-fn state() -> TrafficState<SilentDialect> {
-    let (outbox, _batches) = mpsc::sync_channel(16);
+/// A request path, and the batches that go to the store.
+fn state() -> (TrafficState<SilentDialect>, Receiver<AccountBatch>) {
+    let (outbox, batches) = mpsc::sync_channel(16);
     let own = instance(0);
     let clock = MachineClock::of_this_boot();
     let desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
-    TrafficState::new(TrafficParts {
+    let state = TrafficState::new(TrafficParts {
         dialect: SilentDialect,
         data_centre: own.data_centre.clone(),
         budgets: desk,
@@ -103,14 +107,22 @@
         }),
         directory: InstanceDirectory::new(own),
         bounds: CallerBounds::of_machine(88 << 20, 4_100),
-    })
+    });
+    (state, batches)
+}
+
+/// Draws among what is on its way to the store.
+fn draws(batches: &Receiver<AccountBatch>) -> Vec<AccountRecord> {
+    let records = batches.try_iter().flat_map(|batch| batch.records);
+    let draws = records.filter(|record| matches!(record, AccountRecord::Draw { .. }));
+    draws.collect()
 }
 
 /// Guards against processor time that grows with the records of all instances
 /// times all budgets (issue 17, SHORT on seamline-grown).
 #[test]
 fn records_of_other_instances_cause_no_look_at_each_budget() {
-    let state = state();
+    let (state, _batches) = state();
     state.apply(TrafficUpdate::Config(Arc::new(config())));
     state.apply(TrafficUpdate::AccountsCurrent);
     let before = state.budgets.reviews();
@@ -131,3 +143,24 @@
     }
     assert_eq!(state.budgets.reviews(), before);
 }
+
+/// Guards against a fleet whose instances each draw as if they were alone when
+/// all start together (issue 17, SHORT on seamline-grown).
+#[test]
+fn an_instance_that_does_not_know_the_others_draws_for_waiting_requests_only() {
+    let (state, batches) = state();
+    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::AccountsCurrent);
+    state.apply(TrafficUpdate::InstancesRead);
+    state.review_budgets();
+    assert_eq!(draws(&batches), []);
+    let budget = BudgetName::from("team-3");
+    let tokens = TokenCount::new(9_000);
+    let _want = state.budgets.want(&budget, tokens);
+    state.review_waiting();
+    let draws = draws(&batches);
+    assert!(
+        matches!(&draws[..], [AccountRecord::Draw { tokens: drawn, .. }] if *drawn == tokens),
+        "{draws:?}"
+    );
+}
