Test a fleet of ten daemons that do not all hold a budget

Callers of any instance are served, at most eight instances draw, and over the kill of a holder the fleet spends what is prepaid and no more.

--- /dev/null
+++ b/tests/testsuite/front/fleet.rs
@@ -0,0 +1,104 @@
+//! Several daemons before one store.
+
+use std::thread;
+use std::time::Duration;
+
+use platform_standins::BackendBehaviour;
+use platform_standins::BackendStandin;
+use platform_standins::FrontProcess;
+use platform_standins::StoreStandin;
+use platform_standins::front::FrontPorts;
+
+use crate::front::PREPAID;
+use crate::front::config;
+use crate::front::request;
+use crate::front::status;
+use crate::front::wait_for;
+use crate::front::write_server;
+
+/// More instances than hold a budget.
+const INSTANCES: usize = 10;
+/// Time after which the instances know each other.
+const SETTLED: Duration = Duration::from_secs(3);
+
+/// Daemons before a store and one engine.
+struct Fleet {
+    store: StoreStandin,
+    _engine: BackendStandin,
+    fronts: Vec<FrontProcess>,
+}
+
+impl Fleet {
+    fn start(prepaid: u64) -> Self {
+        let store = StoreStandin::start();
+        let engine = BackendStandin::start(BackendBehaviour::Events { count: 5 });
+        store.write("keyed.op", "config", config(1, prepaid, "").as_bytes());
+        write_server(&store, "i-engine", "engine", &engine, "ready");
+        let mut fronts = Vec::new();
+        for number in 0..INSTANCES {
+            let name = format!("front-{number}");
+            let front = FrontProcess::start(&name, FrontPorts::find(), store.address());
+            fronts.push(front);
+        }
+        for front in &fronts {
+            front.wait_ready();
+        }
+        thread::sleep(SETTLED);
+        Self {
+            store,
+            _engine: engine,
+            fronts,
+        }
+    }
+
+    /// Sends a request that costs `prompt` + 15 tokens to the instance
+    /// `number`; whether it was served.
+    fn is_served(&self, number: usize, id: &str, prompt: u64) -> bool {
+        let more = format!("Token-Counts: {prompt},15\r\n");
+        let answer = self.fronts[number].call(&request("/stream/x", id, &more));
+        status(&answer) == "200"
+    }
+
+    /// Instances whose log has lines with `text`.
+    fn count_logs(&self, text: &str) -> usize {
+        let logs = self.fronts.iter().map(|front| front.log_file());
+        let logs = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+        logs.filter(|log| log.contains(text)).count()
+    }
+}
+
+/// Guards against budgets that each instance of a large fleet holds in part,
+/// too little for one request (issue 17, SHORT on seamline-grown).
+#[test]
+fn an_instance_that_does_not_hold_a_budget_serves_its_callers_with_a_holders_tokens() {
+    let fleet = Fleet::start(PREPAID);
+    for number in 0..INSTANCES {
+        let id = format!("id-{number}");
+        wait_for("an answer", || fleet.is_served(number, &id, 2_500));
+    }
+    assert!(fleet.count_logs("HS3102 ") <= 8);
+    assert!(fleet.count_logs("HS3121 ") >= 1);
+}
+
+#[test]
+fn a_fleet_spends_what_is_prepaid_and_no_more_over_the_kill_of_holders() {
+    let mut fleet = Fleet::start(PREPAID);
+    let mut spent = 0;
+    for round in 0..8 {
+        for number in 0..INSTANCES {
+            let id = format!("id-{round}-{number}");
+            if fleet.is_served(number, &id, 2_500) {
+                spent += 2_515;
+            }
+        }
+        if round == 2 {
+            fleet.fronts[0].kill();
+            let ports = fleet.fronts[0].ports;
+            let store = fleet.store.address();
+            fleet.fronts[0] = FrontProcess::start("front-0", ports, store);
+            fleet.fronts[0].wait_ready();
+        }
+    }
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+    assert!(spent >= PREPAID * 8 / 10, "{spent} tokens of {PREPAID}");
+}
