--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -11,6 +11,8 @@
 mod tokens;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::thread::Thread;
@@ -29,6 +31,8 @@
 use hibiscus_types::InstanceName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 pub use crate::budgets::handle::BudgetHandle;
@@ -71,12 +75,17 @@
     reported: (TokenCount, TokenCount),
     /// Tokens that waiting requests need.
     wanted: TokenCount,
+    /// When tokens that other holders gave were last used or added.
+    given_used: Duration,
+    /// Tokens passed on to instances that do not hold the budget, by time: what
+    /// their requests leave comes back.
+    passed_on: VecDeque<(Duration, TokenCount)>,
     /// Wakes the requests that wait.
     changed: Rc<Notify>,
 }
 
 /// Why a request gets no tokens now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TokenRefusal {
     /// The budget cannot cover the request.
     Spent,
@@ -84,6 +93,18 @@
     Unconfirmed,
 }
 
+/// What this instance does for one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetRole {
+    /// Instances that draw of the budget.
+    pub holders: u32,
+    /// Whether this one is among them. Others draw only for requests that
+    /// wait.
+    pub holds: bool,
+    /// Whether it writes the budget's snapshots.
+    pub keeps: bool,
+}
+
 /// How far the accounts of earlier processes of this machine are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecoveryPhase {
@@ -102,6 +123,8 @@
     clock: MachineClock,
     fold: AccountFold,
     held: BTreeMap<BudgetName, HeldBudget>,
+    /// Budgets that requests wait for.
+    waiting: BTreeSet<BudgetName>,
     outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
     unsent_snapshots: Vec<AccountSnapshot>,
@@ -145,6 +168,7 @@
             clock,
             fold: AccountFold::default(),
             held: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             outbox,
             unsent: Vec::new(),
             unsent_snapshots: Vec::new(),
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,10 +17,12 @@
 
 use crate::budgets::BudgetDesk;
 use crate::budgets::BudgetHandle;
+use crate::budgets::BudgetRole;
 use crate::callers::CallerBounds;
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
+use crate::holders;
 use crate::machine::MachineLimits;
 use crate::machine::MachineUse;
 use crate::measures::TrafficLevels;
@@ -36,6 +39,9 @@
 
 /// Time for a head while no configuration is known: the usual limit.
 const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time for instances that start together to announce themselves and to be
+/// found by each other: they start within 0.3 s, an append takes milliseconds.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// What the state of a request path is made of.
 #[expect(missing_debug_implementations, reason = "moved into the state at once")]
@@ -54,6 +60,9 @@
     pub bounds: CallerBounds,
     /// What the machine gives the process.
     pub limits: MachineLimits,
+    /// Whether the whole system starts for the first time: then announcements
+    /// of others are still to come.
+    pub first_start: bool,
 }
 
 /// State of the request path. Tasks of one thread share it; no borrow is held
@@ -85,6 +94,10 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// When the table came into force.
     table_since: Cell<Duration>,
+    /// Whether the whole system starts for the first time.
+    first_start: bool,
+    /// When the instances' announcements were first read.
+    instances_read: Cell<Option<Duration>>,
     in_progress: Rc<Cell<usize>>,
     stopping: Cell<Option<Instant>>,
     closing: Cell<bool>,
@@ -112,6 +125,8 @@
             roster: RefCell::default(),
             table: RefCell::default(),
             table_since: Cell::default(),
+            first_start: parts.first_start,
+            instances_read: Cell::default(),
             in_progress: Rc::default(),
             stopping: Cell::new(None),
             closing: Cell::new(false),
@@ -197,9 +212,11 @@
             }
             TrafficUpdate::ServersLost => self.roster.borrow_mut().note_store_lost(),
             TrafficUpdate::ServersRead => self.roster.borrow_mut().note_store_read(self.now()),
-            TrafficUpdate::Account { offset, record } => {
-                self.budgets.apply(offset, &record);
-                self.review_budgets();
+            TrafficUpdate::Accounts { first, records } => {
+                for (offset, record) in (first..).zip(&records) {
+                    self.budgets.apply(offset, record);
+                }
+                self.review_waiting();
             }
             TrafficUpdate::AccountsEnd(end) => self.budgets.note_end(end),
             TrafficUpdate::AccountsCurrent => {
@@ -211,13 +228,18 @@
             }
             TrafficUpdate::AccountsAppended { number, end } => {
                 self.budgets.acknowledge(number, end);
-                self.review_budgets();
+                self.review_waiting();
             }
             TrafficUpdate::Instance(entry) => {
                 self.pins.insert(entry.pin);
                 // Whoever watches instances has announced it already.
                 let _known = self.directory.borrow_mut().announce(entry);
             }
+            TrafficUpdate::InstancesRead => {
+                if self.instances_read.get().is_none() {
+                    self.instances_read.set(Some(self.now()));
+                }
+            }
             TrafficUpdate::Reachable(entry, reachable) => self
                 .directory
                 .borrow_mut()
@@ -232,11 +254,63 @@
         self.update_ready();
     }
 
-    /// Decides on draws and reports.
+    /// Decides on draws and reports of the budgets that requests wait for.
+    pub fn review_waiting(&self) {
+        let directory = self.directory.borrow();
+        self.budgets
+            .review_waiting(|budget| self.role_of(&directory, budget));
+    }
+
+    /// Decides on draws and reports of all budgets.
     pub fn review_budgets(&self) {
         let directory = self.directory.borrow();
-        let is_keeper = |budget: &BudgetName| directory.is_first_for(budget.as_str());
-        self.budgets.review(directory.live(), is_keeper);
+        self.budgets
+            .review(|budget| self.role_of(&directory, budget));
+    }
+
+    /// What this instance does for `budget`. Before the other instances are
+    /// known it draws for requests that wait only: a whole fleet that starts
+    /// would else draw as if each instance were alone.
+    fn role_of(&self, directory: &InstanceDirectory, budget: &BudgetName) -> BudgetRole {
+        let holders = holders::holders_of(budget, directory.answering());
+        let own = directory.own();
+        let is_holder = holders.iter().any(|holder| holder.name == own.name);
+        BudgetRole {
+            holders: u32::try_from(holders.len()).unwrap_or(u32::MAX),
+            holds: is_holder && self.knows_fleet(),
+            keeps: directory.is_first_for(budget.as_str()),
+        }
+    }
+
+    /// Whether this instance asks others for tokens of `budget` instead of
+    /// drawing them.
+    pub fn asks_for(&self, budget: &BudgetName) -> bool {
+        let directory = self.directory.borrow();
+        let holders = holders::holders_of(budget, directory.answering());
+        let own = directory.own();
+        self.knows_fleet() && holders.iter().all(|holder| holder.name != own.name)
+    }
+
+    /// Where the other holders of `budget` take questions, in the order in
+    /// which this instance asks them.
+    pub fn other_holders(&self, budget: &BudgetName) -> Vec<SocketAddr> {
+        let directory = self.directory.borrow();
+        let own = directory.own();
+        let mut holders = holders::holders_of(budget, directory.answering());
+        holders.retain(|holder| holder.name != own.name);
+        holders::order_for(own, &mut holders);
+        holders.iter().map(|holder| holder.peers).collect()
+    }
+
+    /// Whether the other instances have had time to announce themselves and to
+    /// be found. A process that is not the first of its system and reads of no
+    /// other is alone.
+    fn knows_fleet(&self) -> bool {
+        let Some(read) = self.instances_read.get() else {
+            return false;
+        };
+        let is_alone = !self.first_start && self.directory.borrow().may_serve() == 1;
+        is_alone || self.now().saturating_sub(read) >= SETTLE_TIME
     }
 
     /// Ends callers' connections whose heads take too long.
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -0,0 +1,169 @@
+//! What news cost the thread that serves requests.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+use hibiscus_ledger::account::AccountRecord;
+use hibiscus_traffic::budgets::AccountBatch;
+use hibiscus_traffic::budgets::BudgetDesk;
+use hibiscus_traffic::callers::CallerBounds;
+use hibiscus_traffic::clock::MachineClock;
+use hibiscus_traffic::dialect::AnswerSigns;
+use hibiscus_traffic::dialect::CallerSigns;
+use hibiscus_traffic::dialect::RequestDialect;
+use hibiscus_traffic::dialect::ServerSigns;
+use hibiscus_traffic::dialect::SignFault;
+use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine::MachineLimits;
+use hibiscus_traffic::model::CallerLimits;
+use hibiscus_traffic::model::FleetConfig;
+use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::model::TeamRule;
+use hibiscus_traffic::retries::RetryBound;
+use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::state::TrafficParts;
+use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_types::BudgetName;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::TokenCount;
+use hibiscus_types::codec;
+use http::HeaderMap;
+
+const TEAMS: u64 = 24;
+
+/// Spells nothing: these tests send no request.
+struct SilentDialect;
+
+impl RequestDialect for SilentDialect {
+    fn caller_signs(&self, _headers: &HeaderMap) -> Result<CallerSigns, SignFault> {
+        Ok(CallerSigns::default())
+    }
+
+    fn strip_own(&self, _headers: &mut HeaderMap) {}
+
+    fn set_server_signs(&self, _signs: &ServerSigns<'_>, _headers: &mut HeaderMap) {}
+
+    fn answer_signs(&self, _headers: &HeaderMap) -> AnswerSigns {
+        AnswerSigns::default()
+    }
+
+    fn set_answer_id(&self, _id: &str, _headers: &mut HeaderMap) {}
+}
+
+fn instance(number: u16) -> InstanceEntry {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    InstanceEntry {
+        name: format!("front-{number}").as_str().into(),
+        incarnation: IncarnationId::from_u128(u128::from(number) + 1),
+        callers: address(1_000 + number),
+        readiness: address(2_000 + number),
+        peers: address(3_000 + number),
+        pin: [0; 32],
+        data_centre: "a".into(),
+        leaving: false,
+    }
+}
+
+fn config() -> FleetConfig {
+    let team = |number: u64| TeamRule {
+        name: format!("team-{number}").as_str().into(),
+        keys: Vec::new(),
+        priority: None,
+        prepaid: Some(TokenCount::new(1_000_000)),
+    };
+    FleetConfig {
+        version: 1,
+        routes: Vec::new(),
+        connections: BTreeMap::new(),
+        engines: BTreeMap::new(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
+        },
+        teams: (0..TEAMS).map(|number| Arc::new(team(number))).collect(),
+        needs_key: true,
+    }
+}
+
+/// A request path, and the batches that go to the store.
+fn state() -> (TrafficState<SilentDialect>, Receiver<AccountBatch>) {
+    let (outbox, batches) = mpsc::sync_channel(16);
+    let own = instance(0);
+    let clock = MachineClock::of_this_boot();
+    let desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
+    let state = TrafficState::new(TrafficParts {
+        dialect: SilentDialect,
+        data_centre: own.data_centre.clone(),
+        budgets: desk,
+        retries: RetryCounter::new(RetryBound {
+            share: 0.2,
+            slack: 54.0,
+            window: Duration::from_secs(10),
+        }),
+        directory: InstanceDirectory::new(own),
+        bounds: CallerBounds::of_machine(88 << 20, 4_100),
+        limits: MachineLimits::default(),
+        first_start: true,
+    });
+    (state, batches)
+}
+
+/// Draws among what is on its way to the store.
+fn draws(batches: &Receiver<AccountBatch>) -> Vec<AccountRecord> {
+    let records = batches.try_iter().flat_map(|batch| batch.records);
+    let draws = records.filter(|record| matches!(record, AccountRecord::Draw { .. }));
+    draws.collect()
+}
+
+/// Guards against processor time that grows with the records of all instances
+/// times all budgets (issue 17, SHORT on seamline-grown).
+#[test]
+fn records_of_other_instances_cause_no_look_at_each_budget() {
+    let (state, _batches) = state();
+    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::AccountsCurrent);
+    let before = state.tally.reviews.get();
+    let draw = |number: u64| {
+        let record = AccountRecord::Draw {
+            budget: format!("team-{}", number % TEAMS).as_str().into(),
+            holder: IncarnationId::from_u128(100),
+            machine: "front-9".into(),
+            serial: number,
+            tokens: TokenCount::new(1),
+        };
+        codec::encode(&vec![record]).expect("a record is encoded")
+    };
+    for page in 0..10 {
+        let first = page * 75;
+        let records = (first..first + 75).map(draw).collect();
+        state.apply(TrafficUpdate::Accounts { first, records });
+    }
+    assert_eq!(state.tally.reviews.get(), before);
+}
+
+/// Guards against a fleet whose instances each draw as if they were alone when
+/// all start together (issue 17, SHORT on seamline-grown).
+#[test]
+fn an_instance_that_does_not_know_the_others_draws_for_waiting_requests_only() {
+    let (state, batches) = state();
+    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::AccountsCurrent);
+    state.apply(TrafficUpdate::InstancesRead);
+    state.review_budgets();
+    assert_eq!(draws(&batches), []);
+    let budget = BudgetName::from("team-3");
+    let tokens = TokenCount::new(9_000);
+    let _want = state.budgets.want(&budget, tokens);
+    state.review_waiting();
+    let draws = draws(&batches);
+    assert!(
+        matches!(&draws[..], [AccountRecord::Draw { tokens: drawn, .. }] if *drawn == tokens),
+        "{draws:?}"
+    );
+}
