Let a late call end neither a connection nor a handshake

Cause: `exchange` forgot the kept connection whenever one reply was late, and connecting ran inside the caller's own limit, under a lock, and was thrown away with it. A peer that is a little slow thus cost a handshake for each question, which makes both sides slower. A peer that refused was also connected to anew by each call, and connections to all peers were kept at once.

Now connecting is a task of its own with its own limit, which all calls wait for; a failed one is followed by a pause that grows to 4 s. A connection is replaced only when calls one after the other got nothing over 1 s and no datagram at all came on it, so a process that was replaced at its address is still reached. A connection on which no call was ever answered counts as a failed handshake: a peer that refuses says so only after it. Connections to peers are bounded, and so are handshakes in progress. The link counts handshakes, connections and late calls.

Ruled out: taking one late call for the silence of the peer.

--- a/crates/hibiscus-peer/src/lib.rs
+++ b/crates/hibiscus-peer/src/lib.rs
@@ -9,12 +9,15 @@
 //! authority, on the runtime of its caller.
 
 mod connect;
+mod counts;
 mod keys;
 mod link;
 mod message;
 mod pinned;
+mod slot;
 mod tls;
 
+pub use counts::LinkCounts;
 pub use keys::FLEET_NAME;
 pub use keys::KeyFault;
 pub use keys::KeyPart;
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::connect::CacheLimits;
 use crate::connect::ConnectionCache;
 use crate::keys::KeyFault;
 use crate::keys::LinkKeys;
@@ -27,6 +28,12 @@
 const RING_CAPACITY: usize = 8_192;
 /// Time that the link waits for its last packets to leave.
 const CLOSE_LIMIT: Duration = Duration::from_millis(300);
+/// Bounds of the connections to peers: instances of one list beat to each
+/// other.
+const LIMITS: CacheLimits = CacheLimits {
+    kept: 1_024,
+    handshakes: 256,
+};
 /// Bytes of the hybrid logical time in front of each message.
 const STAMP_BYTES: usize = 8;
 
@@ -235,7 +242,7 @@
     mut stopped: mpsc::Receiver<()>,
     inbox: std_mpsc::SyncSender<PeerCall>,
 ) {
-    let cache = Arc::new(ConnectionCache::new(endpoint.clone()));
+    let cache = Arc::new(ConnectionCache::new(endpoint.clone(), LIMITS));
     loop {
         tokio::select! {
             call = calls.recv() => {
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -42,13 +42,24 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::connect::CacheLimits;
 use crate::connect::ConnectionCache;
+use crate::counts;
+use crate::counts::LinkCounters;
+use crate::counts::LinkCounts;
 use crate::keys;
 use crate::keys::FLEET_NAME;
 use crate::message;
 use crate::message::MessageSender;
 use crate::tls;
 
+/// Bounds of the connections to peers: a large fleet asks a few dozen now and
+/// then, and a handshake takes some hundredths of a second of a small machine.
+const LIMITS: CacheLimits = CacheLimits {
+    kept: 64,
+    handshakes: 8,
+};
+
 /// SHA-256 of a certificate.
 pub type CertificatePin = [u8; 32];
 
@@ -260,10 +271,14 @@
     ) -> Result<Self> {
         let mut endpoint = Endpoint::server(server_config(keys, pins)?, listen)?;
         endpoint.set_default_client_config(client_config(keys, pins)?);
-        tokio::spawn(accept(endpoint.clone(), inbox));
-        Ok(Self {
-            cache: Arc::new(ConnectionCache::new(endpoint)),
-        })
+        let cache = Arc::new(ConnectionCache::new(endpoint.clone(), LIMITS));
+        tokio::spawn(accept(endpoint, inbox, Arc::clone(cache.counters())));
+        Ok(Self { cache })
+    }
+
+    /// What the link counted until now.
+    pub fn counts(&self) -> LinkCounts {
+        self.cache.counts()
     }
 
     /// Sends `body` to `peer` and returns the reply; `None` on any failure and
@@ -308,20 +323,31 @@
 }
 
 /// Accepts connections until the endpoint is closed.
-async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<PinnedCall>) {
+async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<PinnedCall>, counters: Arc<LinkCounters>) {
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(serve_connection(incoming, inbox.clone()));
+        counts::add(&counters.handshakes_accepted);
+        tokio::spawn(serve_connection(
+            incoming,
+            inbox.clone(),
+            Arc::clone(&counters),
+        ));
     }
 }
 
 /// Receives the calls of one connection.
-async fn serve_connection(incoming: Incoming, inbox: mpsc::Sender<PinnedCall>) {
+async fn serve_connection(
+    incoming: Incoming,
+    inbox: mpsc::Sender<PinnedCall>,
+    counters: Arc<LinkCounters>,
+) {
     let Ok(connection) = incoming.await else {
         return;
     };
+    counts::add(&counters.open_in);
     while let Ok((send, receive)) = connection.accept_bi().await {
         tokio::spawn(serve_call(send, receive, inbox.clone()));
     }
+    counts::take(&counters.open_in);
 }
 
 /// Receives one call and sends its reply.
