Refuse unread the handshakes of peers beyond a bound

Cause: each incoming connection was taken up at once, without a bound on handshakes in progress or on accepted connections.

Now 8 handshakes of peers are in progress at most, each for 2 s, and 256 accepted connections are kept; what is beyond is refused before any cryptography of TLS runs, and the peer pauses.

Open: 8 peers that die during their handshakes hold all places for 2 s.

--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -39,6 +39,8 @@
 use rustls::server::danger::ClientCertVerifier;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -60,6 +62,15 @@
     handshakes: 8,
 };
 
+/// Handshakes of peers in progress; one more is refused unread, so that those
+/// in progress end before their peers give up.
+const HANDSHAKE_LIMIT: usize = 8;
+/// Time for a handshake of a peer: as long as the peer waits.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(2);
+/// Connections of peers; with each keeping its own bound, only an uneven
+/// choice of many brings more.
+const ACCEPTED_LIMIT: u64 = 256;
+
 /// SHA-256 of a certificate.
 pub type CertificatePin = [u8; 32];
 
@@ -324,10 +335,19 @@
 
 /// Accepts connections until the endpoint is closed.
 async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<PinnedCall>, counters: Arc<LinkCounters>) {
+    let places = Arc::new(Semaphore::new(HANDSHAKE_LIMIT));
     while let Some(incoming) = endpoint.accept().await {
+        let place = Arc::clone(&places).try_acquire_owned().ok();
+        let place = place.filter(|_place| counts::level(&counters.open_in) < ACCEPTED_LIMIT);
+        let Some(place) = place else {
+            counts::add(&counters.handshakes_refused);
+            incoming.refuse();
+            continue;
+        };
         counts::add(&counters.handshakes_accepted);
         tokio::spawn(serve_connection(
             incoming,
+            place,
             inbox.clone(),
             Arc::clone(&counters),
         ));
@@ -337,10 +357,13 @@
 /// Receives the calls of one connection.
 async fn serve_connection(
     incoming: Incoming,
+    place: OwnedSemaphorePermit,
     inbox: mpsc::Sender<PinnedCall>,
     counters: Arc<LinkCounters>,
 ) {
-    let Ok(connection) = incoming.await else {
+    let made = tokio::time::timeout(HANDSHAKE_TIME, incoming.into_future()).await;
+    drop(place);
+    let Ok(Ok(connection)) = made else {
         return;
     };
     counts::add(&counters.open_in);
--- a/crates/hibiscus-peer/tests/overload.rs
+++ b/crates/hibiscus-peer/tests/overload.rs
@@ -17,6 +17,8 @@
 const LIMIT: Duration = Duration::from_secs(10);
 /// Time of a call that is not.
 const SHORT_LIMIT: Duration = Duration::from_millis(30);
+/// Pause between two looks at what another task does.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// Largest datagram.
 const DATAGRAM_BYTES: usize = 2_048;
 
@@ -257,3 +259,36 @@
         assert!(counts.open_out <= 64, "{counts:?}");
     });
 }
+
+// Guards against: a process that many peers reach for at once worked on all
+// their handshakes together, and none was done before its peer gave up.
+#[test]
+fn handshakes_of_peers_beyond_a_bound_are_refused_unread() {
+    run(async {
+        let busy = TestPeer::open();
+        let sink = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+        let target = sink.local_addr().expect("an address");
+        let mut senders = Vec::new();
+        for _peer in 0..40 {
+            let other = TestPeer::open();
+            busy.know(&other);
+            let call = other.link.call(target, b"abc", SHORT_LIMIT);
+            let mut datagram = [0; DATAGRAM_BYTES];
+            let (reply, received) = tokio::join!(call, sink.recv_from(&mut datagram));
+            let (length, _from) = received.expect("a first datagram");
+            assert_eq!(reply, None);
+            let sender = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+            // The peer's next datagrams do not come, so its handshake stays.
+            let sent = sender.send_to(&datagram[..length], busy.address).await;
+            assert!(sent.is_ok(), "{sent:?}");
+            senders.push((sender, other));
+            while sink.try_recv_from(&mut datagram).is_ok() {}
+        }
+        let mut counts = busy.link.counts();
+        while counts.handshakes_accepted + counts.handshakes_refused < 40 {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            counts = busy.link.counts();
+        }
+        assert!(counts.handshakes_accepted <= 16, "{counts:?}");
+    });
+}
