Count the work for the fleet, and tell what the process uses

New on the metrics' address: resident memory, processor time, lateness of the traffic thread's timer, account records folded, reviews of the budgets, lag of the account stream, draws by verdict, questions to and from other instances by outcome, idle and new connections to servers, connections of callers that this instance closed by reason.

New in the log: the limits of the machine at the start (HS1120), a line of levels each 6 s (HS1121), one line a rise of the memory to three quarters of the limit (HS1122) and of the lateness to 0.3 s (HS1123), and a line for a request whose connection ended before its answer, with who ended it (HS4209; HS4208 names it too). HS3102 tells what was asked for beside what was granted.

The counts are additions in cells of the traffic thread and reach the metrics with the levels each 2 s; lateness is taken from the tick that runs anyway.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -56,6 +56,10 @@
     LinesDropped = "HS1113", Warn, "log lines were dropped to keep the volume bounded";
     SlowHeadsEnded = "HS1114", Warn, "connections of callers ended, their heads took too long";
     ConnectionsFull = "HS1115", Warn, "connection of a caller closed, too many are open and none is idle";
+    LimitsKnown = "HS1120", Info, "limits of the machine";
+    LevelsShown = "HS1121", Info, "levels of the process";
+    MemoryNearLimit = "HS1122", Warn, "memory nears the machine's limit";
+    ThreadLate = "HS1123", Warn, "traffic thread is late";
     ConfigInForce = "HS2001", Info, "configuration version is in force";
     ConfigUnreadable = "HS2002", Warn, "configuration stream cannot be read";
     TopicLost = "HS2003", Warn, "topic cannot be read";
@@ -100,6 +104,7 @@
     ServerFailed = "HS4206", Warn, "server failed";
     RequestEnded = "HS4207", Info, "answer passed to the caller";
     CallerLeft = "HS4208", Info, "caller left before its answer was whole";
+    RequestDropped = "HS4209", Info, "request ended without an answer";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -288,6 +288,7 @@
             Ok(Some(page)) => {
                 reach.succeeded(account::STREAM);
                 let end = page.end;
+                tell(updates, TrafficUpdate::AccountsEnd(end));
                 for record in page.records {
                     let offset = next;
                     next += 1;
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -17,6 +17,7 @@
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
@@ -123,6 +124,18 @@
         data_centre: settings.data_centre.clone(),
         leaving: false,
     };
+    let limits = MachineLimits {
+        memory_bytes: settings.memory_bytes,
+        descriptors: settings.descriptors,
+        cores: settings.cores,
+    };
+    event!(
+        EventCode::LimitsKnown,
+        "memory_bytes={} descriptors={} cores={:.2}",
+        limits.memory_bytes,
+        limits.descriptors,
+        limits.cores
+    );
     let clock = MachineClock::of_this_boot();
     event!(
         EventCode::InstanceStarted,
@@ -174,6 +187,7 @@
         retries,
         directory: InstanceDirectory::new(own.clone()),
         bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+        limits,
     }));
     let tasks = LocalSet::new();
     tasks.block_on(
@@ -193,6 +207,7 @@
         (measures::FIRST_EVENT, &times[..]),
         (measures::REQUEST_TIME, &times[..]),
         (measures::EVENT_GAP, &measures::GAP_BOUNDS[..]),
+        (measures::TIMER_LATENESS, &times[..]),
         (platform::store::CALL_TIME, &times[..]),
     ];
     let mut builder = PrometheusBuilder::new();
@@ -253,7 +268,8 @@
                     take(&state, update);
                 }
             }
-            _at = tick.tick() => {
+            due = tick.tick() => {
+                state.note_lateness(due.elapsed());
                 state.expire_servers();
                 state.end_slow_heads();
                 state.share_server_connections();
@@ -354,6 +370,7 @@
     if request.uri().path() != answers::READINESS_PATH {
         return answer::status_answer(http::StatusCode::NOT_FOUND);
     }
+    state.tally.readiness_asked.add();
     if state.directory.borrow().is_ready() {
         answer::status_answer(http::StatusCode::OK)
     } else {
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -35,6 +35,8 @@
 pub use crate::budgets::handle::TokenWant;
 use crate::clock::MachineClock;
 use crate::model::FleetConfig;
+use crate::tally::DrawOutcome;
+use crate::tally::WorkTally;
 
 /// Records on their way to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +56,8 @@
     demand: DemandCounter,
     /// Number of the last draw sent.
     draw_serial: u64,
+    /// Tokens that it asked for.
+    asked: TokenCount,
     /// Whether that draw has no verdict yet.
     pending: bool,
     /// Number of the last draw whose verdict came: a stream that is read once
@@ -122,6 +126,9 @@
     closed: bool,
     /// The thread that reads the stream, once it runs.
     reader: Option<Thread>,
+    /// End of the stream when it was read last.
+    stream_end: u64,
+    tally: Rc<WorkTally>,
 }
 
 impl BudgetDesk {
@@ -153,9 +160,32 @@
             stopping: false,
             closed: false,
             reader: None,
+            stream_end: 0,
+            tally: Rc::default(),
         }
     }
 
+    /// The counts of the work for the fleet.
+    pub fn tally(&self) -> &Rc<WorkTally> {
+        &self.tally
+    }
+
+    /// The stream ended at the offset `end` when it was read last.
+    pub fn note_end(&mut self, end: u64) {
+        self.stream_end = end;
+    }
+
+    /// Records of the stream that are not folded yet.
+    pub fn lag(&self) -> u64 {
+        self.stream_end.saturating_sub(self.fold.next_offset())
+    }
+
+    /// Accounts over all budgets and holders.
+    pub fn accounts(&self) -> usize {
+        let budgets = self.fold.budgets().values();
+        budgets.map(|account| account.holders.len()).sum()
+    }
+
     /// Names the thread that reads the stream: it pauses between reads, and is
     /// woken when a verdict is to be had.
     pub fn set_reader(&mut self, reader: Thread) {
@@ -188,6 +218,7 @@
     /// Applies a record of the stream.
     pub fn apply(&mut self, offset: u64, record: &[u8], now: Duration) {
         self.heard = now;
+        self.tally.records.add();
         let records: Vec<AccountRecord> = match codec::decode(record) {
             Ok(records) => records,
             Err(error) => {
@@ -213,13 +244,16 @@
             }
             held.verdict_serial = verdict.serial;
             held.purse.add(verdict.granted);
+            self.tally
+                .count_draw(DrawOutcome::of(held.asked, verdict.granted));
             held.pending &= verdict.serial < held.draw_serial;
             held.changed.notify_waiters();
             event!(
                 EventCode::TokensDrawn,
-                "budget={} serial={} granted={} offset={offset}",
+                "budget={} serial={} asked={} granted={} offset={offset}",
                 verdict.budget,
                 verdict.serial,
+                held.asked,
                 verdict.granted
             );
         }
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -16,6 +16,7 @@
 use crate::budgets::RecoveryPhase;
 use crate::budgets::TokenRefusal;
 use crate::model::FleetConfig;
+use crate::tally::WorkTally;
 
 /// The desk as the tasks of the traffic thread share it.
 #[derive(Clone)]
@@ -33,6 +34,26 @@
         }
     }
 
+    /// See [`BudgetDesk::tally`].
+    pub fn tally(&self) -> Rc<WorkTally> {
+        Rc::clone(self.desk.borrow().tally())
+    }
+
+    /// See [`BudgetDesk::note_end`].
+    pub fn note_end(&self, end: u64) {
+        self.desk.borrow_mut().note_end(end);
+    }
+
+    /// See [`BudgetDesk::lag`].
+    pub fn lag(&self) -> u64 {
+        self.desk.borrow().lag()
+    }
+
+    /// See [`BudgetDesk::accounts`].
+    pub fn accounts(&self) -> usize {
+        self.desk.borrow().accounts()
+    }
+
     /// See [`BudgetDesk::set_totals`].
     pub fn set_totals(&self, config: &FleetConfig) {
         self.desk.borrow_mut().set_totals(config);
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -27,6 +27,7 @@
     /// and hands the records to the thread that appends. `is_keeper` tells
     /// whether this instance writes the snapshots of a budget.
     pub fn review(&mut self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool, now: Duration) {
+        self.tally.reviews.add();
         let names: Vec<BudgetName> = self.totals.keys().cloned().collect();
         for budget in names {
             self.review_one(&budget, holders, now);
@@ -111,6 +112,7 @@
         if !held.pending && !decision.draw.is_zero() {
             held.draw_serial += 1;
             held.pending = true;
+            held.asked = decision.draw;
             self.unsent.push(AccountRecord::Draw {
                 budget: budget.clone(),
                 holder: self.holder,
--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -22,6 +22,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::tally::CloseReason;
+
 /// Memory that a connection with a request may take, in bytes: two buffers of
 /// 8 KiB, its tasks and the kernel's part of what is unread; 16 KiB were
 /// measured for an open stream.
@@ -73,6 +75,8 @@
     requests: Cell<usize>,
     /// Ends the connection.
     end: Notify,
+    /// Why this instance ends it, if it does.
+    closing: Cell<Option<CloseReason>>,
 }
 
 impl CallerSlot {
@@ -80,6 +84,11 @@
         self.phase.set(phase);
         self.since.set(Instant::now());
     }
+
+    fn end(&self, reason: CloseReason) {
+        self.closing.set(Some(reason));
+        self.end.notify_one();
+    }
 }
 
 /// All connections of callers.
@@ -107,6 +116,11 @@
         self.slots.borrow().len()
     }
 
+    /// Bytes of bodies whose requests are not answered.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes.get()
+    }
+
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -126,6 +140,7 @@
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
             end: Notify::new(),
+            closing: Cell::new(None),
         });
         self.slots.borrow_mut().insert(number, Rc::clone(&slot));
         Some(CallerConnection {
@@ -142,7 +157,7 @@
         for slot in self.slots.borrow().values() {
             let starting = slot.phase.get() == CallerPhase::Starting;
             if starting && slot.since.get().elapsed() > limit {
-                slot.end.notify_one();
+                slot.end(CloseReason::SlowHead);
                 ended += 1;
             }
         }
@@ -166,7 +181,7 @@
             .filter(|(_number, slot)| slot.phase.get() == CallerPhase::Idle);
         let longest = idle.min_by_key(|(_number, slot)| slot.since.get());
         let number = longest.map(|(number, _slot)| *number)?;
-        slots.remove(&number)?.end.notify_one();
+        slots.remove(&number)?.end(CloseReason::Room);
         Some(())
     }
 }
@@ -185,6 +200,16 @@
         self.slot.end.notified().await;
     }
 
+    /// Why this instance ends the connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+
+    /// Notes that this instance ends the connection because of a planned stop.
+    pub fn note_stopping(&self) {
+        self.slot.closing.set(Some(CloseReason::Stopping));
+    }
+
     /// Counts a request until the returned value is dropped.
     pub fn begin_request(&self) -> CallerRequest {
         self.slot.requests.set(self.slot.requests.get() + 1);
@@ -215,6 +240,13 @@
     slot: Rc<CallerSlot>,
 }
 
+impl CallerRequest {
+    /// Why this instance ends the request's connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+}
+
 impl Drop for CallerRequest {
     fn drop(&mut self) {
         let requests = self.slot.requests.get() - 1;
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -22,6 +22,7 @@
 use crate::servers::ChosenServer;
 use crate::servers::ServerHandle;
 use crate::state::CountGuard;
+use crate::tally::CloseReason;
 
 /// A request's reservation. It is settled once, when the last owner is
 /// dropped, by what was noted until then.
@@ -141,11 +142,14 @@
     }
 }
 
+/// The word for an end by the caller, or by the path to it.
+const CALLER_ENDED: &str = "caller";
+
 /// Counts a request until its answer has passed.
 #[derive(Debug)]
 pub struct RequestProgress {
     /// At its connection.
-    _request: CallerRequest,
+    request: CallerRequest,
     /// At the instance.
     _count: CountGuard,
 }
@@ -154,10 +158,16 @@
     /// Counts `request` of a connection, and one more at the instance.
     pub fn new(request: CallerRequest, count: CountGuard) -> Self {
         Self {
-            _request: request,
+            request,
             _count: count,
         }
     }
+
+    /// Who ended the connection before the answer had passed.
+    pub fn ended_by(&self) -> &'static str {
+        let reason = self.request.closing();
+        reason.map_or(CALLER_ENDED, CloseReason::word)
+    }
 }
 
 /// Follows an answer that passes to a caller.
@@ -211,9 +221,10 @@
         self.count_end(RequestOutcome::Left);
         event!(
             EventCode::CallerLeft,
-            "request={} server={} server_silent={} total_ms={}",
+            "request={} server={} ended_by={} server_silent={} total_ms={}",
             self.id,
             self.flight.server().entry.name,
+            self.progress.ended_by(),
             self.flight.server().is_silent(),
             self.arrived.elapsed().as_millis()
         );
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -10,7 +10,8 @@
 //!   checks that it is whole.
 //! - [`budgets`] holds the tokens that requests reserve, [`retries`] what may
 //!   be sent twice, [`directory`] which instances callers are told of.
-//! - [`measures`] counts what passes, for the operators' metrics.
+//! - [`measures`] counts what passes and [`tally`] the work for the fleet, for
+//!   the operators' metrics; [`machine`] tells what the process uses.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
 //!   everything is decided on this thread, so nothing here is locked.
 //!
@@ -26,10 +27,12 @@
 pub mod directory;
 pub mod flight;
 pub mod life;
+pub mod machine;
 pub mod measures;
 pub mod model;
 pub mod peers;
 pub mod port;
+pub mod pressure;
 pub mod probe;
 pub mod recovery;
 pub mod relay;
@@ -40,4 +43,5 @@
 pub mod state;
 pub mod stream;
 pub mod table;
+pub mod tally;
 pub mod updates;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -40,6 +40,29 @@
     arrived: Instant,
 }
 
+/// A request without an answer so far. Its connection's task is dropped when
+/// the connection ends, and the request with it.
+struct UnansweredRequest<'a> {
+    known: KnownRequest,
+    progress: &'a RequestProgress,
+    answered: bool,
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        event!(
+            EventCode::RequestDropped,
+            "request={} ended_by={} total_ms={}",
+            self.known.id,
+            self.progress.ended_by(),
+            self.known.arrived.elapsed().as_millis()
+        );
+    }
+}
+
 /// Serves one request; every way out is an answer.
 pub async fn serve<D: RequestDialect>(
     state: Rc<TrafficState<D>>,
@@ -47,17 +70,25 @@
     caller: CallerRequest,
 ) -> Response<AnswerBody> {
     let progress = RequestProgress::new(caller, state.count_request());
-    let mut known = KnownRequest {
-        id: String::new(),
-        kind: None,
-        arrived: Instant::now(),
+    let mut unanswered = UnansweredRequest {
+        known: KnownRequest {
+            id: String::new(),
+            kind: None,
+            arrived: Instant::now(),
+        },
+        progress: &progress,
+        answered: false,
     };
-    match work(&state, request, &mut known).await {
+    let outcome = work(&state, request, &mut unanswered.known).await;
+    unanswered.answered = true;
+    let outcome = outcome.map_err(|reason| refuse(&state, reason, &unanswered.known));
+    drop(unanswered);
+    match outcome {
         Ok((admitted, forwarded)) => {
             let measures = Rc::clone(&state.measures);
             forwarded.into_answer(&admitted, progress, measures)
         }
-        Err(reason) => refuse(&state, reason, &known),
+        Err(refusal) => refusal,
     }
 }
 
--- a/crates/hibiscus-traffic/src/measures.rs
+++ b/crates/hibiscus-traffic/src/measures.rs
@@ -12,6 +12,7 @@
 use metrics::histogram;
 
 use crate::answer::OwnReason;
+use crate::machine::MachineUse;
 use crate::model::RequestKind;
 
 /// Seconds from a request's arrival to the first event or byte of its answer.
@@ -27,6 +28,9 @@
 /// Sends beyond the first of a request.
 pub const RETRIES: &str = "hibiscus_retries_total";
 
+/// Seconds by which the traffic thread's timer was late.
+pub const TIMER_LATENESS: &str = "hibiscus_timer_lateness_seconds";
+
 /// Bounds of [`FIRST_EVENT`] and [`REQUEST_TIME`], in seconds: objectives are
 /// 0.1 to 1.5 s, deadlines up to 15 s.
 pub const TIME_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -87,6 +91,7 @@
     kinds: [KindMeasures; 4],
     unknown: KindMeasures,
     gap: Histogram,
+    lateness: Histogram,
     retries: Counter,
 }
 
@@ -101,6 +106,7 @@
             ],
             unknown: KindMeasures::new("unknown"),
             gap: histogram!(EVENT_GAP),
+            lateness: histogram!(TIMER_LATENESS),
             retries: counter!(RETRIES),
         }
     }
@@ -117,6 +123,11 @@
         self.gap.record(after);
     }
 
+    /// The timer was late by `delay`.
+    pub fn timer_late(&self, delay: Duration) {
+        self.lateness.record(delay);
+    }
+
     /// A request ended `after` it arrived; its kind is not known when no route
     /// took it.
     pub fn ended(&self, kind: Option<RequestKind>, outcome: RequestOutcome, after: Duration) {
@@ -172,6 +183,16 @@
     pub tokens_free: u64,
     /// Whether callers are told of this instance.
     pub ready: bool,
+    /// What the process uses.
+    pub used: MachineUse,
+    /// Bytes of callers' bodies.
+    pub body_bytes: usize,
+    /// Idle connections to servers.
+    pub idle_links: usize,
+    /// Accounts over all budgets and holders.
+    pub accounts: usize,
+    /// Records of the account stream that are not folded yet.
+    pub account_lag: u64,
 }
 
 impl TrafficLevels {
@@ -191,6 +212,15 @@
             ("hibiscus_tokens_spent", spent as f64),
             ("hibiscus_tokens_free", self.tokens_free as f64),
             ("hibiscus_ready", f64::from(u8::from(self.ready))),
+            ("hibiscus_resident_bytes", self.used.resident_bytes as f64),
+            (
+                "hibiscus_processor_seconds",
+                self.used.processor.as_secs_f64(),
+            ),
+            ("hibiscus_body_bytes", self.body_bytes as f64),
+            ("hibiscus_server_connections_idle", self.idle_links as f64),
+            ("hibiscus_accounts", self.accounts as f64),
+            ("hibiscus_account_lag_records", self.account_lag as f64),
         ];
         for (name, level) in levels {
             gauge!(name).set(level);
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -23,6 +23,8 @@
 
 use crate::dialect::RequestDialect;
 use crate::state::TrafficState;
+use crate::tally::QuestionOutcome;
+use crate::tally::QuestionSubject;
 
 /// Calls that wait to be answered.
 pub const RING_CAPACITY: usize = 256;
@@ -67,6 +69,7 @@
     mut calls: mpsc::Receiver<PinnedCall>,
 ) {
     while let Some(call) = calls.recv().await {
+        state.tally.link_asked.add();
         let question = match codec::decode::<PeerQuestion>(&call.body) {
             Ok(question) => question,
             Err(error) => {
@@ -112,7 +115,11 @@
     for peer in peers {
         let missing = tokens.saturating_sub(gathered);
         let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
-        let Some(given) = ask_tokens(link, peer, budget, asked).await else {
+        let given = ask_tokens(link, peer, budget, asked).await;
+        state
+            .tally
+            .count_question(QuestionSubject::Link, gift_outcome(given));
+        let Some(given) = given else {
             event!(EventCode::TokensNotAnswered, "peer={peer} budget={budget}");
             continue;
         };
@@ -125,6 +132,15 @@
     false
 }
 
+/// How a question for tokens ended.
+fn gift_outcome(given: Option<TokenCount>) -> QuestionOutcome {
+    match given {
+        None => QuestionOutcome::Unanswered,
+        Some(TokenCount::ZERO) => QuestionOutcome::Refused,
+        Some(_tokens) => QuestionOutcome::Answered,
+    }
+}
+
 /// Asks one instance for tokens.
 async fn ask_tokens(
     link: &PinnedLink,
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -25,6 +25,7 @@
 use crate::life;
 use crate::relay::AnswerBody;
 use crate::state::TrafficState;
+use crate::tally::CloseReason;
 
 /// Time for a head while no configuration is known.
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
@@ -56,6 +57,7 @@
                 "connections={}",
                 state.callers.len()
             );
+            state.tally.count_close(CloseReason::Full);
             continue;
         };
         tokio::task::spawn_local(serve_caller(stream, caller, Rc::clone(&state)));
@@ -128,6 +130,7 @@
     tokio::select! {
         _ended = connection.as_mut() => {}
         () = state.closing() => {
+            caller.note_stopping();
             connection.as_mut().graceful_shutdown();
             let _ended = connection.await;
         }
@@ -136,4 +139,7 @@
             let _ended = tokio::time::timeout(LAST_WRITE, connection).await;
         }
     }
+    if let Some(reason) = caller.closing() {
+        state.tally.count_close(reason);
+    }
 }
--- a/crates/hibiscus-traffic/src/probe.rs
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -16,6 +16,8 @@
 use crate::dialect::RequestDialect;
 use crate::model::InstanceEntry;
 use crate::state::TrafficState;
+use crate::tally::QuestionOutcome;
+use crate::tally::QuestionSubject;
 use crate::updates::TrafficUpdate;
 
 /// Time between two questions: callers are told of a death within a second.
@@ -36,6 +38,14 @@
         let asked = ask(&mut link, &entry, path);
         let answer = tokio::time::timeout(ANSWER_LIMIT, asked).await;
         let serves = matches!(answer, Ok(Some(StatusCode::OK)));
+        let outcome = match answer {
+            Ok(Some(_status)) if serves => QuestionOutcome::Answered,
+            Ok(Some(_status)) => QuestionOutcome::Refused,
+            _ => QuestionOutcome::Unanswered,
+        };
+        state
+            .tally
+            .count_question(QuestionSubject::Readiness, outcome);
         if !matches!(answer, Ok(Some(_))) {
             link = None;
         }
--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use metrics::counter;
 
 use crate::connect::ConnectFault;
 use crate::connect::ServerLink;
@@ -22,6 +23,9 @@
 use crate::flight::ServerFlight;
 use crate::servers::ServerHandle;
 
+/// New connections to servers for requests, by outcome.
+pub const SERVER_CONNECTIONS: &str = "hibiscus_server_connections_total";
+
 /// Time for a kept connection to take a request.
 const READY_LIMIT: Duration = Duration::from_millis(200);
 
@@ -218,7 +222,14 @@
     if let Some(link) = server.take_idle() {
         return Ok(link);
     }
-    ServerLink::open(server.entry.address).await
+    let opened = ServerLink::open(server.entry.address).await;
+    let outcome = match opened {
+        Ok(_) => "opened",
+        Err(ConnectFault::Refused) => "refused",
+        Err(ConnectFault::Silent) => "silent",
+    };
+    counter!(SERVER_CONNECTIONS, "outcome" => outcome).increment(1);
+    opened
 }
 
 /// How long the server keeps the connection idle.
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -209,6 +209,12 @@
         silent.count()
     }
 
+    /// Idle connections to all servers.
+    pub fn count_idle(&self) -> usize {
+        let servers = self.by_name.values();
+        servers.map(|server| server.idle.borrow().len()).sum()
+    }
+
     /// Whether there are no servers.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -20,14 +20,18 @@
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
+use crate::machine::MachineLimits;
+use crate::machine::MachineUse;
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
+use crate::pressure::PressureWatch;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
 use crate::servers;
 use crate::servers::ServerPool;
 use crate::table::RouteTable;
+use crate::tally::WorkTally;
 use crate::updates::TrafficUpdate;
 
 /// Time for a head while no configuration is known: the usual limit.
@@ -48,6 +52,8 @@
     pub directory: InstanceDirectory,
     /// What callers may take of the machine.
     pub bounds: CallerBounds,
+    /// What the machine gives the process.
+    pub limits: MachineLimits,
 }
 
 /// State of the request path. Tasks of one thread share it; no borrow is held
@@ -69,6 +75,8 @@
     pub pins: PinSet,
     /// The callers' connections.
     pub callers: Rc<CallerRegistry>,
+    /// Counts of the work for the fleet.
+    pub tally: Rc<WorkTally>,
     /// Counters and histograms.
     pub measures: Rc<TrafficMeasures>,
     /// The servers.
@@ -82,12 +90,15 @@
     closing: Cell<bool>,
     close: Notify,
     started: Instant,
+    pressure: PressureWatch,
 }
 
 impl<D: RequestDialect> TrafficState<D> {
     /// State before any news.
     pub fn new(parts: TrafficParts<D>) -> Self {
         Self {
+            tally: Rc::clone(parts.budgets.tally()),
+            pressure: PressureWatch::new(parts.limits),
             dialect: parts.dialect,
             data_centre: parts.data_centre,
             budgets: BudgetHandle::new(parts.budgets),
@@ -190,6 +201,7 @@
                 self.budgets.apply(offset, &record);
                 self.review_budgets();
             }
+            TrafficUpdate::AccountsEnd(end) => self.budgets.note_end(end),
             TrafficUpdate::AccountsCurrent => {
                 self.budgets.recover();
                 self.review_budgets();
@@ -271,8 +283,21 @@
             tokens: self.budgets.token_sums(),
             tokens_free: self.budgets.free_tokens(),
             ready: directory.is_ready(),
+            used: MachineUse::read(),
+            body_bytes: self.callers.body_bytes(),
+            idle_links: servers.count_idle(),
+            accounts: self.budgets.accounts(),
+            account_lag: self.budgets.lag(),
         };
         levels.show();
+        self.tally.show();
+        self.pressure.note_levels(&levels, &self.tally);
+    }
+
+    /// The thread's timer was late by `delay`.
+    pub fn note_lateness(&self, delay: Duration) {
+        self.measures.timer_late(delay);
+        self.pressure.note_lateness(delay);
     }
 
     /// Drops servers that did not come back.
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -36,6 +36,8 @@
         /// Its bytes.
         record: Vec<u8>,
     },
+    /// The account stream ends at this offset; its records follow.
+    AccountsEnd(u64),
     /// All account records that the store had were told.
     AccountsCurrent,
     /// The account records before an offset are gone; these snapshots stand for
--- a/crates/hibiscus-traffic/tests/callers.rs
+++ b/crates/hibiscus-traffic/tests/callers.rs
@@ -11,6 +11,7 @@
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::callers::CallerConnection;
 use hibiscus_traffic::callers::CallerRegistry;
+use hibiscus_traffic::tally::CloseReason;
 
 const BOUNDS: CallerBounds = CallerBounds {
     connections: 3,
@@ -34,8 +35,10 @@
     let shorter = registry.open().expect("there is room");
     let newest = registry.open().expect("an idle one makes room");
     assert!(is_ended(&longest));
+    assert_eq!(longest.closing(), Some(CloseReason::Room));
     for other in [&busy, &shorter, &newest] {
         assert!(!is_ended(other));
+        assert_eq!(other.closing(), None);
     }
     drop(longest);
     assert_eq!(registry.len(), 3);
