Answer a request that began while its connection was told to end

Cause, by the code: a connection is told to end when its head took too long or another needs its room. It may have read the rest of the head in the same turn of the traffic thread, which is likely where that thread is late: the look at the heads runs before the connection that has the bytes. The end then allowed 200 ms for the last bytes, whether or not a request had begun, and dropped the request with the connection. The end now waits while a request is on the connection; a connection without one is cut after 200 ms as before.

Ruled out: the HTTP library. Told to end, it closes a connection whose head is not whole and finishes one whose request has begun. Its own limit on heads looks at what was read before it looks at the time.

Conclusion: one way to lose a request is closed; an end of the process for its memory is another and stays.

--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
@@ -36,6 +37,10 @@
 /// Part of the memory that callers' bodies may take.
 const BODIES_PART: f64 = 0.2;
 
+/// Time for the last bytes on a connection that was told to end and has no
+/// request.
+const LAST_WRITE: Duration = Duration::from_millis(200);
+
 /// What callers may take of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerBounds {
@@ -200,6 +205,19 @@
         self.slot.end.notified().await;
     }
 
+    /// Waits until `connection`, which was told to end, has ended; false when
+    /// its last bytes took too long. Its head may have become whole in the same
+    /// moment, and the request then has the time that it would have had.
+    pub async fn finish<F: Future>(&self, connection: F) -> bool {
+        let mut connection = pin!(connection);
+        loop {
+            let ended = tokio::time::timeout(LAST_WRITE, connection.as_mut()).await;
+            if ended.is_ok() || self.slot.requests.get() == 0 {
+                return ended.is_ok();
+            }
+        }
+    }
+
     /// Why this instance ends the connection, if it does.
     pub fn closing(&self) -> Option<CloseReason> {
         self.slot.closing.get()
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -31,8 +31,6 @@
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Least size of a connection's buffer, as the HTTP library requires.
 const LEAST_BUFFER: usize = 8 * 1024;
-/// Time for the last bytes on a connection that makes room for others.
-const LAST_WRITE: Duration = Duration::from_millis(200);
 /// Pause after a failure to accept, such as running out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -136,7 +134,7 @@
         }
         () = caller.ended() => {
             connection.as_mut().graceful_shutdown();
-            let _ended = tokio::time::timeout(LAST_WRITE, connection).await;
+            let _ended = caller.finish(connection).await;
         }
     }
     if let Some(reason) = caller.closing() {
--- a/crates/hibiscus-traffic/tests/callers.rs
+++ b/crates/hibiscus-traffic/tests/callers.rs
@@ -90,3 +90,47 @@
     let by_descriptors = CallerBounds::of_machine(1 << 40, 4_100);
     assert_eq!(by_descriptors.connections, 2_460);
 }
+
+/// Runs `work` on a runtime with a clock.
+fn run<F: Future>(work: F) -> F::Output {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().build().expect("a runtime");
+    runtime.block_on(work)
+}
+
+// Guards against a connection that is dropped 200 ms after it was told to end,
+// with a request on it whose head was read in the same moment.
+#[test]
+fn a_request_that_begins_while_its_connection_is_told_to_end_gets_its_answer() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let caller = registry.open().expect("there is room");
+    let request = caller.begin_request();
+    let connection = async {
+        // Longer than the last bytes of a connection without a request take.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        drop(request);
+    };
+    assert!(run(caller.finish(connection)));
+}
+
+// Guards against a caller that reads nothing and keeps its connection for ever.
+#[test]
+fn a_connection_without_a_request_that_was_told_to_end_is_cut() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let caller = registry.open().expect("there is room");
+    assert!(!run(caller.finish(std::future::pending::<()>())));
+}
+
+// Guards against a caller that keeps its connection after its request has passed.
+#[test]
+fn a_connection_whose_request_has_passed_is_cut_soon_after() {
+    let registry = CallerRegistry::new(BOUNDS);
+    let caller = registry.open().expect("there is room");
+    let request = caller.begin_request();
+    let connection = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        drop(request);
+        std::future::pending::<()>().await;
+    };
+    assert!(!run(caller.finish(connection)));
+}
