--- a/crates/hibiscus-traffic/src/machine.rs
+++ b/crates/hibiscus-traffic/src/machine.rs
@@ -3,12 +3,17 @@
 use std::fs;
 use std::time::Duration;
 
-use nix::time::ClockId;
-
 /// File that tells the memory of this process.
 const STATUS_PATH: &str = "/proc/self/status";
 /// Field of the resident memory there, in KiB.
 const RESIDENT_FIELD: &str = "VmRSS:";
+/// File that tells the processor time of this process.
+const TIMES_PATH: &str = "/proc/self/stat";
+/// Position of the time in the program there, counted after the program's
+/// name; that in the system follows.
+const PROGRAM_TIME: usize = 11;
+/// Milliseconds of one unit there, the same on all Linux systems.
+const TIME_UNIT_MS: u64 = 10;
 
 /// What the machine gives the process.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -26,7 +31,7 @@
 pub struct MachineUse {
     /// Resident memory in bytes; 0 when the system does not tell it.
     pub resident_bytes: usize,
-    /// Processor time since the start.
+    /// Processor time of all threads since the start, to 10 ms.
     pub processor: Duration,
 }
 
@@ -34,10 +39,10 @@
     /// The present use.
     pub fn read() -> Self {
         let status = fs::read_to_string(STATUS_PATH).unwrap_or_default();
-        let processor = ClockId::CLOCK_PROCESS_CPUTIME_ID.now().map(Duration::from);
+        let times = fs::read_to_string(TIMES_PATH).unwrap_or_default();
         Self {
             resident_bytes: resident_bytes(&status),
-            processor: processor.unwrap_or_default(),
+            processor: processor_time(&times),
         }
     }
 }
@@ -52,6 +57,15 @@
     kibibytes * 1024
 }
 
+/// The processor time that the text of a times file tells. The program's name,
+/// in parentheses, may hold any character.
+fn processor_time(times: &str) -> Duration {
+    let fields = times.rsplit_once(')').map_or("", |(_name, fields)| fields);
+    let spent = fields.split_whitespace().skip(PROGRAM_TIME).take(2);
+    let units: u64 = spent.filter_map(|field| field.parse::<u64>().ok()).sum();
+    Duration::from_millis(units * TIME_UNIT_MS)
+}
+
 /// Tells once when a level reaches a mark, and again only after it has been
 /// below a lower one, so that a level at the mark is told no more often.
 #[derive(Clone, Copy, Debug)]
--- a/crates/hibiscus-traffic/tests/machine.rs
+++ b/crates/hibiscus-traffic/tests/machine.rs
@@ -1,5 +1,8 @@
 //! What the process tells of its machine.
 
+use std::thread;
+use std::time::Duration;
+
 use hibiscus_traffic::machine::LevelWatch;
 use hibiscus_traffic::machine::MachineUse;
 use hibiscus_traffic::tally::DrawOutcome;
@@ -13,6 +16,21 @@
     assert!(used.resident_bytes < 100 << 30);
 }
 
+// Guards against a clock that runs while the process does not.
+#[test]
+fn processor_time_grows_with_work_and_not_with_waiting() {
+    let begun = MachineUse::read().processor;
+    let mut worked = 0_u64;
+    // Some 100 ms of work, in steps that the system's unit of 10 ms shows.
+    while MachineUse::read().processor < begun + Duration::from_millis(100) {
+        worked += 1;
+    }
+    assert!(worked > 0);
+    let before = MachineUse::read().processor;
+    thread::sleep(Duration::from_millis(400));
+    assert!(MachineUse::read().processor < before + Duration::from_millis(400));
+}
+
 // Guards against a line for each look at a level that stays high.
 #[test]
 fn a_rise_is_told_once_until_the_level_was_low_again() {
