Write the levels also when the routine lines of a second are used up

They come each 6 s and tell what fills the machine, so they go with the failures' 400 lines a second.

--- a/crates/hibiscus-events/src/logging.rs
+++ b/crates/hibiscus-events/src/logging.rs
@@ -42,9 +42,10 @@
 });
 
 impl LineBudget {
-    /// Whether a line of `level` may be written; failures go before routine.
-    fn admit(&mut self, level: Level) -> bool {
-        let limit = if level <= Level::Warn {
+    /// Whether a line of `code` may be written; failures go before routine. So
+    /// do levels: they are few, and say most when there is much to write.
+    fn admit(&mut self, code: EventCode) -> bool {
+        let limit = if code.level() <= Level::Warn || code == EventCode::LevelsShown {
             ALL_LINES
         } else {
             ROUTINE_LINES
@@ -81,7 +82,7 @@
     let now = Instant::now();
     let (dropped, admitted) = {
         let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
-        (lines.turn(now), lines.admit(level))
+        (lines.turn(now), lines.admit(code))
     };
     if dropped > 0 {
         let code = EventCode::LinesDropped;
