--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -222,6 +222,13 @@
         INSTANCES_TOPIC
     }
 
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in records {
+            self.take(record, updates);
+        }
+        tell(updates, TrafficUpdate::InstancesRead);
+    }
+
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
         let Some(value) = record.value else {
             return;
@@ -288,10 +295,12 @@
             Ok(Some(page)) => {
                 reach.succeeded(account::STREAM);
                 let end = page.end;
-                for record in page.records {
-                    let offset = next;
-                    next += 1;
-                    tell(updates, TrafficUpdate::Account { offset, record });
+                tell(updates, TrafficUpdate::AccountsEnd(end));
+                let first = next;
+                let records = page.records;
+                next += u64::try_from(records.len()).unwrap_or(u64::MAX);
+                if !records.is_empty() {
+                    tell(updates, TrafficUpdate::Accounts { first, records });
                 }
                 if next >= end && !current {
                     current = true;
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -17,6 +17,7 @@
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
 use hibiscus_traffic::members;
 use hibiscus_traffic::model::InstanceEntry;
@@ -28,6 +29,7 @@
 use hibiscus_traffic::retries::RetryCounter;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::supply;
 use hibiscus_traffic::updates;
 use hibiscus_traffic::updates::UpdateReceiver;
 use hibiscus_types::IncarnationId;
@@ -122,6 +124,18 @@
         data_centre: settings.data_centre.clone(),
         leaving: false,
     };
+    let limits = MachineLimits {
+        memory_bytes: settings.memory_bytes,
+        descriptors: settings.descriptors,
+        cores: settings.cores,
+    };
+    event!(
+        EventCode::LimitsKnown,
+        "memory_bytes={} descriptors={} cores={:.2}",
+        limits.memory_bytes,
+        limits.descriptors,
+        limits.cores
+    );
     let clock = MachineClock::of_this_boot();
     event!(
         EventCode::InstanceStarted,
@@ -173,6 +187,8 @@
         retries,
         directory: InstanceDirectory::new(own.clone()),
         bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+        limits,
+        first_start: settings.first_start,
     }));
     let tasks = LocalSet::new();
     tasks.block_on(
@@ -192,6 +208,7 @@
         (measures::FIRST_EVENT, &times[..]),
         (measures::REQUEST_TIME, &times[..]),
         (measures::EVENT_GAP, &measures::GAP_BOUNDS[..]),
+        (measures::TIMER_LATENESS, &times[..]),
         (platform::store::CALL_TIME, &times[..]),
     ];
     let mut builder = PrometheusBuilder::new();
@@ -253,13 +270,15 @@
                     state.apply(update);
                 }
             }
-            _at = tick.tick() => {
+            due = tick.tick() => {
+                state.note_lateness(due.elapsed());
                 state.expire_servers();
                 state.directory.borrow_mut().tick();
                 state.members.notify_one();
                 state.end_slow_heads();
                 state.share_server_connections();
                 state.review_budgets();
+                supply::return_idle(&state);
             }
         }
     }
@@ -320,6 +339,7 @@
 
 /// Gives tokens back and writes the last snapshots, until the store has both.
 async fn settle_accounts(state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
+    supply::return_given(state, Duration::ZERO);
     state.budgets.give_all_back();
     while !state.budgets.is_acknowledged() || !state.budgets.is_read_back() {
         if let Some(update) = updates.recv().await {
@@ -345,6 +365,7 @@
     if request.uri().path() != answers::READINESS_PATH {
         return answer::status_answer(http::StatusCode::NOT_FOUND);
     }
+    state.tally.readiness_asked.add();
     if state.directory.borrow().is_ready() {
         answer::status_answer(http::StatusCode::OK)
     } else {
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -39,16 +39,38 @@
 use rustls::server::danger::ClientCertVerifier;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::connect::CacheLimits;
 use crate::connect::ConnectionCache;
+use crate::counts;
+use crate::counts::LinkCounters;
+use crate::counts::LinkCounts;
 use crate::keys;
 use crate::keys::FLEET_NAME;
 use crate::message;
 use crate::message::MessageSender;
 use crate::tls;
 
+/// Bounds of the connections to peers: a large fleet asks a few dozen now and
+/// then, and a handshake takes some hundredths of a second of a small machine.
+const LIMITS: CacheLimits = CacheLimits {
+    kept: 64,
+    handshakes: 8,
+};
+
+/// Handshakes of peers in progress; one more is refused unread, so that those
+/// in progress end before their peers give up.
+const HANDSHAKE_LIMIT: usize = 8;
+/// Time for a handshake of a peer: as long as the peer waits.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(2);
+/// Connections of peers; with each keeping its own bound, only an uneven
+/// choice of many brings more.
+const ACCEPTED_LIMIT: u64 = 256;
+
 /// SHA-256 of a certificate.
 pub type CertificatePin = [u8; 32];
 
@@ -260,10 +282,14 @@
     ) -> Result<Self> {
         let mut endpoint = Endpoint::server(server_config(keys, pins)?, listen)?;
         endpoint.set_default_client_config(client_config(keys, pins)?);
-        tokio::spawn(accept(endpoint.clone(), inbox));
-        Ok(Self {
-            cache: Arc::new(ConnectionCache::new(endpoint)),
-        })
+        let cache = Arc::new(ConnectionCache::new(endpoint.clone(), LIMITS));
+        tokio::spawn(accept(endpoint, inbox, Arc::clone(cache.counters())));
+        Ok(Self { cache })
+    }
+
+    /// What the link counted until now.
+    pub fn counts(&self) -> LinkCounts {
+        self.cache.counts()
     }
 
     /// Sends `body` to `peer` and returns the reply; `None` on any failure and
@@ -308,20 +334,43 @@
 }
 
 /// Accepts connections until the endpoint is closed.
-async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<PinnedCall>) {
+async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<PinnedCall>, counters: Arc<LinkCounters>) {
+    let places = Arc::new(Semaphore::new(HANDSHAKE_LIMIT));
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(serve_connection(incoming, inbox.clone()));
+        let place = Arc::clone(&places).try_acquire_owned().ok();
+        let place = place.filter(|_place| counts::level(&counters.open_in) < ACCEPTED_LIMIT);
+        let Some(place) = place else {
+            counts::add(&counters.handshakes_refused);
+            incoming.refuse();
+            continue;
+        };
+        counts::add(&counters.handshakes_accepted);
+        tokio::spawn(serve_connection(
+            incoming,
+            place,
+            inbox.clone(),
+            Arc::clone(&counters),
+        ));
     }
 }
 
 /// Receives the calls of one connection.
-async fn serve_connection(incoming: Incoming, inbox: mpsc::Sender<PinnedCall>) {
-    let Ok(connection) = incoming.await else {
+async fn serve_connection(
+    incoming: Incoming,
+    place: OwnedSemaphorePermit,
+    inbox: mpsc::Sender<PinnedCall>,
+    counters: Arc<LinkCounters>,
+) {
+    let made = tokio::time::timeout(HANDSHAKE_TIME, incoming.into_future()).await;
+    drop(place);
+    let Ok(Ok(connection)) = made else {
         return;
     };
+    counts::add(&counters.open_in);
     while let Ok((send, receive)) = connection.accept_bi().await {
         tokio::spawn(serve_call(send, receive, inbox.clone()));
     }
+    counts::take(&counters.open_in);
 }
 
 /// Receives one call and sends its reply.
--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
@@ -22,6 +23,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::tally::CloseReason;
+
 /// Memory that a connection with a request may take, in bytes: two buffers of
 /// 8 KiB, its tasks and the kernel's part of what is unread; 16 KiB were
 /// measured for an open stream.
@@ -34,6 +37,10 @@
 /// Part of the memory that callers' bodies may take.
 const BODIES_PART: f64 = 0.2;
 
+/// Time for the last bytes on a connection that was told to end and has no
+/// request.
+const LAST_WRITE: Duration = Duration::from_millis(200);
+
 /// What callers may take of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerBounds {
@@ -73,6 +80,8 @@
     requests: Cell<usize>,
     /// Ends the connection.
     end: Notify,
+    /// Why this instance ends it, if it does.
+    closing: Cell<Option<CloseReason>>,
 }
 
 impl CallerSlot {
@@ -80,6 +89,11 @@
         self.phase.set(phase);
         self.since.set(Instant::now());
     }
+
+    fn end(&self, reason: CloseReason) {
+        self.closing.set(Some(reason));
+        self.end.notify_one();
+    }
 }
 
 /// All connections of callers.
@@ -107,6 +121,11 @@
         self.slots.borrow().len()
     }
 
+    /// Bytes of bodies whose requests are not answered.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes.get()
+    }
+
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -126,6 +145,7 @@
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
             end: Notify::new(),
+            closing: Cell::new(None),
         });
         self.slots.borrow_mut().insert(number, Rc::clone(&slot));
         Some(CallerConnection {
@@ -142,7 +162,7 @@
         for slot in self.slots.borrow().values() {
             let starting = slot.phase.get() == CallerPhase::Starting;
             if starting && slot.since.get().elapsed() > limit {
-                slot.end.notify_one();
+                slot.end(CloseReason::SlowHead);
                 ended += 1;
             }
         }
@@ -166,7 +186,7 @@
             .filter(|(_number, slot)| slot.phase.get() == CallerPhase::Idle);
         let longest = idle.min_by_key(|(_number, slot)| slot.since.get());
         let number = longest.map(|(number, _slot)| *number)?;
-        slots.remove(&number)?.end.notify_one();
+        slots.remove(&number)?.end(CloseReason::Room);
         Some(())
     }
 }
@@ -185,6 +205,29 @@
         self.slot.end.notified().await;
     }
 
+    /// Waits until `connection`, which was told to end, has ended; false when
+    /// its last bytes took too long. Its head may have become whole in the same
+    /// moment, and the request then has the time that it would have had.
+    pub async fn finish<F: Future>(&self, connection: F) -> bool {
+        let mut connection = pin!(connection);
+        loop {
+            let ended = tokio::time::timeout(LAST_WRITE, connection.as_mut()).await;
+            if ended.is_ok() || self.slot.requests.get() == 0 {
+                return ended.is_ok();
+            }
+        }
+    }
+
+    /// Why this instance ends the connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+
+    /// Notes that this instance ends the connection because of a planned stop.
+    pub fn note_stopping(&self) {
+        self.slot.closing.set(Some(CloseReason::Stopping));
+    }
+
     /// Counts a request until the returned value is dropped.
     pub fn begin_request(&self) -> CallerRequest {
         self.slot.requests.set(self.slot.requests.get() + 1);
@@ -215,6 +258,13 @@
     slot: Rc<CallerSlot>,
 }
 
+impl CallerRequest {
+    /// Why this instance ends the request's connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+}
+
 impl Drop for CallerRequest {
     fn drop(&mut self) {
         let requests = self.slot.requests.get() - 1;
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -259,7 +259,7 @@
             stable_hash(&[subject.as_bytes(), entry.name.as_str().as_bytes()])
         };
         let own = rank(&self.own);
-        let mut others = self.answering();
+        let mut others = self.held_to_answer();
         let first = others.all(|known| rank(&known.entry) > own);
         let mut firsts = self.firsts.borrow_mut();
         if firsts.len() >= FIRST_KEPT {
@@ -270,14 +270,28 @@
     }
 
     /// The others that are held to answer.
-    fn answering(&self) -> impl Iterator<Item = &KnownInstance> {
+    fn held_to_answer(&self) -> impl Iterator<Item = &KnownInstance> {
         let others = self.others.values();
         others.filter(|known| known.silent_since.is_none())
     }
 
+    /// This instance and those that answer and do not leave.
+    pub fn answering(&self) -> impl Iterator<Item = &InstanceEntry> {
+        let others = self.held_to_answer();
+        let others = others.filter(|known| !known.entry.leaving);
+        others.map(|known| &known.entry).chain([&self.own])
+    }
+
+    /// This instance.
+    pub fn own(&self) -> &InstanceEntry {
+        &self.own
+    }
+
     /// Where the instances that answer take questions.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        self.answering().map(|known| known.entry.peers).collect()
+        self.held_to_answer()
+            .map(|known| known.entry.peers)
+            .collect()
     }
 
     /// Addresses of the instances that serve, those in the data centre
@@ -289,7 +303,7 @@
         if self.ready {
             named.push(&self.own);
         }
-        for known in self.answering() {
+        for known in self.held_to_answer() {
             if !known.entry.leaving {
                 named.push(&known.entry);
             }
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -22,8 +22,12 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::budgets::TokenRefusal;
 use crate::dialect::RequestDialect;
 use crate::state::TrafficState;
+use crate::supply;
+use crate::tally::QuestionOutcome;
+use crate::tally::QuestionSubject;
 
 /// Calls that wait to be answered.
 pub const RING_CAPACITY: usize = 256;
@@ -51,6 +55,20 @@
     },
     /// Tells the time of day of the machine.
     TimeOfDay,
+    /// Asks a holder of a budget for what one request needs.
+    Reserve {
+        /// The budget.
+        budget: BudgetName,
+        /// Tokens asked for; fewer are of no use.
+        tokens: TokenCount,
+    },
+    /// Brings back what requests left of tokens that a holder passed on.
+    Return {
+        /// The budget.
+        budget: BudgetName,
+        /// The tokens.
+        tokens: TokenCount,
+    },
     /// Takes over which instances are silent.
     Silence(SilenceMessage),
 }
@@ -62,6 +80,12 @@
     Tokens(TokenCount),
     /// Milliseconds since the Unix epoch.
     TimeOfDay(u64),
+    /// The tokens were passed on.
+    Reserved(TokenCount),
+    /// They cannot be had from this holder.
+    Refused(TokenRefusal),
+    /// Tokens came back.
+    Returned,
     /// Which instances are silent.
     Silence(SilenceMessage),
 }
@@ -72,6 +96,7 @@
     mut calls: mpsc::Receiver<PinnedCall>,
 ) {
     while let Some(call) = calls.recv().await {
+        state.tally.link_asked.add();
         let question = match codec::decode::<PeerQuestion>(&call.body) {
             Ok(question) => question,
             Err(error) => {
@@ -79,19 +104,31 @@
                 continue;
             }
         };
-        let answer = answer(&state, question);
-        match codec::encode(&answer) {
-            Ok(body) => call.reply(body),
-            Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
-        }
+        tokio::task::spawn_local(answer_call(Rc::clone(&state), question, call));
+    }
+}
+
+/// Answers one call; a draw may take some time.
+async fn answer_call<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    question: PeerQuestion,
+    call: PinnedCall,
+) {
+    let answer = answer(&state, &question).await;
+    match codec::encode(&answer) {
+        Ok(body) => call.reply(body),
+        Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
     }
 }
 
 /// Decides on one question.
-fn answer<D: RequestDialect>(state: &TrafficState<D>, question: PeerQuestion) -> PeerAnswer {
+async fn answer<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    question: &PeerQuestion,
+) -> PeerAnswer {
     match question {
         PeerQuestion::Tokens { budget, tokens } => {
-            let given = state.budgets.give(&budget, tokens);
+            let given = state.budgets.give(budget, *tokens);
             event!(
                 EventCode::TokensGiven,
                 "budget={budget} asked={tokens} given={given}"
@@ -99,8 +136,19 @@
             PeerAnswer::Tokens(given)
         }
         PeerQuestion::TimeOfDay => PeerAnswer::TimeOfDay(UnixMillis::now().get()),
+        PeerQuestion::Reserve { budget, tokens } => {
+            match supply::pass_on(state, budget, *tokens).await {
+                Ok(()) => PeerAnswer::Reserved(*tokens),
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            }
+        }
+        PeerQuestion::Return { budget, tokens } => {
+            state.budgets.add_given(budget, *tokens);
+            PeerAnswer::Returned
+        }
         PeerQuestion::Silence(message) => {
-            let answer = state.directory.borrow_mut().take_message(message);
+            let mut directory = state.directory.borrow_mut();
+            let answer = directory.take_message(message.clone());
             state.members.notify_one();
             PeerAnswer::Silence(answer)
         }
@@ -115,14 +163,17 @@
     budget: &BudgetName,
     tokens: TokenCount,
 ) -> bool {
-    let mut peers = state.directory.borrow().peers();
-    fastrand::shuffle(&mut peers);
+    let mut peers = state.other_holders(budget);
     peers.truncate(ASKED_LIMIT);
     let mut gathered = TokenCount::ZERO;
     for peer in peers {
         let missing = tokens.saturating_sub(gathered);
         let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
-        let Some(given) = ask_tokens(link, peer, budget, asked).await else {
+        let given = ask_tokens(link, peer, budget, asked).await;
+        state
+            .tally
+            .count_question(QuestionSubject::Link, gift_outcome(given));
+        let Some(given) = given else {
             event!(EventCode::TokensNotAnswered, "peer={peer} budget={budget}");
             continue;
         };
@@ -135,6 +186,15 @@
     false
 }
 
+/// How a question for tokens ended.
+fn gift_outcome(given: Option<TokenCount>) -> QuestionOutcome {
+    match given {
+        None => QuestionOutcome::Unanswered,
+        Some(TokenCount::ZERO) => QuestionOutcome::Refused,
+        Some(_tokens) => QuestionOutcome::Answered,
+    }
+}
+
 /// Asks one instance for tokens.
 async fn ask_tokens(
     link: &PinnedLink,
@@ -148,7 +208,7 @@
     };
     match ask(link, peer, &question, ANSWER_LIMIT).await? {
         PeerAnswer::Tokens(given) => Some(given),
-        PeerAnswer::TimeOfDay(_) | PeerAnswer::Silence(_) => None,
+        _other => None,
     }
 }
 
@@ -157,7 +217,7 @@
 pub async fn ask_time(link: &PinnedLink, peer: SocketAddr) -> Option<u64> {
     match ask(link, peer, &PeerQuestion::TimeOfDay, TIME_LIMIT).await? {
         PeerAnswer::TimeOfDay(millis) => Some(millis),
-        PeerAnswer::Tokens(_) | PeerAnswer::Silence(_) => None,
+        _other => None,
     }
 }
 
@@ -170,12 +230,12 @@
     let question = PeerQuestion::Silence(message);
     match ask(link, peer, &question, TIME_LIMIT).await? {
         PeerAnswer::Silence(answer) => Some(answer),
-        PeerAnswer::Tokens(_) | PeerAnswer::TimeOfDay(_) => None,
+        _other => None,
     }
 }
 
 /// Asks one instance.
-async fn ask(
+pub(crate) async fn ask(
     link: &PinnedLink,
     peer: SocketAddr,
     question: &PeerQuestion,
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -25,13 +25,12 @@
 use crate::life;
 use crate::relay::AnswerBody;
 use crate::state::TrafficState;
+use crate::tally::CloseReason;
 
 /// Time for a head while no configuration is known.
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Least size of a connection's buffer, as the HTTP library requires.
 const LEAST_BUFFER: usize = 8 * 1024;
-/// Time for the last bytes on a connection that makes room for others.
-const LAST_WRITE: Duration = Duration::from_millis(200);
 /// Pause after a failure to accept, such as running out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,6 +55,7 @@
                 "connections={}",
                 state.callers.len()
             );
+            state.tally.count_close(CloseReason::Full);
             continue;
         };
         tokio::task::spawn_local(serve_caller(stream, caller, Rc::clone(&state)));
@@ -128,12 +128,16 @@
     tokio::select! {
         _ended = connection.as_mut() => {}
         () = state.closing() => {
+            caller.note_stopping();
             connection.as_mut().graceful_shutdown();
             let _ended = connection.await;
         }
         () = caller.ended() => {
             connection.as_mut().graceful_shutdown();
-            let _ended = tokio::time::timeout(LAST_WRITE, connection).await;
+            let _ended = caller.finish(connection).await;
         }
     }
+    if let Some(reason) = caller.closing() {
+        state.tally.count_close(reason);
+    }
 }
