Ask holders that lately had no tokens after the others

Cause: an instance asked two holders in the same order each time, and a third of the machines were without the store from 2.5 s on. Up to four are asked now, those that refused within a second last.

--- a/crates/hibiscus-traffic/src/holders.rs
+++ b/crates/hibiscus-traffic/src/holders.rs
@@ -7,6 +7,9 @@
 //! instances for moments: any instance may draw, since the fold decides.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use hibiscus_types::BudgetName;
 use hibiscus_types::hash::stable_hash;
@@ -16,6 +19,10 @@
 /// Instances that draw of a budget: enough that several may fail at once. A
 /// fleet of no more has no others.
 pub const HOLDERS: usize = 8;
+/// Time for which a holder that had no tokens is asked after the others.
+const REFUSAL_REST: Duration = Duration::from_secs(1);
+/// Refusals remembered.
+const REFUSALS_KEPT: usize = 1_024;
 /// Groups of budgets with the same holders, so that an instance asks a bounded
 /// number of others however many budgets there are.
 const SHARDS: u64 = 16;
@@ -44,3 +51,34 @@
         (remote, stable_hash(&[own, holder.name.as_str().as_bytes()]))
     });
 }
+
+/// Holders that lately had no tokens of a budget, or did not answer.
+#[derive(Clone, Debug, Default)]
+pub struct HolderRefusals {
+    refused: BTreeMap<(BudgetName, SocketAddr), Duration>,
+}
+
+impl HolderRefusals {
+    /// Notes that `holder` had no tokens of `budget` at `now`.
+    pub fn note(&mut self, budget: &BudgetName, holder: SocketAddr, now: Duration) {
+        if self.refused.len() >= REFUSALS_KEPT {
+            self.refused.retain(|_holder, at| is_recent(*at, now));
+        }
+        if self.refused.len() < REFUSALS_KEPT {
+            self.refused.insert((budget.clone(), holder), now);
+        }
+    }
+
+    /// Puts the holders that refused lately behind the others.
+    pub fn sort(&self, budget: &BudgetName, holders: &mut [SocketAddr], now: Duration) {
+        holders.sort_by_cached_key(|holder| {
+            let refused = self.refused.get(&(budget.clone(), *holder));
+            refused.is_some_and(|at| is_recent(*at, now))
+        });
+    }
+}
+
+/// Whether a refusal at `at` still counts at `now`.
+fn is_recent(at: Duration, now: Duration) -> bool {
+    now.saturating_sub(at) < REFUSAL_REST
+}
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -23,6 +23,7 @@
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
 use crate::holders;
+use crate::holders::HolderRefusals;
 use crate::machine::MachineLimits;
 use crate::machine::MachineUse;
 use crate::measures::TrafficLevels;
@@ -78,6 +79,8 @@
     pub retries: RefCell<RetryCounter>,
     /// The instances.
     pub directory: RefCell<InstanceDirectory>,
+    /// Holders that lately had no tokens.
+    pub refusals: RefCell<HolderRefusals>,
     /// The link to the other instances, once it is open.
     pub link: RefCell<Option<PinnedLink>>,
     /// The processes that the link accepts.
@@ -118,6 +121,7 @@
             retries: RefCell::new(parts.retries),
             directory: RefCell::new(parts.directory),
             callers: CallerRegistry::new(parts.bounds),
+            refusals: RefCell::default(),
             link: RefCell::default(),
             measures: Rc::default(),
             pins: PinSet::default(),
--- a/crates/hibiscus-traffic/src/supply.rs
+++ b/crates/hibiscus-traffic/src/supply.rs
@@ -36,8 +36,11 @@
 /// Time for a holder's answer. One that comes after the request stopped to wait
 /// still brings its tokens, for the next request.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_500);
-/// Holders asked for one request.
-const ASKED_HOLDERS: usize = 2;
+/// Holders asked for one request: one without the store says at once that it
+/// has too little, and a third of them may be without it.
+const ASKED_HOLDERS: usize = 4;
+/// Holders that may leave one request without an answer.
+const SILENT_HOLDERS: usize = 2;
 /// Time after which tokens that no request used go back to a holder.
 const GIVEN_REST: Duration = Duration::from_secs(1);
 
@@ -162,19 +165,37 @@
     until: Instant,
 ) -> Result<TokenHold> {
     let mut answered = false;
-    let holders = state.other_holders(budget);
+    let mut silent = 0;
+    let mut holders = state.other_holders(budget);
+    state
+        .refusals
+        .borrow()
+        .sort(budget, &mut holders, state.now());
     for holder in holders.into_iter().take(ASKED_HOLDERS) {
+        if silent >= SILENT_HOLDERS {
+            break;
+        }
         if let Ok(hold) = state.budgets.reserve(budget, tokens) {
             return Ok(hold);
         }
         let missing = tokens.saturating_sub(state.budgets.given(budget));
         match ask_holder(state, holder, budget, missing, until).await {
             Some(PeerAnswer::Refused(TokenRefusal::Spent)) => return Err(TokenRefusal::Spent),
-            Some(_answer) => answered = true,
-            None => event!(
-                EventCode::TokensNotAnswered,
-                "peer={holder} budget={budget}"
-            ),
+            Some(PeerAnswer::Refused(TokenRefusal::Unconfirmed)) => {
+                answered = true;
+                let now = state.now();
+                state.refusals.borrow_mut().note(budget, holder, now);
+            }
+            Some(_given) => answered = true,
+            None => {
+                silent += 1;
+                let now = state.now();
+                state.refusals.borrow_mut().note(budget, holder, now);
+                event!(
+                    EventCode::TokensNotAnswered,
+                    "peer={holder} budget={budget}"
+                );
+            }
         }
     }
     if let Ok(hold) = state.budgets.reserve(budget, tokens) {
--- a/crates/hibiscus-traffic/tests/holders.rs
+++ b/crates/hibiscus-traffic/tests/holders.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
@@ -14,6 +15,7 @@
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::holders;
 use hibiscus_traffic::holders::HOLDERS;
+use hibiscus_traffic::holders::HolderRefusals;
 use hibiscus_traffic::model::CallerLimits;
 use hibiscus_traffic::model::FleetConfig;
 use hibiscus_traffic::model::InstanceEntry;
@@ -111,6 +113,25 @@
     }
 }
 
+/// Guards against requests that are refused since the nearest holders are
+/// without the store, while others have tokens (issue 17, SHORT).
+#[test]
+fn a_holder_that_had_no_tokens_is_asked_after_the_others_for_a_while() {
+    let addresses: Vec<SocketAddr> = fleet(4).iter().map(|entry| entry.peers).collect();
+    let mut refusals = HolderRefusals::default();
+    let begun = Duration::from_secs(10);
+    refusals.note(&budget(1), addresses[0], begun);
+    let sorted = |number: usize, now: Duration| {
+        let mut holders = addresses.clone();
+        refusals.sort(&budget(number), &mut holders, now);
+        holders
+    };
+    let rotated = [addresses[1], addresses[2], addresses[3], addresses[0]];
+    assert_eq!(sorted(1, begun + Duration::from_millis(500)), rotated);
+    assert_eq!(sorted(2, begun), addresses);
+    assert_eq!(sorted(1, begun + Duration::from_secs(2)), addresses);
+}
+
 /// The desks of a fleet that share one store.
 struct DeskFleet {
     desks: Vec<(InstanceEntry, BudgetDesk, Receiver<AccountBatch>)>,
