Give the pinned link the memory and packets that its calls need

Cause: both ends of a connection allowed 4,096 calls at once, and the library prepares two entries for each allowed stream when the connection is made. Each end also sent a packet each 1.5 s to keep every connection open.

Now the pinned link allows 32 calls a connection, windows of 256 KB, messages of 64 KB, and no datagrams; it searches no larger packets, sends nothing to stay open, and ends a connection after 20 s without a packet. The link with an authority keeps its settings: it carries messages of megabytes.

The test of the largest messages is new.

--- a/crates/hibiscus-peer/src/connect.rs
+++ b/crates/hibiscus-peer/src/connect.rs
@@ -45,6 +45,8 @@
     pub(crate) kept: usize,
     /// Handshakes in progress; a call that needs one more fails at once.
     pub(crate) handshakes: usize,
+    /// Bytes of the largest reply.
+    pub(crate) message: usize,
 }
 
 /// Connections by address.
@@ -98,7 +100,7 @@
         };
         let connection = connection?;
         let mark = CallMark::new(&connection);
-        match tokio::time::timeout_at(deadline, ask(&connection, body)).await {
+        match tokio::time::timeout_at(deadline, ask(&connection, body, self.limits.message)).await {
             Ok(reply) => {
                 if reply.is_some() {
                     slot.note_reply(&connection);
@@ -181,10 +183,10 @@
 }
 
 /// Sends `body` on `connection` and reads the reply.
-async fn ask(connection: &Connection, body: &[u8]) -> Option<Vec<u8>> {
+async fn ask(connection: &Connection, body: &[u8], limit: usize) -> Option<Vec<u8>> {
     let (send, mut receive) = connection.open_bi().await.ok()?;
     MessageSender::new(send).send(body).await?;
-    message::receive(&mut receive).await
+    message::receive(&mut receive, limit).await
 }
 
 /// A handshake in progress.
--- a/crates/hibiscus-peer/src/link.rs
+++ b/crates/hibiscus-peer/src/link.rs
@@ -28,11 +28,14 @@
 const RING_CAPACITY: usize = 8_192;
 /// Time that the link waits for its last packets to leave.
 const CLOSE_LIMIT: Duration = Duration::from_millis(300);
+/// Largest message, in bytes.
+const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
 /// Bounds of the connections to peers: instances of one list beat to each
 /// other.
 const LIMITS: CacheLimits = CacheLimits {
     kept: 1_024,
     handshakes: 256,
+    message: MESSAGE_LIMIT,
 };
 /// Bytes of the hybrid logical time in front of each message.
 const STAMP_BYTES: usize = 8;
@@ -298,7 +301,7 @@
     inbox: std_mpsc::SyncSender<PeerCall>,
 ) {
     let mut sender = MessageSender::new(send);
-    let Some(message) = message::receive(&mut receive).await else {
+    let Some(message) = message::receive(&mut receive, MESSAGE_LIMIT).await else {
         return;
     };
     let Some(body) = take_stamp(&events, message) else {
--- a/crates/hibiscus-peer/src/message.rs
+++ b/crates/hibiscus-peer/src/message.rs
@@ -4,8 +4,6 @@
 use quinn::SendStream;
 use quinn::VarInt;
 
-/// Largest message, in bytes.
-pub(crate) const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
 /// Code of a stream that ended before its message was whole.
 const CUT_CODE: VarInt = VarInt::from_u32(1);
 
@@ -44,7 +42,8 @@
     }
 }
 
-/// Receives one whole message; `None` when it is cut or too large.
-pub(crate) async fn receive(stream: &mut RecvStream) -> Option<Vec<u8>> {
-    stream.read_to_end(MESSAGE_LIMIT).await.ok()
+/// Receives one whole message of up to `limit` bytes; `None` when it is cut or
+/// larger.
+pub(crate) async fn receive(stream: &mut RecvStream, limit: usize) -> Option<Vec<u8>> {
+    stream.read_to_end(limit).await.ok()
 }
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -60,6 +60,7 @@
 const LIMITS: CacheLimits = CacheLimits {
     kept: 64,
     handshakes: 8,
+    message: tls::PINNED_MESSAGE,
 };
 
 /// Handshakes of peers in progress; one more is refused unread, so that those
@@ -309,7 +310,7 @@
     config.send_tls13_tickets = 0;
     let quic = QuicServerConfig::try_from(config)?;
     let mut config = ServerConfig::with_crypto(Arc::new(quic));
-    config.transport_config(tls::transport());
+    config.transport_config(tls::pinned_transport());
     Ok(config)
 }
 
@@ -322,7 +323,7 @@
         .with_client_auth_cert(vec![keys.certificate.clone()], keys.private_key())?;
     let quic = QuicClientConfig::try_from(config)?;
     let mut config = ClientConfig::new(Arc::new(quic));
-    config.transport_config(tls::transport());
+    config.transport_config(tls::pinned_transport());
     Ok(config)
 }
 
@@ -376,7 +377,7 @@
 /// Receives one call and sends its reply.
 async fn serve_call(send: SendStream, mut receive: RecvStream, inbox: mpsc::Sender<PinnedCall>) {
     let mut sender = MessageSender::new(send);
-    let Some(body) = message::receive(&mut receive).await else {
+    let Some(body) = message::receive(&mut receive, tls::PINNED_MESSAGE).await else {
         return;
     };
     let (reply, answered) = oneshot::channel();
--- a/crates/hibiscus-peer/src/tls.rs
+++ b/crates/hibiscus-peer/src/tls.rs
@@ -1,4 +1,4 @@
-//! TLS settings of the link.
+//! TLS and transport settings of the link.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,3 +68,40 @@
     transport.max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT));
     Arc::new(transport)
 }
+
+/// Time without a packet after which a connection of a pinned link is closed:
+/// longer than the pauses between the questions of an instance in need, and no
+/// packet is sent to keep it open.
+const PINNED_IDLE_MS: u32 = 20_000;
+/// Calls in progress on one connection of a pinned link. The library prepares
+/// memory for each from the start: 4,096 take hundreds of kilobytes.
+const PINNED_STREAMS: u32 = 32;
+/// Largest message of a pinned link, in bytes.
+pub(crate) const PINNED_MESSAGE: usize = 64 * 1024;
+/// Bytes in flight in each direction on one connection of a pinned link: a few
+/// of the largest messages.
+const PINNED_WINDOW: u32 = 256 * 1024;
+/// First guess of the round trip: instances are a few milliseconds apart, and
+/// a lost first packet is sent again after three of it.
+const PINNED_ROUND_TRIP: Duration = Duration::from_millis(100);
+/// Bytes of a handshake that may wait, which is some kilobytes long.
+const PINNED_CRYPTO: usize = 16 * 1024;
+
+/// Timeouts and limits of both sides of a pinned link, whose processes are
+/// many and small.
+pub(crate) fn pinned_transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    let idle = IdleTimeout::from(VarInt::from_u32(PINNED_IDLE_MS));
+    transport.max_idle_timeout(Some(idle));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(PINNED_STREAMS));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport.stream_receive_window(VarInt::from_u32(PINNED_MESSAGE as u32));
+    transport.receive_window(VarInt::from_u32(PINNED_WINDOW));
+    transport.send_window(u64::from(PINNED_WINDOW));
+    transport.datagram_receive_buffer_size(None);
+    transport.crypto_buffer_size(PINNED_CRYPTO);
+    transport.initial_rtt(PINNED_ROUND_TRIP);
+    // Messages are small, so larger packets do not pay for their search.
+    transport.mtu_discovery_config(None);
+    Arc::new(transport)
+}
--- a/crates/hibiscus-peer/tests/pinned.rs
+++ b/crates/hibiscus-peer/tests/pinned.rs
@@ -62,6 +62,21 @@
     });
 }
 
+// Guards against: small windows and bounds of the link cut what calls carry.
+#[test]
+fn messages_of_up_to_64_kilobytes_pass_and_larger_ones_do_not() {
+    run(async {
+        let (first, second) = (open(), open());
+        first.pins.insert(second.keys.pin());
+        second.pins.insert(first.keys.pin());
+        let largest = vec![7; 64 * 1024];
+        let reply = first.link.call(second.address, &largest, LIMIT).await;
+        assert_eq!(reply.as_deref(), Some(&largest[..]));
+        let larger = vec![7; 64 * 1024 + 1];
+        assert_eq!(first.link.call(second.address, &larger, LIMIT).await, None);
+    });
+}
+
 #[test]
 fn a_process_that_is_not_announced_gets_no_answer() {
     run(async {
