Tell whether the caller of a received call still waits

Cause: an instance that is slow answers calls whose callers have left. For tokens this is worse than no answer: what it gives is counted as spent and reaches nobody.

Now the link ends such a call as soon as the peer says that it reads no more, and `PinnedCall::is_wanted` tells so. A caller that leaves after the look still loses what is given.

The test failed before: the call stayed wanted for 1,000 looks.

--- a/crates/hibiscus-peer/src/message.rs
+++ b/crates/hibiscus-peer/src/message.rs
@@ -32,6 +32,11 @@
         self.whole = true;
         Some(())
     }
+
+    /// Waits until the receiver asks for no more, or is gone.
+    pub(crate) async fn left(&self) {
+        let _code = self.stream.stopped().await;
+    }
 }
 
 impl Drop for MessageSender {
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -256,6 +256,11 @@
 }
 
 impl PinnedCall {
+    /// Whether the peer still waits, as far as is known here.
+    pub fn is_wanted(&self) -> bool {
+        !self.reply.is_closed()
+    }
+
     /// Sends the reply. A peer that no longer waits gets none.
     pub fn reply(self, body: Vec<u8>) {
         let _gone = self.reply.send(body);
@@ -384,7 +389,11 @@
     if inbox.try_send(PinnedCall { body, reply }).is_err() {
         return;
     }
-    let Ok(body) = answered.await else {
+    let body = tokio::select! {
+        body = answered => body,
+        () = sender.left() => return,
+    };
+    let Ok(body) = body else {
         return;
     };
     let _gone = sender.send(&body).await;
--- a/crates/hibiscus-peer/tests/overload.rs
+++ b/crates/hibiscus-peer/tests/overload.rs
@@ -169,6 +169,37 @@
     });
 }
 
+// Guards against: a slow process gave tokens away to callers that had left,
+// and the tokens were lost.
+#[test]
+fn a_call_whose_caller_left_is_known_to_be_unwanted() {
+    run(async {
+        let (own, mut slow) = (TestPeer::open(), TestPeer::open());
+        own.know(&slow);
+        let (reply, received) = tokio::join!(
+            own.link.call(slow.address, b"abc", SHORT_LIMIT),
+            slow.calls.recv(),
+        );
+        assert_eq!(reply, None);
+        let call = received.expect("a call");
+        for _look in 0..1_000 {
+            if !call.is_wanted() {
+                break;
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        assert!(!call.is_wanted(), "the caller is not known to have left");
+        let (reply, wanted) = tokio::join!(own.link.call(slow.address, b"abc", LIMIT), async {
+            let call = slow.calls.recv().await.expect("a call");
+            let wanted = call.is_wanted();
+            call.reply(b"now".to_vec());
+            wanted
+        });
+        assert!(wanted, "a caller that waits was taken for gone");
+        assert_eq!(reply.as_deref(), Some(&b"now"[..]));
+    });
+}
+
 // Guards against: a handshake ran inside the time of one call, was thrown away
 // with it, and the next call began another.
 #[test]
