Give no tokens to an instance that has left

Cause: a slow instance worked off questions whose askers had left after 80 ms. What it gave was counted as spent and reached nobody, and the work made it slower.

Now a question whose asker is known to have left is not answered.

--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -67,6 +67,10 @@
     mut calls: mpsc::Receiver<PinnedCall>,
 ) {
     while let Some(call) = calls.recv().await {
+        // What is given to a peer that has left is lost.
+        if !call.is_wanted() {
+            continue;
+        }
         let question = match codec::decode::<PeerQuestion>(&call.body) {
             Ok(question) => question,
             Err(error) => {
