Show what the link to the other instances counts

The metrics do now: `hibiscus_peer_connections`, `hibiscus_peer_handshakes_total` and `hibiscus_peer_calls_late_total`.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -9,6 +9,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_peer::LinkCounts;
 use hibiscus_peer::PinnedError;
 use hibiscus_peer::PinnedKeys;
 use hibiscus_peer::PinnedLink;
@@ -35,6 +36,8 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use metrics::counter;
+use metrics::gauge;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -278,10 +281,32 @@
     loop {
         tokio::time::sleep(LEVELS_PAUSE).await;
         state.show_levels();
+        if let Some(link) = state.link.borrow().as_ref() {
+            show_link(&link.counts());
+        }
         metrics.run_upkeep();
     }
 }
 
+/// Shows what the link to the other instances counts.
+fn show_link(counts: &LinkCounts) {
+    let open = [("out", counts.open_out), ("in", counts.open_in)];
+    for (direction, count) in open {
+        gauge!("hibiscus_peer_connections", "direction" => direction).set(count as f64);
+    }
+    let handshakes = [
+        ("begun", counts.handshakes_begun),
+        ("completed", counts.handshakes_completed),
+        ("failed", counts.handshakes_failed),
+        ("accepted", counts.handshakes_accepted),
+        ("refused", counts.handshakes_refused),
+    ];
+    for (step, count) in handshakes {
+        counter!("hibiscus_peer_handshakes_total", "step" => step).absolute(count);
+    }
+    counter!("hibiscus_peer_calls_late_total").absolute(counts.calls_late);
+}
+
 /// Takes news over, and watches an instance that was not known.
 fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
     if let TrafficUpdate::Instance(entry) = &update
