Take the rest of a refused request's body for what it is

Cause: a request that is refused before its body is read (unknown key, unknown route, no configuration) counts as passed at once. The HTTP library then reads the rest of the body to keep the connection, and the registry took these bytes for the begin of a head. No head followed, so after 3 s the connection was ended.

Ruled out: slow callers, since the ends follow refusals by 3 s; a late thread, since it was not late.

The request now tells whether its body was read, and the first bytes after one that was refused before are not a head's. If no rest was to be read after all, a slow head is seen from its second piece on, and one that sends a single piece is ended by the limit of an idle connection.

The test failed before: the_rest_of_a_refused_request_does_not_begin_a_head.

--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -3,8 +3,9 @@
 //! A connection is *busy* from the head of a request until the answer has
 //! passed, *starting* while a head arrives, and *idle* else. When as many are
 //! open as the machine bears, the one that has been idle for longest makes
-//! room; a head that takes too long ends its connection. Bodies are kept until
-//! their request is answered, so their bytes are counted too.
+//! room; a head that takes too long ends its connection. After a request that
+//! was refused before its body was read, the next bytes are that body's. Bodies
+//! are kept until their request is answered, so their bytes are counted too.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -78,6 +79,8 @@
     since: Cell<Instant>,
     /// Requests whose answers have not passed.
     requests: Cell<usize>,
+    /// Whether the next bytes are the rest of a request that was refused.
+    rest: Cell<bool>,
     /// Ends the connection.
     end: Notify,
     /// Why this instance ends it, if it does.
@@ -144,6 +147,7 @@
             phase: Cell::new(CallerPhase::Idle),
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
+            rest: Cell::new(false),
             end: Notify::new(),
             closing: Cell::new(None),
         });
@@ -231,6 +235,7 @@
     /// Counts a request until the returned value is dropped.
     pub fn begin_request(&self) -> CallerRequest {
         self.slot.requests.set(self.slot.requests.get() + 1);
+        self.slot.rest.set(true);
         self.slot.enter(CallerPhase::Busy);
         CallerRequest {
             slot: Rc::clone(&self.slot),
@@ -259,6 +264,11 @@
 }
 
 impl CallerRequest {
+    /// The request's body was read to its end.
+    pub fn note_body_read(&self) {
+        self.slot.rest.set(false);
+    }
+
     /// Why this instance ends the request's connection, if it does.
     pub fn closing(&self) -> Option<CloseReason> {
         self.slot.closing.get()
@@ -319,7 +329,9 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let is_idle = self.slot.phase.get() == CallerPhase::Idle;
-        if is_idle && buffer.filled().len() > before {
+        let has_read = buffer.filled().len() > before;
+        // The HTTP library reads once for the rest of a body, or closes.
+        if is_idle && has_read && !self.slot.rest.take() {
             self.slot.enter(CallerPhase::Starting);
         }
         polled
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// The request's body was read to its end.
+    pub fn note_body_read(&self) {
+        self.request.note_body_read();
+    }
+
     /// Who ended the connection before the answer had passed.
     pub fn ended_by(&self) -> &'static str {
         let reason = self.request.closing();
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -15,6 +15,7 @@
 use hibiscus_events::event;
 use http::Request;
 use http::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::answer;
@@ -38,6 +39,8 @@
     id: String,
     kind: Option<RequestKind>,
     arrived: Instant,
+    /// Whether no part of its body is to come.
+    body_read: bool,
 }
 
 /// A request without an answer so far. Its connection's task is dropped when
@@ -75,12 +78,16 @@
             id: String::new(),
             kind: None,
             arrived: Instant::now(),
+            body_read: request.body().is_end_stream(),
         },
         progress: &progress,
         answered: false,
     };
     let outcome = work(&state, request, &mut unanswered.known).await;
     unanswered.answered = true;
+    if unanswered.known.body_read {
+        progress.note_body_read();
+    }
     let outcome = outcome.map_err(|reason| refuse(&state, reason, &unanswered.known));
     drop(unanswered);
     match outcome {
--- a/crates/hibiscus-traffic/src/life/admission.rs
+++ b/crates/hibiscus-traffic/src/life/admission.rs
@@ -76,6 +76,7 @@
     let reading = read_body(body, limit, state.callers.begin_body());
     let read = tokio::time::timeout_at(until.into(), reading).await;
     let (body, body_bytes) = read.map_err(|_elapsed| OwnReason::TimeSpent)??;
+    known.body_read = true;
     let mut headers = head.headers;
     send::strip_connection_headers(&mut headers);
     state.dialect.strip_own(&mut headers);
--- a/crates/hibiscus-traffic/tests/callers.rs
+++ b/crates/hibiscus-traffic/tests/callers.rs
@@ -11,7 +11,12 @@
 use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::callers::CallerConnection;
 use hibiscus_traffic::callers::CallerRegistry;
+use hibiscus_traffic::callers::WatchedStream;
 use hibiscus_traffic::tally::CloseReason;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 
 const BOUNDS: CallerBounds = CallerBounds {
     connections: 3,
@@ -94,7 +99,7 @@
 /// Runs `work` on a runtime with a clock.
 fn run<F: Future>(work: F) -> F::Output {
     let mut builder = tokio::runtime::Builder::new_current_thread();
-    let runtime = builder.enable_time().build().expect("a runtime");
+    let runtime = builder.enable_all().build().expect("a runtime");
     runtime.block_on(work)
 }
 
@@ -134,3 +139,66 @@
     };
     assert!(!run(caller.finish(connection)));
 }
+
+/// A connection over loopback: what the caller holds, and what is served.
+async fn connected() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let caller = TcpStream::connect(address).await.expect("it listens");
+    let (served, _from) = listener.accept().await.expect("a caller");
+    (caller, served)
+}
+
+/// Sends `bytes` and reads them where they are served.
+async fn pass(caller: &mut TcpStream, served: &mut WatchedStream, bytes: &[u8]) {
+    caller.write_all(bytes).await.expect("an open connection");
+    let mut read = vec![0; bytes.len()];
+    served.read_exact(&mut read).await.expect("the bytes");
+}
+
+// Guards against the end of a healthy connection 3 s after a refusal, with the
+// request that arrives on it then.
+#[test]
+fn the_rest_of_a_refused_request_does_not_begin_a_head() {
+    run(async {
+        let registry = CallerRegistry::new(BOUNDS);
+        let connection = registry.open().expect("there is room");
+        let (mut caller, served) = connected().await;
+        let mut served = connection.watch(served);
+        pass(&mut caller, &mut served, b"head").await;
+        drop(connection.begin_request());
+        pass(&mut caller, &mut served, b"body").await;
+        assert_eq!(registry.end_slow_heads(Duration::ZERO), 0);
+    });
+}
+
+// Guards against a slow head that is not seen after a refusal.
+#[test]
+fn a_head_that_arrives_in_pieces_is_seen_after_a_refused_request() {
+    run(async {
+        let registry = CallerRegistry::new(BOUNDS);
+        let connection = registry.open().expect("there is room");
+        let (mut caller, served) = connected().await;
+        let mut served = connection.watch(served);
+        drop(connection.begin_request());
+        pass(&mut caller, &mut served, b"body").await;
+        pass(&mut caller, &mut served, b"he").await;
+        assert_eq!(registry.end_slow_heads(Duration::ZERO), 1);
+    });
+}
+
+// Guards against a slow head that is not seen after a request that was read.
+#[test]
+fn a_head_is_seen_from_its_first_byte_after_a_request_that_was_read() {
+    run(async {
+        let registry = CallerRegistry::new(BOUNDS);
+        let connection = registry.open().expect("there is room");
+        let (mut caller, served) = connected().await;
+        let mut served = connection.watch(served);
+        let request = connection.begin_request();
+        request.note_body_read();
+        drop(request);
+        pass(&mut caller, &mut served, b"he").await;
+        assert_eq!(registry.end_slow_heads(Duration::ZERO), 1);
+    });
+}
