--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -222,6 +222,13 @@
         INSTANCES_TOPIC
     }
 
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        for record in records {
+            self.take(record, updates);
+        }
+        tell(updates, TrafficUpdate::InstancesRead);
+    }
+
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
         let Some(value) = record.value else {
             return;
@@ -289,10 +296,11 @@
                 reach.succeeded(account::STREAM);
                 let end = page.end;
                 tell(updates, TrafficUpdate::AccountsEnd(end));
-                for record in page.records {
-                    let offset = next;
-                    next += 1;
-                    tell(updates, TrafficUpdate::Account { offset, record });
+                let first = next;
+                let records = page.records;
+                next += u64::try_from(records.len()).unwrap_or(u64::MAX);
+                if !records.is_empty() {
+                    tell(updates, TrafficUpdate::Accounts { first, records });
                 }
                 if next >= end && !current {
                     current = true;
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
 use std::time::Instant;
 
 use hibiscus_ledger::account::purse::HoldFault;
@@ -13,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::budgets::BudgetDesk;
+use crate::budgets::BudgetRole;
 use crate::budgets::RecoveryPhase;
 use crate::budgets::TokenRefusal;
 use crate::model::FleetConfig;
@@ -103,9 +105,15 @@
     }
 
     /// See [`BudgetDesk::review`].
-    pub fn review(&self, holders: u32, is_keeper: impl Fn(&BudgetName) -> bool) {
+    pub fn review(&self, role_of: impl Fn(&BudgetName) -> BudgetRole) {
         let now = self.started.elapsed();
-        self.desk.borrow_mut().review(holders, is_keeper, now);
+        self.desk.borrow_mut().review(role_of, now);
+    }
+
+    /// See [`BudgetDesk::review_waiting`].
+    pub fn review_waiting(&self, role_of: impl Fn(&BudgetName) -> BudgetRole) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().review_waiting(role_of, now);
     }
 
     /// See [`BudgetDesk::count_demand`].
@@ -124,12 +132,14 @@
         budget: &BudgetName,
         tokens: TokenCount,
     ) -> std::result::Result<TokenHold, HoldFault> {
-        self.desk.borrow_mut().reserve(budget, tokens)
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().reserve(budget, tokens, now)
     }
 
     /// See [`BudgetDesk::settle`].
     pub fn settle(&self, budget: &BudgetName, hold: TokenHold, charge: TokenCount) {
-        self.desk.borrow_mut().settle(budget, hold, charge);
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().settle(budget, hold, charge, now);
     }
 
     /// See [`BudgetDesk::refusal`].
@@ -161,7 +171,25 @@
 
     /// See [`BudgetDesk::add_given`].
     pub fn add_given(&self, budget: &BudgetName, tokens: TokenCount) {
-        self.desk.borrow_mut().add_given(budget, tokens);
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().add_given(budget, tokens, now);
+    }
+
+    /// See [`BudgetDesk::pass_on`].
+    pub fn pass_on(&self, budget: &BudgetName, hold: TokenHold) {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().pass_on(budget, hold, now);
+    }
+
+    /// See [`BudgetDesk::given`].
+    pub fn given(&self, budget: &BudgetName) -> TokenCount {
+        self.desk.borrow().given(budget)
+    }
+
+    /// See [`BudgetDesk::take_idle_given`].
+    pub fn take_idle_given(&self, rest: Duration) -> Vec<(BudgetName, TokenCount)> {
+        let now = self.started.elapsed();
+        self.desk.borrow_mut().take_idle_given(rest, now)
     }
 
     /// See [`BudgetDesk::token_sums`].
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -8,8 +8,9 @@
 //! - [`servers`] holds the backend servers that [`roster`] knows, with their
 //!   kept connections ([`connect`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
-//! - [`budgets`] holds the tokens that requests reserve, [`retries`] what may
-//!   be sent twice, [`directory`] which instances callers are told of.
+//! - [`supply`] gets a request's tokens from [`budgets`], or from the instances
+//!   that [`holders`] names; [`retries`] holds what may be sent twice,
+//!   [`directory`] which instances callers are told of.
 //! - [`measures`] counts what passes and [`tally`] the work for the fleet, for
 //!   the operators' metrics; [`machine`] tells what the process uses.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
@@ -26,6 +27,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod flight;
+pub mod holders;
 pub mod life;
 pub mod machine;
 pub mod measures;
@@ -42,6 +44,7 @@
 pub mod servers;
 pub mod state;
 pub mod stream;
+pub mod supply;
 pub mod table;
 pub mod tally;
 pub mod updates;
--- a/crates/hibiscus-traffic/src/tally.rs
+++ b/crates/hibiscus-traffic/src/tally.rs
@@ -98,7 +98,7 @@
 pub struct WorkTally {
     /// Account records that were folded.
     pub records: EventCount,
-    /// Looks at all budgets.
+    /// Looks at a budget, each time counted.
     pub reviews: EventCount,
     /// Readiness questions of other instances, and of the platform.
     pub readiness_asked: EventCount,
