Keep a process within its machine's memory

Cause: each duty had a bound of its own and nothing added them up. On a machine of 88 MB callers' connections with their servers' connections, bodies, and 16 idle connections to each of 145 servers may take 137.6 MB (arithmetic of the new test with the constants of before). Nothing looked at the memory that was in use.

Ruled out by the same counters: the fold of the accounts (0.16 MB), batches that are not sent (0), bodies (20 KB), the metrics' text (13 KB), the parts of prompts that are remembered (234), freed memory (1 to 4 MB), further arenas of the allocator (none, all is the main heap).

Now one set of shares divides the memory, and a test names the sum. Idle connections are bounded over all servers, by memory and descriptors; the one idle for longest is dropped, and those that cannot be used any more without waiting for the next request to their server. Twice a second the process reads its resident memory: from 80 in 100 of the limit it keeps no idle connections to servers, from 88 it refuses requests beyond four in progress with 503 and a time, before anything was sent, and callers are sent elsewhere.

The test of callers' bounds moved to tests/shares.rs with its figures unchanged.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -56,6 +56,7 @@
     LinesDropped = "HS1113", Warn, "log lines were dropped to keep the volume bounded";
     SlowHeadsEnded = "HS1114", Warn, "connections of callers ended, their heads took too long";
     ConnectionsFull = "HS1115", Warn, "connection of a caller closed, too many are open and none is idle";
+    MemoryRelief = "HS1116", Warn, "memory reached a level at which something is given up, or left it";
     LimitsKnown = "HS1120", Info, "limits of the machine";
     LevelsShown = "HS1121", Info, "levels of the process";
     MemoryNearLimit = "HS1122", Warn, "memory nears the machine's limit";
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -15,9 +15,9 @@
 use hibiscus_peer::PinnedLink;
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
-use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine;
 use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
 use hibiscus_traffic::model::InstanceEntry;
@@ -28,6 +28,7 @@
 use hibiscus_traffic::relay::AnswerBody;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::supply;
@@ -65,6 +66,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two looks at the levels; the platform reads them each 5 s.
 const LEVELS_PAUSE: Duration = Duration::from_secs(2);
+/// Time between two looks at the use of memory: a link of 10 Mbit/s brings
+/// 0.6 MB meanwhile.
+const MEMORY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after the begin of a planned stop during which new requests are still
 /// served: callers keep addresses for up to three lifetimes, and streams need
 /// their time before the process is killed.
@@ -190,7 +194,7 @@
         budgets: desk,
         retries,
         directory: InstanceDirectory::new(own.clone()),
-        bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+        bounds: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
     }));
@@ -264,6 +268,7 @@
         move |_state: &FrontState, request: &Request<Incoming>| answer_metrics(&metrics, request)
     }));
     tokio::task::spawn_local(show_levels(Rc::clone(&state), metrics));
+    tokio::task::spawn_local(watch_memory(Rc::clone(&state)));
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     while state.stopping().is_none() {
@@ -326,6 +331,17 @@
     counter!("hibiscus_peer_calls_late_total").absolute(counts.calls_late);
 }
 
+/// Keeps the use of memory in bounds for as long as the runtime runs.
+async fn watch_memory(state: Rc<FrontState>) {
+    loop {
+        tokio::time::sleep(MEMORY_PAUSE).await;
+        state.drop_unusable_links();
+        if let Some(resident) = machine::resident() {
+            state.note_memory(resident);
+        }
+    }
+}
+
 /// Takes news over, and watches an instance that was not known.
 fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
     if let TrafficUpdate::Instance(entry) = &update
--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -26,18 +26,6 @@
 
 use crate::tally::CloseReason;
 
-/// Memory that a connection with a request may take, in bytes: two buffers of
-/// 8 KiB, its tasks and the kernel's part of what is unread; 16 KiB were
-/// measured for an open stream.
-const CONNECTION_BYTES: usize = 24 * 1024;
-/// Part of the memory that callers' connections may take.
-const CONNECTIONS_PART: f64 = 0.35;
-/// Part of the descriptors that callers' connections may take; the rest is for
-/// servers, instances and the store.
-const DESCRIPTORS_PART: f64 = 0.6;
-/// Part of the memory that callers' bodies may take.
-const BODIES_PART: f64 = 0.2;
-
 /// Time for the last bytes on a connection that was told to end and has no
 /// request.
 const LAST_WRITE: Duration = Duration::from_millis(200);
@@ -51,19 +39,6 @@
     pub body_bytes: usize,
 }
 
-impl CallerBounds {
-    /// The bounds of a machine that gives a process `memory` bytes and
-    /// `descriptors`.
-    pub fn of_machine(memory: usize, descriptors: usize) -> Self {
-        let by_memory = memory as f64 * CONNECTIONS_PART / CONNECTION_BYTES as f64;
-        let by_descriptors = descriptors as f64 * DESCRIPTORS_PART;
-        Self {
-            connections: (by_memory.min(by_descriptors) as usize).max(1),
-            body_bytes: (memory as f64 * BODIES_PART) as usize,
-        }
-    }
-}
-
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallerPhase {
--- a/crates/hibiscus-traffic/src/connect.rs
+++ b/crates/hibiscus-traffic/src/connect.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::idle::IdleLink;
+
 /// Time for a new connection: links take a few milliseconds and a server 1 ms.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged; a path that is cut off
@@ -88,9 +90,10 @@
     pub fn park(&mut self) {
         self.parked = Some(Instant::now());
     }
+}
 
-    /// Whether a request may be sent on it.
-    pub fn is_usable(&self) -> bool {
+impl IdleLink for ServerLink {
+    fn is_usable(&self) -> bool {
         let rested = self.parked.map_or(Duration::ZERO, |since| since.elapsed());
         !self.sender.is_closed() && rested < self.idle_limit
     }
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -6,13 +6,15 @@
 //! - [`port`] accepts callers' connections, [`callers`] bounds them, and each
 //!   request goes to [`life`], which admits it, places it, forwards it and answers.
 //! - [`servers`] holds the backend servers that [`roster`] knows, with their
-//!   kept connections ([`connect`]); [`relay`] passes an answer's bytes on and
+//!   kept connections ([`connect`], [`idle`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
 //! - [`supply`] gets a request's tokens from [`budgets`], or from the instances
 //!   that [`holders`] names; [`retries`] holds what may be sent twice,
 //!   [`directory`] which instances callers are told of.
 //! - [`measures`] counts what passes and [`tally`] the work for the fleet, for
 //!   the operators' metrics; [`machine`] tells what the process uses.
+//! - [`shares`] divides the machine's memory among them; [`relief`] says what to
+//!   give up as it runs out.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
 //!   everything is decided on this thread, so nothing here is locked.
 //!
@@ -28,6 +30,7 @@
 pub mod directory;
 pub mod flight;
 pub mod holders;
+pub mod idle;
 pub mod life;
 pub mod machine;
 pub mod measures;
@@ -38,10 +41,12 @@
 pub mod probe;
 pub mod recovery;
 pub mod relay;
+pub mod relief;
 pub mod retries;
 pub mod roster;
 pub mod send;
 pub mod servers;
+pub mod shares;
 pub mod state;
 pub mod stream;
 pub mod supply;
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -112,6 +112,9 @@
     if state.is_closing() {
         return Err(OwnReason::Stopping);
     }
+    if !state.has_room() {
+        return Err(OwnReason::Overloaded);
+    }
     let admitted = admission::admit(state, signs, head, body, known).await?;
     let charge = reservation::reserve(state, &admitted).await;
     let charge = charge.inspect_err(|_reason| reservation::log_shortage(state, &admitted))?;
--- a/crates/hibiscus-traffic/src/machine.rs
+++ b/crates/hibiscus-traffic/src/machine.rs
@@ -47,6 +47,13 @@
     }
 }
 
+/// Resident memory of the process in bytes; `None` when the system does not
+/// tell it.
+pub fn resident() -> Option<usize> {
+    let status = fs::read_to_string(STATUS_PATH).ok()?;
+    Some(resident_bytes(&status)).filter(|bytes| *bytes > 0)
+}
+
 /// The resident memory that the text of a status file tells.
 fn resident_bytes(status: &str) -> usize {
     let field = status
--- a/crates/hibiscus-traffic/src/probe.rs
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -14,6 +14,7 @@
 
 use crate::connect::ServerLink;
 use crate::dialect::RequestDialect;
+use crate::idle::IdleLink;
 use crate::model::InstanceEntry;
 use crate::state::TrafficState;
 use crate::tally::QuestionOutcome;
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -19,6 +19,8 @@
 use hibiscus_types::ServiceName;
 
 use crate::connect::ServerLink;
+use crate::idle::IdleShelf;
+use crate::idle::IdleTicket;
 use crate::model::ServerEntry;
 use crate::model::ServerLoadReport;
 use crate::model::ServerPhase;
@@ -53,12 +55,14 @@
     heard: Cell<Instant>,
     health: RefCell<ServerHealth>,
     book: RefCell<PrefillBook>,
-    idle: RefCell<Vec<ServerLink>>,
+    /// Its connections on the shelf, the one used last at the end.
+    idle: RefCell<Vec<IdleTicket>>,
     idle_limit: Cell<usize>,
+    shelf: Rc<IdleShelf<ServerLink>>,
 }
 
 impl ServerHandle {
-    fn new(entry: ServerEntry) -> Self {
+    fn new(entry: ServerEntry, shelf: &Rc<IdleShelf<ServerLink>>) -> Self {
         Self {
             entry,
             gone: Cell::new(false),
@@ -70,6 +74,7 @@
             book: RefCell::default(),
             idle: RefCell::default(),
             idle_limit: Cell::new(IDLE_LINKS),
+            shelf: Rc::clone(shelf),
         }
     }
 
@@ -96,8 +101,8 @@
     /// An idle connection, the one used last first.
     pub fn take_idle(&self) -> Option<ServerLink> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(link) = idle.pop() {
-            if link.is_usable() {
+        while let Some(ticket) = idle.pop() {
+            if let Some(link) = self.shelf.take(ticket) {
                 return Some(link);
             }
         }
@@ -111,9 +116,18 @@
         }
         link.park();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(ServerLink::is_usable);
+        idle.retain(|ticket| self.shelf.holds(*ticket));
         if idle.len() < self.idle_limit.get() {
-            idle.push(link);
+            idle.push(self.shelf.put(link));
+        }
+    }
+
+    /// Drops the oldest idle connections until at most `most` are left.
+    fn drop_idle(&self, most: usize) {
+        let mut idle = self.idle.borrow_mut();
+        let surplus = idle.len().saturating_sub(most);
+        for ticket in idle.drain(..surplus) {
+            drop(self.shelf.take(ticket));
         }
     }
 
@@ -173,13 +187,29 @@
 }
 
 /// All servers, by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServerPool {
+    shelf: Rc<IdleShelf<ServerLink>>,
     by_name: HashMap<ServerName, Rc<ServerHandle>>,
     by_service: HashMap<ServiceName, Vec<Rc<ServerHandle>>>,
 }
 
 impl ServerPool {
+    /// A pool without servers that keeps at most `idle` connections to all of
+    /// them.
+    pub fn new(idle: usize) -> Self {
+        Self {
+            shelf: Rc::new(IdleShelf::new(idle)),
+            by_name: HashMap::new(),
+            by_service: HashMap::new(),
+        }
+    }
+
+    /// The idle connections to all servers.
+    pub fn idle_links(&self) -> &IdleShelf<ServerLink> {
+        &self.shelf
+    }
+
     /// Takes a change of the roster over.
     pub fn apply(&mut self, change: RosterChange) {
         match change {
@@ -192,7 +222,7 @@
     pub fn set_idle_limit(&self, service: &ServiceName, limit: usize) {
         for server in self.by_service.get(service).into_iter().flatten() {
             server.idle_limit.set(limit);
-            server.idle.borrow_mut().truncate(limit);
+            server.drop_idle(limit);
         }
     }
 
@@ -209,12 +239,6 @@
         silent.count()
     }
 
-    /// Idle connections to all servers.
-    pub fn count_idle(&self) -> usize {
-        let servers = self.by_name.values();
-        servers.map(|server| server.idle.borrow().len()).sum()
-    }
-
     /// Whether there are no servers.
     pub fn is_empty(&self) -> bool {
         self.by_name.is_empty()
@@ -275,7 +299,7 @@
             return;
         }
         self.remove(&entry.name);
-        let server = Rc::new(ServerHandle::new(entry));
+        let server = Rc::new(ServerHandle::new(entry, &self.shelf));
         let name = server.entry.name.clone();
         let service = server.entry.service.clone();
         self.by_service
@@ -290,7 +314,7 @@
             return;
         };
         server.gone.set(true);
-        server.idle.borrow_mut().clear();
+        server.drop_idle(0);
         if let Some(servers) = self.by_service.get_mut(&server.entry.service) {
             servers.retain(|held| held.entry.name != *name);
         }
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -18,7 +18,6 @@
 use crate::budgets::BudgetDesk;
 use crate::budgets::BudgetHandle;
 use crate::budgets::BudgetRole;
-use crate::callers::CallerBounds;
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
@@ -29,11 +28,14 @@
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
 use crate::pressure::PressureWatch;
+use crate::relief::MemoryPressure;
+use crate::relief::PressureGauge;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
 use crate::servers;
 use crate::servers::ServerPool;
+use crate::shares::MemoryShares;
 use crate::table::RouteTable;
 use crate::tally::WorkTally;
 use crate::updates::TrafficUpdate;
@@ -57,8 +59,8 @@
     pub retries: RetryCounter,
     /// The instances.
     pub directory: InstanceDirectory,
-    /// What callers may take of the machine.
-    pub bounds: CallerBounds,
+    /// What each duty may take of the machine.
+    pub bounds: MemoryShares,
     /// What the machine gives the process.
     pub limits: MachineLimits,
     /// Whether the whole system starts for the first time: then announcements
@@ -107,6 +109,8 @@
     close: Notify,
     started: Instant,
     pressure: PressureWatch,
+    bounds: MemoryShares,
+    gauge: RefCell<PressureGauge>,
 }
 
 impl<D: RequestDialect> TrafficState<D> {
@@ -115,17 +119,19 @@
         Self {
             tally: Rc::clone(parts.budgets.tally()),
             pressure: PressureWatch::new(parts.limits),
+            bounds: parts.bounds,
+            gauge: RefCell::new(PressureGauge::new(parts.bounds.memory)),
             dialect: parts.dialect,
             data_centre: parts.data_centre,
             budgets: BudgetHandle::new(parts.budgets),
             retries: RefCell::new(parts.retries),
             directory: RefCell::new(parts.directory),
-            callers: CallerRegistry::new(parts.bounds),
+            callers: CallerRegistry::new(parts.bounds.callers),
             refusals: RefCell::default(),
             link: RefCell::default(),
             measures: Rc::default(),
             pins: PinSet::default(),
-            servers: RefCell::default(),
+            servers: RefCell::new(ServerPool::new(parts.bounds.idle_links)),
             roster: RefCell::default(),
             table: RefCell::default(),
             table_since: Cell::default(),
@@ -182,6 +188,39 @@
         CountGuard::new(&self.in_progress)
     }
 
+    /// Whether the memory has room for one more request, which is counted
+    /// already.
+    pub fn has_room(&self) -> bool {
+        let level = self.gauge.borrow().level();
+        level.admits(self.in_progress())
+    }
+
+    /// Takes over that the process uses `resident` bytes of memory.
+    pub fn note_memory(&self, resident: usize) {
+        let changed = self.gauge.borrow_mut().observe(resident);
+        if !changed {
+            return;
+        }
+        let level = self.gauge.borrow().level();
+        event!(
+            EventCode::MemoryRelief,
+            "level={level:?} resident_bytes={resident} limit_bytes={} requests={}",
+            self.bounds.memory,
+            self.in_progress()
+        );
+        let idle = match level {
+            MemoryPressure::Calm => self.bounds.idle_links,
+            MemoryPressure::Tight | MemoryPressure::Full => 0,
+        };
+        self.servers.borrow().idle_links().set_limit(idle);
+        self.update_ready();
+    }
+
+    /// Drops kept connections to servers that are of no use any more.
+    pub fn drop_unusable_links(&self) {
+        self.servers.borrow().idle_links().drop_unusable();
+    }
+
     /// Takes a piece of news over.
     pub fn apply(&self, update: TrafficUpdate) {
         match update {
@@ -363,7 +402,7 @@
             ready: directory.is_ready(),
             used: MachineUse::read(),
             body_bytes: self.callers.body_bytes(),
-            idle_links: servers.count_idle(),
+            idle_links: servers.idle_links().len(),
             accounts: self.budgets.accounts(),
             account_lag: self.budgets.lag(),
         };
@@ -401,11 +440,12 @@
         }
     }
 
-    /// An instance serves when it knows a configuration and a server, and
-    /// does not stop.
+    /// An instance serves when it knows a configuration and a server, does not
+    /// stop and has memory left.
     fn update_ready(&self) {
         let knows = self.table.borrow().is_some() && !self.servers.borrow().is_empty();
-        let ready = knows && self.stopping.get().is_none();
+        let full = self.gauge.borrow().level() == MemoryPressure::Full;
+        let ready = knows && self.stopping.get().is_none() && !full;
         if self.directory.borrow().is_ready() == ready {
             return;
         }
--- a/crates/hibiscus-traffic/tests/callers.rs
+++ b/crates/hibiscus-traffic/tests/callers.rs
@@ -88,14 +88,6 @@
     assert!(!second.grow(1));
 }
 
-#[test]
-fn a_small_machine_bounds_callers_by_its_memory_and_its_descriptors() {
-    let by_memory = CallerBounds::of_machine(88_000_000, 100_000);
-    assert!(by_memory.connections * 24 * 1024 <= 88_000_000 * 35 / 100);
-    let by_descriptors = CallerBounds::of_machine(1 << 40, 4_100);
-    assert_eq!(by_descriptors.connections, 2_460);
-}
-
 /// Runs `work` on a runtime with a clock.
 fn run<F: Future>(work: F) -> F::Output {
     let mut builder = tokio::runtime::Builder::new_current_thread();
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/shares.rs
@@ -0,0 +1,51 @@
+//! What each duty may take of a machine.
+
+use hibiscus_traffic::shares::MemoryShares;
+
+/// Memory and descriptors of the smallest and the largest machines of the grown
+/// deployments.
+const MACHINES: [(usize, usize); 2] = [(88_000_000, 4_100), (512_000_000, 8_192)];
+
+/// Least part of a machine's memory that no bound may give out: pages of the
+/// store, the link to the other instances and freed memory have none.
+const LEAST_RESERVE: f64 = 0.2;
+
+// Guards against bounds that each fit the machine and together exceed it, so
+// that the system kills the process with all requests on it.
+#[test]
+fn all_bounds_together_stay_below_the_machines_memory() {
+    for (memory, descriptors) in MACHINES {
+        let bounds = MemoryShares::of_machine(memory, descriptors);
+        assert!(bounds.most() <= memory, "{bounds:?} take {}", bounds.most());
+        assert!(bounds.reserve as f64 >= memory as f64 * LEAST_RESERVE);
+    }
+}
+
+// Guards against connections that use up the descriptors, so that neither the
+// store nor other instances can be reached.
+#[test]
+fn connections_leave_descriptors_for_the_store_and_the_instances() {
+    for (memory, descriptors) in MACHINES {
+        let bounds = MemoryShares::of_machine(memory, descriptors);
+        let taken = bounds.callers.connections + bounds.idle_links;
+        assert!(taken <= descriptors * 4 / 5, "{bounds:?}");
+    }
+}
+
+// Guards against a machine with little memory that bounds everything to none.
+#[test]
+fn a_machine_of_little_memory_still_serves() {
+    let bounds = MemoryShares::of_machine(20_000_000, 1_024);
+    assert!(bounds.most() <= 20_000_000);
+    assert!(bounds.callers.connections > 50);
+    assert!(bounds.callers.body_bytes > 1_000_000);
+}
+
+// Guards against more callers than the memory or the descriptors bear.
+#[test]
+fn a_small_machine_bounds_callers_by_its_memory_and_its_descriptors() {
+    let by_memory = MemoryShares::of_machine(88_000_000, 100_000).callers;
+    assert!(by_memory.connections * 24 * 1024 <= 88_000_000 * 35 / 100);
+    let by_descriptors = MemoryShares::of_machine(1 << 40, 4_100).callers;
+    assert_eq!(by_descriptors.connections, 2_460);
+}
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -9,7 +9,6 @@
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetDesk;
-use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::dialect::AnswerSigns;
 use hibiscus_traffic::dialect::CallerSigns;
@@ -21,9 +20,12 @@
 use hibiscus_traffic::model::CallerLimits;
 use hibiscus_traffic::model::FleetConfig;
 use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::model::ServerEntry;
+use hibiscus_traffic::model::ServerPhase;
 use hibiscus_traffic::model::TeamRule;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -107,7 +109,7 @@
             window: Duration::from_secs(10),
         }),
         directory: InstanceDirectory::new(own),
-        bounds: CallerBounds::of_machine(88 << 20, 4_100),
+        bounds: MemoryShares::of_machine(88 << 20, 4_100),
         limits: MachineLimits::default(),
         first_start: true,
     });
@@ -167,3 +169,33 @@
         "{draws:?}"
     );
 }
+
+// Guards against callers that are sent to a process which the system is about
+// to kill, with every request on it lost (issue 17, LOST on seamline-grown).
+#[test]
+fn an_instance_whose_memory_is_full_refuses_and_is_named_to_nobody() {
+    const LIMIT: usize = 88 << 20;
+    let (state, _batches) = state();
+    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::AllServers(vec![ServerEntry {
+        name: "i-1".into(),
+        service: "models".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        data_centre: "a".into(),
+        phase: ServerPhase::Serving,
+        slots: 8,
+        started: 1,
+    }]));
+    let requests: Vec<_> = (0..20).map(|_number| state.count_request()).collect();
+    state.note_memory(LIMIT / 2);
+    assert!(state.directory.borrow().is_ready());
+    assert!(state.has_room());
+    state.note_memory(LIMIT / 100 * 95);
+    assert!(!state.directory.borrow().is_ready());
+    assert!(!state.has_room());
+    drop(requests);
+    let _only = state.count_request();
+    assert!(state.has_room());
+    state.note_memory(LIMIT / 2);
+    assert!(state.directory.borrow().is_ready());
+}
