Name instances to callers in proportion to their capacity

Each instance announces the processor time that its machine gives it. An answer names the largest instances always, another one with a probability in proportion to its capacity, and never fewer than 12 if so many serve. Fleets of equal machines name all, as before.

Callers give up connections to instances that a new answer misses, so the draw depends on the caller's address and the instances' names alone: each instance tells one caller the same.

Weighed and left: naming large instances several times, since an answer has 64 addresses and the fleet 62 instances.

With every draw a hit, 2 tests of tests/parts.rs fail.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -23,6 +23,7 @@
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
+use hibiscus_traffic::port::CallerAddress;
 use hibiscus_traffic::probe;
 use hibiscus_traffic::recovery;
 use hibiscus_traffic::relay::AnswerBody;
@@ -131,6 +132,7 @@
         pin: keys.pin(),
         data_centre: settings.data_centre.clone(),
         leaving: false,
+        capacity: settings.capacity(),
     };
     let limits = MachineLimits {
         memory_bytes: settings.memory_bytes,
@@ -435,7 +437,9 @@
     let query = request.uri().query().unwrap_or_default();
     let data_centre = answers::caller_data_centre(query);
     let directory = state.directory.borrow();
-    let addresses = directory.addresses(data_centre.as_ref());
+    let caller = request.extensions().get::<CallerAddress>();
+    let caller = caller.map(|caller| caller.0);
+    let addresses = directory.addresses_for(data_centre.as_ref(), caller);
     let body = answers::addresses_body(&addresses, lifetime);
     answer::json_answer(body)
 }
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,6 +17,10 @@
 /// Addresses in one answer; callers use no more.
 const ADDRESS_LIMIT: usize = 64;
 
+/// Addresses in one answer at the least, if so many instances serve: a caller
+/// that keeps the answer still finds one after several have died.
+const ADDRESS_LEAST: usize = 12;
+
 /// Replaced processes of an instance that are remembered: a late copy of an
 /// announcement comes within seconds.
 const REPLACED_KEPT: usize = 8;
@@ -165,11 +170,24 @@
         others.map(|known| known.entry.peers).collect()
     }
 
-    /// Addresses of the instances that serve, those in the data centre
-    /// `near` first, in random order within the two groups. Far ones are named
-    /// too: callers pick one at random, and the near ones alone would get all
-    /// of the load. Never none.
+    /// [`Self::addresses_for`] a caller of whom nothing is known.
     pub fn addresses(&self, near: Option<&DataCentre>) -> Vec<SocketAddr> {
+        self.addresses_for(near, None)
+    }
+
+    /// Addresses of instances that serve, those in the data centre `near`
+    /// first, in random order within the two groups. Far ones are named too:
+    /// callers pick one at random, and the near ones alone would get all of
+    /// the load. Never none.
+    ///
+    /// Instances are named the more often the more capacity they have; all of
+    /// them when all have the same. One `caller` is named the same instances
+    /// each time: it gives up connections to those that a new answer misses.
+    pub fn addresses_for(
+        &self,
+        near: Option<&DataCentre>,
+        caller: Option<IpAddr>,
+    ) -> Vec<SocketAddr> {
         let mut named: Vec<&InstanceEntry> = Vec::new();
         if self.ready {
             named.push(&self.own);
@@ -184,8 +202,40 @@
             named.push(&self.own);
         }
         fastrand::shuffle(&mut named);
+        let mut named = match caller.map(|caller| caller.to_string()) {
+            Some(caller) => draw_by_capacity(named, |entry| {
+                stable_hash(&[caller.as_bytes(), entry.name.as_str().as_bytes()])
+            }),
+            None => draw_by_capacity(named, |_entry| fastrand::u64(..)),
+        };
         named.sort_by_key(|entry| Some(&entry.data_centre) != near);
         named.truncate(ADDRESS_LIMIT);
         named.into_iter().map(|entry| entry.callers).collect()
     }
 }
+
+/// Those of `entries` whose draw falls below their share of the largest
+/// capacity; the largest are always among them. Up to [`ADDRESS_LEAST`], others
+/// follow in the order of their draws.
+fn draw_by_capacity(
+    entries: Vec<&InstanceEntry>,
+    draw: impl Fn(&InstanceEntry) -> u64,
+) -> Vec<&InstanceEntry> {
+    let largest = entries.iter().map(|entry| entry.capacity).max();
+    let largest = u64::from(largest.unwrap_or_default()).max(1);
+    let mut named = Vec::with_capacity(entries.len());
+    let mut left_out = Vec::new();
+    for entry in entries {
+        let drawn = draw(entry);
+        if drawn % largest < u64::from(entry.capacity) {
+            named.push(entry);
+        } else {
+            left_out.push((drawn, entry));
+        }
+    }
+    let missing = ADDRESS_LEAST.saturating_sub(named.len());
+    left_out.sort_by_key(|(drawn, _entry)| *drawn);
+    let others = left_out.into_iter().take(missing);
+    named.extend(others.map(|(_drawn, entry)| entry));
+    named
+}
--- a/crates/hibiscus-traffic/src/model.rs
+++ b/crates/hibiscus-traffic/src/model.rs
@@ -198,4 +198,6 @@
     pub data_centre: DataCentre,
     /// Whether it has begun a planned stop.
     pub leaving: bool,
+    /// Processor time that its machine gives it, in thousandths of a core.
+    pub capacity: u32,
 }
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -34,6 +35,10 @@
 /// Pause after a failure to accept, such as running out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Where a call about this instance comes from; an extension of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Opens a port.
 ///
 /// # Errors
@@ -46,7 +51,7 @@
 /// Accepts callers' connections for as long as the runtime runs.
 pub async fn serve_callers<D: RequestDialect>(listener: TcpListener, state: Rc<TrafficState<D>>) {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, _from)) = accept(&listener).await else {
             continue;
         };
         let Some(caller) = state.callers.open() else {
@@ -69,13 +74,14 @@
     F: Fn(&TrafficState<D>, &Request<Incoming>) -> Response<AnswerBody> + Clone + 'static,
 {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, from)) = accept(&listener).await else {
             continue;
         };
         let state = Rc::clone(&state);
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
+            let service = service_fn(|mut request: Request<Incoming>| {
+                request.extensions_mut().insert(CallerAddress(from.ip()));
                 let answer = answer(&state, &request);
                 async move { Ok::<_, Infallible>(answer) }
             });
@@ -89,12 +95,12 @@
     }
 }
 
-/// The next connection.
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+/// The next connection, and where it comes from.
+async fn accept(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
     match listener.accept().await {
-        Ok((stream, _caller)) => {
+        Ok((stream, from)) => {
             connect::set_options(&stream);
-            Some(stream)
+            Some((stream, from))
         }
         Err(error) => {
             event!(EventCode::ConnectionNotAccepted, "cause={error}");
--- a/crates/hibiscus-traffic/tests/holders.rs
+++ b/crates/hibiscus-traffic/tests/holders.rs
@@ -46,6 +46,7 @@
         pin: [0; 32],
         data_centre: format!("centre-{}", number % 4).as_str().into(),
         leaving: false,
+        capacity: 500,
     }
 }
 
--- a/crates/hibiscus-traffic/tests/parts.rs
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -167,6 +167,7 @@
         pin: [0; 32],
         data_centre: "a".into(),
         leaving: false,
+        capacity: 500,
     }
 }
 
@@ -273,3 +274,90 @@
         assert!(reason.retry_after().is_some(), "{reason:?}");
     }
 }
+
+/// A directory of `large` instances with 500 thousandths of a core and `small`
+/// ones with 120, the own one among the large.
+fn fleet(large: u16, small: u16) -> InstanceDirectory {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    directory.set_ready(true);
+    for number in 1..large + small {
+        let entry = InstanceEntry {
+            capacity: if number < large { 500 } else { 120 },
+            ..instance(number, 1)
+        };
+        directory.announce(entry.clone());
+        directory.note_reachable(&entry, true);
+    }
+    directory
+}
+
+// Guards against small machines that get as many requests as large ones: callers
+// pick one of the named addresses at random.
+#[test]
+fn instances_are_named_in_proportion_to_their_capacity() {
+    const ANSWERS: u32 = 2_000;
+    fastrand::seed(17);
+    let directory = fleet(8, 54);
+    let mut large = 0;
+    let mut small = 0;
+    for _answer in 0..ANSWERS {
+        for address in directory.addresses(None) {
+            if address.port() < 8_008 {
+                large += 1;
+            } else {
+                small += 1;
+            }
+        }
+    }
+    assert_eq!(large, 8 * ANSWERS);
+    let share = f64::from(small) / f64::from(54 * ANSWERS);
+    assert!((0.22..0.26).contains(&share), "{share}, not 120 of 500");
+}
+
+// Guards against an answer with so few addresses that a caller who keeps it has
+// none left after some instances died.
+#[test]
+fn an_answer_names_several_instances_also_when_one_is_much_larger() {
+    fastrand::seed(17);
+    let directory = fleet(1, 61);
+    for _answer in 0..200 {
+        let mut addresses = directory.addresses(None);
+        addresses.sort();
+        addresses.dedup();
+        assert!(addresses.len() >= 12, "{addresses:?}");
+    }
+    assert_eq!(fleet(1, 5).addresses(None).len(), 6);
+}
+
+// Guards against leaving instances out of a fleet whose machines are alike.
+#[test]
+fn instances_of_equal_capacity_are_all_named() {
+    fastrand::seed(17);
+    for directory in [fleet(20, 0), fleet(62, 0)] {
+        let expected = directory.live() as usize;
+        for _answer in 0..50 {
+            assert_eq!(directory.addresses(None).len(), expected);
+        }
+    }
+}
+
+// Guards against callers that give up their connections with each answer, since
+// it names other instances than the one before.
+#[test]
+fn a_caller_is_named_the_same_instances_by_all_of_them() {
+    fastrand::seed(17);
+    let directory = fleet(8, 54);
+    let named = |number: u8| {
+        let caller = std::net::IpAddr::from([10, 9, 0, number]);
+        let mut addresses = directory.addresses_for(None, Some(caller));
+        addresses.sort();
+        addresses
+    };
+    let mut small = 0;
+    for number in 0..200 {
+        assert_eq!(named(number), named(number));
+        small += named(number).len() - 8;
+    }
+    let share = small as f64 / (54.0 * 200.0);
+    assert!((0.21..0.27).contains(&share), "{share}, not 120 of 500");
+}
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -67,6 +67,7 @@
         pin: [0; 32],
         data_centre: "a".into(),
         leaving: false,
+        capacity: 500,
     }
 }
 
