--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -9,24 +9,27 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_peer::LinkCounts;
 use hibiscus_peer::PinnedError;
 use hibiscus_peer::PinnedKeys;
 use hibiscus_peer::PinnedLink;
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
-use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine;
 use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
 use hibiscus_traffic::members;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
+use hibiscus_traffic::port::CallerAddress;
 use hibiscus_traffic::recovery;
 use hibiscus_traffic::relay::AnswerBody;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::supply;
@@ -36,6 +39,8 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use metrics::counter;
+use metrics::gauge;
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::Matcher;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -61,6 +66,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two looks at the levels; the platform reads them each 5 s.
 const LEVELS_PAUSE: Duration = Duration::from_secs(2);
+/// Time between two looks at the use of memory: a link of 10 Mbit/s brings
+/// 0.6 MB meanwhile.
+const MEMORY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after the begin of a planned stop during which new requests are still
 /// served: callers keep addresses for up to three lifetimes, and streams need
 /// their time before the process is killed.
@@ -123,6 +131,7 @@
         pin: keys.pin(),
         data_centre: settings.data_centre.clone(),
         leaving: false,
+        capacity: settings.capacity(),
     };
     let limits = MachineLimits {
         memory_bytes: settings.memory_bytes,
@@ -186,7 +195,7 @@
         budgets: desk,
         retries,
         directory: InstanceDirectory::new(own.clone()),
-        bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+        bounds: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
     }));
@@ -261,6 +270,7 @@
         move |_state: &FrontState, request: &Request<Incoming>| answer_metrics(&metrics, request)
     }));
     tokio::task::spawn_local(show_levels(Rc::clone(&state), metrics));
+    tokio::task::spawn_local(watch_memory(Rc::clone(&state)));
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     while state.stopping().is_none() {
@@ -299,10 +309,43 @@
     loop {
         tokio::time::sleep(LEVELS_PAUSE).await;
         state.show_levels();
+        if let Some(link) = state.link.borrow().as_ref() {
+            show_link(&link.counts());
+        }
         metrics.run_upkeep();
     }
 }
 
+/// Shows what the link to the other instances counts.
+fn show_link(counts: &LinkCounts) {
+    let open = [("out", counts.open_out), ("in", counts.open_in)];
+    for (direction, count) in open {
+        gauge!("hibiscus_peer_connections", "direction" => direction).set(count as f64);
+    }
+    let handshakes = [
+        ("begun", counts.handshakes_begun),
+        ("completed", counts.handshakes_completed),
+        ("failed", counts.handshakes_failed),
+        ("accepted", counts.handshakes_accepted),
+        ("refused", counts.handshakes_refused),
+    ];
+    for (step, count) in handshakes {
+        counter!("hibiscus_peer_handshakes_total", "step" => step).absolute(count);
+    }
+    counter!("hibiscus_peer_calls_late_total").absolute(counts.calls_late);
+}
+
+/// Keeps the use of memory in bounds for as long as the runtime runs.
+async fn watch_memory(state: Rc<FrontState>) {
+    loop {
+        tokio::time::sleep(MEMORY_PAUSE).await;
+        state.drop_unusable_links();
+        if let Some(resident) = machine::resident() {
+            state.note_memory(resident);
+        }
+    }
+}
+
 /// Serves on while callers learn of the stop, then refuses what is new and
 /// waits for what is in progress.
 async fn stop(settings: &ProcessSettings, state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
@@ -385,7 +428,9 @@
     let query = request.uri().query().unwrap_or_default();
     let data_centre = answers::caller_data_centre(query);
     let directory = state.directory.borrow();
-    let addresses = directory.addresses(data_centre.as_ref());
+    let caller = request.extensions().get::<CallerAddress>();
+    let caller = caller.map(|caller| caller.0);
+    let addresses = directory.addresses_for(data_centre.as_ref(), caller);
     let body = answers::addresses_body(&addresses, lifetime);
     answer::json_answer(body)
 }
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -104,6 +104,11 @@
                 continue;
             }
         };
+        // What is given to a peer that has left is lost.
+        let brings = matches!(question, PeerQuestion::Return { .. });
+        if !brings && !call.is_wanted() {
+            continue;
+        }
         tokio::task::spawn_local(answer_call(Rc::clone(&state), question, call));
     }
 }
--- a/crates/hibiscus-traffic/tests/members.rs
+++ b/crates/hibiscus-traffic/tests/members.rs
@@ -21,6 +21,7 @@
         peers: address(7_000),
         pin: [u8::try_from(incarnation).expect("small"); 32],
         data_centre: "a".into(),
+        capacity: 1_000,
         leaving: false,
     }
 }
