Keep a holder that is cut off from drawing as if it were alone

Such an instance draws for waiting requests and keeps what it has.

Beside it, each with its test or by reading: a budget is said to be spent only when what other holders passed on lately could not cover the request either (reports tell it); an instance that stops brings what it was given to another holder, waits for that, and draws nothing after it closed its accounts; tokens reserved for an asker that has left stay; a request that ends shortly before its connection does still gets its last bytes written; the announcements, once read, cause a look at once, since front::accounts::spending_goes_on_while_the_store_is_away failed in one of two runs beside other work with the look left to the next tick.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -382,7 +382,7 @@
 
 /// Gives tokens back and writes the last snapshots, until the store has both.
 async fn settle_accounts(state: &Rc<FrontState>, updates: &mut UpdateReceiver) {
-    supply::return_given(state, Duration::ZERO);
+    supply::return_all(state).await;
     state.budgets.give_all_back();
     while !state.budgets.is_acknowledged() || !state.budgets.is_read_back() {
         if let Some(update) = updates.recv().await {
--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -120,6 +120,9 @@
     pub made_after: Option<u64>,
     /// Tokens a second that its requests ask for.
     pub demand: u64,
+    /// Tokens that it counts as spent and lately passed on to instances that
+    /// hold none: what their requests leave comes back.
+    pub passed_on: TokenCount,
 }
 
 /// A draw that the fold decided.
@@ -190,6 +193,14 @@
     pub fn unreported(&self) -> TokenCount {
         self.counted().saturating_sub(self.spent)
     }
+
+    /// Tokens that may still be free again: what the holder has not reported
+    /// as spent, and what it passed on.
+    pub fn unsettled(&self) -> TokenCount {
+        let report = self.report.as_ref();
+        let passed_on = report.map_or(TokenCount::ZERO, |report| report.passed_on);
+        self.unreported() + passed_on
+    }
 }
 
 /// One budget as all readers see it.
--- a/crates/hibiscus-ledger/src/account/policy.rs
+++ b/crates/hibiscus-ledger/src/account/policy.rs
@@ -66,8 +66,22 @@
     pub holders: u32,
     /// Whether this holder has begun a planned stop.
     pub stopping: bool,
-    /// Whether others draw in its place: it draws only for requests that wait.
-    pub relieved: bool,
+    /// What it does for the budget.
+    pub duty: HolderDuty,
+}
+
+/// What an instance does for a budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HolderDuty {
+    /// It draws for the demand to come.
+    #[default]
+    Holds,
+    /// It draws for requests that wait and keeps what it has: it does not know
+    /// the other instances, or does not reach most of them.
+    Waits,
+    /// Others hold in its place: it draws for requests that wait, and gives the
+    /// rest back.
+    Relieved,
 }
 
 /// What a holder should do now.
@@ -86,8 +100,17 @@
 /// Decides for one budget.
 pub fn decide(view: &DrawView) -> DrawDecision {
     let decision = decide_serving(view);
-    if !view.stopping && !view.relieved {
-        return decision;
+    let waiting = view.wanted.saturating_sub(view.available).min(view.free);
+    match view.duty {
+        HolderDuty::Holds if !view.stopping => return decision,
+        HolderDuty::Waits if !view.stopping => {
+            return DrawDecision {
+                draw: waiting,
+                give_back: TokenCount::ZERO,
+                ..decision
+            };
+        }
+        _leaving => {}
     }
     // The store may be out of reach when a stop ends, and a relieved holder's
     // tokens are missing elsewhere: what the last requests will not need goes
@@ -95,7 +118,7 @@
     let needed = view.demand_per_second * LEAVING_HORIZON.as_secs_f64();
     let kept = tokens(needed) + view.wanted;
     DrawDecision {
-        draw: view.wanted.saturating_sub(view.available).min(view.free),
+        draw: waiting,
         give_back: view.available.saturating_sub(kept),
         ..decision
     }
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -10,6 +10,7 @@
 use hibiscus_ledger::account::pace::SpendPace;
 use hibiscus_ledger::account::policy;
 use hibiscus_ledger::account::policy::DrawView;
+use hibiscus_ledger::account::policy::HolderDuty;
 use hibiscus_ledger::account::purse::BudgetPurse;
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_ledger::account::purse::HoldSource;
@@ -75,6 +76,7 @@
         },
         made_after: None,
         demand: 0,
+        passed_on: TokenCount::ZERO,
     })
 }
 
@@ -444,7 +446,7 @@
         free: tokens(500_000),
         prepaid: tokens(1_000_000),
         holders: 8,
-        relieved: true,
+        duty: HolderDuty::Relieved,
         ..DrawView::default()
     };
     let decision = policy::decide(&view);
@@ -455,3 +457,22 @@
     assert_eq!(decision.draw, tokens(10_000));
     assert!(decision.give_back.is_zero(), "{decision:?}");
 }
+
+/// A holder that is cut off must outlast the cut with what it has.
+#[test]
+fn a_holder_that_does_not_reach_the_others_keeps_what_it_has_and_draws_no_more() {
+    let view = DrawView {
+        available: tokens(50_000),
+        free: tokens(500_000),
+        prepaid: tokens(1_000_000),
+        holders: 8,
+        duty: HolderDuty::Waits,
+        ..DrawView::default()
+    };
+    let decision = policy::decide(&view);
+    assert!(decision.draw.is_zero(), "{decision:?}");
+    assert!(decision.give_back.is_zero(), "{decision:?}");
+    let wanted = tokens(60_000);
+    let decision = policy::decide(&DrawView { wanted, ..view });
+    assert_eq!(decision.draw, tokens(10_000));
+}
--- a/crates/hibiscus-ledger/tests/account_exhaustive.rs
+++ b/crates/hibiscus-ledger/tests/account_exhaustive.rs
@@ -298,6 +298,7 @@
             pace,
             made_after: None,
             demand: 0,
+            passed_on: TokenCount::ZERO,
         });
         self.appending = Some((self.reports, record));
     }
--- a/crates/hibiscus-ledger/tests/account_power.rs
+++ b/crates/hibiscus-ledger/tests/account_power.rs
@@ -144,6 +144,7 @@
             pace,
             made_after: self.passed.at(self.now(truth)),
             demand: 0,
+            passed_on: TokenCount::ZERO,
         }));
         self.appending = Some(records);
     }
--- a/crates/hibiscus-peer/src/pinned.rs
+++ b/crates/hibiscus-peer/src/pinned.rs
@@ -261,9 +261,9 @@
         !self.reply.is_closed()
     }
 
-    /// Sends the reply. A peer that no longer waits gets none.
-    pub fn reply(self, body: Vec<u8>) {
-        let _gone = self.reply.send(body);
+    /// Sends the reply; false when the peer no longer waits and gets none.
+    pub fn reply(self, body: Vec<u8>) -> bool {
+        self.reply.send(body).is_ok()
     }
 }
 
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -24,6 +24,7 @@
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::agreement::PassedTime;
 use hibiscus_ledger::account::demand::DemandCounter;
+use hibiscus_ledger::account::policy::HolderDuty;
 use hibiscus_ledger::account::purse::BudgetPurse;
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::BudgetName;
@@ -98,9 +99,8 @@
 pub struct BudgetRole {
     /// Instances that draw of the budget.
     pub holders: u32,
-    /// Whether this one is among them. Others draw only for requests that
-    /// wait.
-    pub holds: bool,
+    /// Whether this one is among them.
+    pub duty: HolderDuty,
     /// Whether it writes the budget's snapshots.
     pub keeps: bool,
 }
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -78,6 +78,11 @@
         self.desk.borrow_mut().acknowledge(number, end, now);
     }
 
+    /// See [`BudgetDesk::is_closed`].
+    pub fn is_closed(&self) -> bool {
+        self.desk.borrow().is_closed()
+    }
+
     /// See [`BudgetDesk::is_read_back`].
     pub fn is_read_back(&self) -> bool {
         self.desk.borrow().is_read_back()
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -60,6 +60,11 @@
         is_empty && self.acknowledged + 1 >= self.batch
     }
 
+    /// Whether the own accounts were closed: no token is to be had any more.
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
     /// Whether all that the store has of this holder was read back.
     pub fn is_read_back(&self) -> bool {
         self.fold.next_offset() >= self.appended
@@ -99,6 +104,9 @@
     }
 
     fn review_one(&mut self, budget: &BudgetName, role: BudgetRole, now: Duration) {
+        if self.closed {
+            return;
+        }
         self.tally.reviews.add();
         let held = self.held.entry(budget.clone()).or_default();
         let account = self.fold.budget(budget);
@@ -119,7 +127,7 @@
                 .map_or(0.0, |account| account.demand_of_others(self.holder) as f64),
             holders: role.holders,
             stopping: self.stopping,
-            relieved: !role.holds,
+            duty: role.duty,
         };
         let decision = policy::decide(&view);
         if !held.pending && !decision.draw.is_zero() {
@@ -175,6 +183,7 @@
             pace,
             made_after: self.passed.at(pace.made),
             demand: held.demand.rate(now) as u64,
+            passed_on: held.passed_on(now),
         }));
     }
 
--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -25,12 +25,12 @@
 const PROOF_AGE: Duration = Duration::from_millis(1_500);
 
 /// Time for which tokens that were passed on may come back: a request's
-/// longest time.
-const RETURN_TIME: Duration = Duration::from_secs(15);
+/// longest time of 15 s, the rest before a return, and its way.
+const RETURN_TIME: Duration = Duration::from_secs(20);
 
 impl HeldBudget {
     /// Tokens that were passed on and may come back in part.
-    fn passed_on(&self, now: Duration) -> TokenCount {
+    pub(super) fn passed_on(&self, now: Duration) -> TokenCount {
         let passed = self.passed_on.iter();
         let recent = passed.filter(|(passed, _tokens)| now.saturating_sub(*passed) <= RETURN_TIME);
         recent.map(|(_passed, tokens)| *tokens).sum()
@@ -100,7 +100,9 @@
             return None;
         }
         let account = self.fold.budget(budget)?;
-        let here = held.map_or(TokenCount::ZERO, |held| held.purse.available());
+        let here = held.map_or(TokenCount::ZERO, |held| {
+            held.purse.available() + held.purse.given()
+        });
         let reachable = here + account.free();
         if tokens <= reachable {
             return None;
@@ -231,10 +233,10 @@
         }
     }
 
-    /// Tokens that other holders have not reported as spent.
+    /// Tokens that other holders have not reported as spent, or passed on.
     pub(super) fn unreported_elsewhere(&self, account: &BudgetAccount) -> TokenCount {
         let others = account.holders.iter();
         let others = others.filter(|(holder, _held)| **holder != self.holder);
-        others.map(|(_holder, held)| held.unreported()).sum()
+        others.map(|(_holder, held)| held.unsettled()).sum()
     }
 }
--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -190,8 +190,10 @@
     pub async fn finish<F: Future>(&self, connection: F) -> bool {
         let mut connection = pin!(connection);
         loop {
+            // A request that ends within the time still has its last bytes to write.
+            let is_idle = self.slot.requests.get() == 0;
             let ended = tokio::time::timeout(LAST_WRITE, connection.as_mut()).await;
-            if ended.is_ok() || self.slot.requests.get() == 0 {
+            if ended.is_ok() || is_idle && self.slot.requests.get() == 0 {
                 return ended.is_ok();
             }
         }
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -253,6 +253,11 @@
         self.remembered.saturating_add(1)
     }
 
+    /// Whether more than half of the instances that may be serving answer.
+    pub fn reaches_most(&self) -> bool {
+        self.live() * 2 > self.may_serve()
+    }
+
     /// Whether this instance is the first of those that answer in the order
     /// that `subject` gives them. All instances agree on it but for moments, so
     /// it may only choose who does what may be done twice.
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
@@ -120,9 +121,21 @@
     call: PinnedCall,
 ) {
     let answer = answer(&state, &question).await;
-    match codec::encode(&answer) {
-        Ok(body) => call.reply(body),
-        Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
+    let body = match codec::encode(&answer) {
+        Ok(body) => body,
+        Err(error) => {
+            event!(EventCode::AnswerNotEncoded, "cause={error}");
+            return;
+        }
+    };
+    if call.reply(body) {
+        return;
+    }
+    // The asker has left and got nothing, so nothing was passed on.
+    if let (PeerQuestion::Reserve { budget, .. }, PeerAnswer::Reserved(tokens)) =
+        (&question, &answer)
+    {
+        state.budgets.add_given(budget, *tokens);
     }
 }
 
@@ -147,6 +160,9 @@
                 Err(refusal) => PeerAnswer::Refused(refusal),
             }
         }
+        PeerQuestion::Return { .. } if state.budgets.is_closed() => {
+            PeerAnswer::Refused(TokenRefusal::Unconfirmed)
+        }
         PeerQuestion::Return { budget, tokens } => {
             state.budgets.add_given(budget, *tokens);
             PeerAnswer::Returned
@@ -167,11 +183,15 @@
     link: &PinnedLink,
     budget: &BudgetName,
     tokens: TokenCount,
+    until: Instant,
 ) -> bool {
     let mut peers = state.other_holders(budget);
     peers.truncate(ASKED_LIMIT);
     let mut gathered = TokenCount::ZERO;
     for peer in peers {
+        if Instant::now() >= until {
+            break;
+        }
         let missing = tokens.saturating_sub(gathered);
         let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
         let given = ask_tokens(link, peer, budget, asked).await;
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -9,6 +9,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_ledger::account::policy::HolderDuty;
 use hibiscus_peer::PinSet;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
@@ -22,6 +23,7 @@
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
 use crate::holders;
+use crate::holders::HOLDERS;
 use crate::holders::HolderRefusals;
 use crate::machine::MachineLimits;
 use crate::machine::MachineUse;
@@ -290,6 +292,7 @@
             TrafficUpdate::InstancesRead => {
                 if self.instances_read.get().is_none() {
                     self.instances_read.set(Some(self.now()));
+                    self.review_budgets();
                 }
             }
             TrafficUpdate::Stop => {
@@ -338,9 +341,19 @@
         let holders = holders::holders_of(budget, directory.answering());
         let own = directory.own();
         let is_holder = holders.iter().any(|holder| holder.name == own.name);
+        let most = u32::try_from(HOLDERS).unwrap_or(u32::MAX);
+        let duty = if !self.knows_fleet() {
+            HolderDuty::Waits
+        } else if !is_holder {
+            HolderDuty::Relieved
+        } else if directory.reaches_most() || directory.may_serve() <= most {
+            HolderDuty::Holds
+        } else {
+            HolderDuty::Waits
+        };
         BudgetRole {
-            holders: u32::try_from(holders.len()).unwrap_or(u32::MAX),
-            holds: is_holder && self.knows_fleet(),
+            holders: directory.may_serve().min(most),
+            duty,
             keeps: directory.is_first_for(budget.as_str()),
         }
     }
--- a/crates/hibiscus-traffic/src/supply.rs
+++ b/crates/hibiscus-traffic/src/supply.rs
@@ -15,7 +15,6 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
-use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
 
@@ -63,7 +62,7 @@
         return reserve_given(state, budget, tokens, until).await;
     }
     let drawn = reserve_drawn(state, budget, tokens, until).await;
-    if drawn != Err(TokenRefusal::Unconfirmed) || !gather(state, budget, tokens).await {
+    if drawn != Err(TokenRefusal::Unconfirmed) || !gather(state, budget, tokens, until).await {
         return drawn;
     }
     let hold = state.budgets.reserve(budget, tokens);
@@ -80,6 +79,9 @@
     budget: &BudgetName,
     tokens: TokenCount,
 ) -> Result<()> {
+    if state.budgets.is_closed() {
+        return Err(TokenRefusal::Unconfirmed);
+    }
     let until = Instant::now() + DRAW_WAIT;
     let passed = reserve_drawn(state, budget, tokens, until).await;
     let refusal = passed.as_ref().err();
@@ -91,40 +93,49 @@
     Ok(())
 }
 
-/// Sends tokens that no request used for `rest` back to a holder.
-pub fn return_given<D: RequestDialect>(state: &Rc<TrafficState<D>>, rest: Duration) {
-    let link = state.link.borrow().clone();
-    let Some(link) = link else {
-        return;
-    };
-    for (budget, tokens) in state.budgets.take_idle_given(rest) {
-        let holder = state.other_holders(&budget).first().copied();
-        let Some(holder) = holder.filter(|_holder| state.asks_for(&budget)) else {
+/// Sends tokens that no request used for a while back to a holder.
+pub fn return_idle<D: RequestDialect>(state: &Rc<TrafficState<D>>) {
+    for (budget, tokens) in state.budgets.take_idle_given(GIVEN_REST) {
+        if state.asks_for(&budget) {
+            tokio::task::spawn_local(send_back(Rc::clone(state), budget, tokens));
+        } else {
             state.budgets.add_given(&budget, tokens);
-            continue;
-        };
-        tokio::task::spawn_local(send_back(link.clone(), holder, budget, tokens));
+        }
     }
 }
 
-/// Sends tokens that no request used for a while back to a holder.
-pub fn return_idle<D: RequestDialect>(state: &Rc<TrafficState<D>>) {
-    return_given(state, GIVEN_REST);
+/// Sends all that others gave to other holders, at the end of a planned stop.
+pub async fn return_all<D: RequestDialect>(state: &Rc<TrafficState<D>>) {
+    for (budget, tokens) in state.budgets.take_idle_given(Duration::ZERO) {
+        send_back(Rc::clone(state), budget, tokens).await;
+    }
 }
 
-/// Brings `tokens` back to `holder`, once: an answer may be lost, and the
-/// tokens must not count twice.
-async fn send_back(link: PinnedLink, holder: SocketAddr, budget: BudgetName, tokens: TokenCount) {
+/// Brings `tokens` back to one holder, which is asked once: an answer may be
+/// lost, and the tokens must not count twice. A holder that refuses has not
+/// taken them.
+async fn send_back<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    budget: BudgetName,
+    tokens: TokenCount,
+) {
+    let link = state.link.borrow().clone();
+    let holder = state.other_holders(&budget).first().copied();
+    let (Some(link), Some(holder)) = (link, holder) else {
+        state.budgets.add_given(&budget, tokens);
+        return;
+    };
     let question = PeerQuestion::Return {
         budget: budget.clone(),
         tokens,
     };
-    let answer = peers::ask(&link, holder, &question, ANSWER_LIMIT).await;
-    if answer.is_none() {
-        event!(
+    match peers::ask(&link, holder, &question, ANSWER_LIMIT).await {
+        Some(PeerAnswer::Refused(_refusal)) => state.budgets.add_given(&budget, tokens),
+        Some(_returned) => {}
+        None => event!(
             EventCode::TokensNotBrought,
             "holder={holder} budget={budget} tokens={tokens}"
-        );
+        ),
     }
 }
 
@@ -246,10 +257,11 @@
     state: &TrafficState<D>,
     budget: &BudgetName,
     tokens: TokenCount,
+    until: Instant,
 ) -> bool {
     let link = state.link.borrow().clone();
     match link {
-        Some(link) => peers::gather_tokens(state, &link, budget, tokens).await,
+        Some(link) => peers::gather_tokens(state, &link, budget, tokens, until).await,
         None => false,
     }
 }
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -9,10 +9,13 @@
 use hibiscus_ledger::account::AccountFold;
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::HolderReport;
+use hibiscus_ledger::account::pace::SpendPace;
+use hibiscus_ledger::account::policy::HolderDuty;
 use hibiscus_ledger::account::purse::HoldFault;
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetDesk;
 use hibiscus_traffic::budgets::BudgetRole;
+use hibiscus_traffic::budgets::TokenRefusal;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::model::CallerLimits;
 use hibiscus_traffic::model::FleetConfig;
@@ -50,7 +53,7 @@
 fn role(keeps: bool) -> BudgetRole {
     BudgetRole {
         holders: 7,
-        holds: true,
+        duty: HolderDuty::Holds,
         keeps,
     }
 }
@@ -187,3 +190,56 @@
     let reserved = case.desk.reserve(&budget, more, Duration::ZERO);
     assert_eq!(reserved, Err(HoldFault::NotDrawn));
 }
+
+/// Guards against a refusal for good while tokens that another holder passed
+/// on may still come back (issue 17).
+#[test]
+fn tokens_that_another_holder_passed_on_are_not_taken_for_spent() {
+    let mut case = DeskCase::start();
+    case.review(Duration::ZERO);
+    let budget = BudgetName::from("team");
+    let other = IncarnationId::from_u128(9);
+    let passed = TokenCount::new(PREPAID / 2);
+    let records = vec![
+        AccountRecord::Draw {
+            budget: budget.clone(),
+            holder: other,
+            machine: "front-9".into(),
+            serial: 1,
+            tokens: passed,
+        },
+        AccountRecord::Report(HolderReport {
+            budget: budget.clone(),
+            holder: other,
+            serial: 1,
+            spent: passed,
+            returned: TokenCount::ZERO,
+            pace: SpendPace::default(),
+            made_after: None,
+            demand: 0,
+            passed_on: passed,
+        }),
+    ];
+    let record = codec::encode(&records).expect("records are encoded");
+    let now = Duration::from_millis(100);
+    case.desk.apply(case.offset, &record, now);
+    let most = TokenCount::new(PREPAID);
+    let refusal = case.desk.refusal(&budget, most, now);
+    assert_eq!(refusal, Some(TokenRefusal::Unconfirmed));
+    let beyond = TokenCount::new(PREPAID + 1);
+    let refusal = case.desk.refusal(&budget, beyond, now);
+    assert_eq!(refusal, Some(TokenRefusal::Spent));
+}
+
+/// Guards against a draw that the store grants to a process that has closed
+/// its accounts (issue 17).
+#[test]
+fn a_holder_that_has_closed_its_accounts_draws_for_no_request() {
+    let mut case = DeskCase::start();
+    case.desk.give_all_back(Duration::ZERO);
+    assert!(case.desk.is_closed());
+    let _sent: Vec<AccountBatch> = case.batches.try_iter().collect();
+    case.desk
+        .review(|_budget| role(false), Duration::from_secs(1));
+    assert_eq!(case.batches.try_iter().count(), 0);
+}
--- a/crates/hibiscus-traffic/tests/holders.rs
+++ b/crates/hibiscus-traffic/tests/holders.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hibiscus_ledger::account::AccountFold;
+use hibiscus_ledger::account::policy::HolderDuty;
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetDesk;
 use hibiscus_traffic::budgets::BudgetRole;
@@ -169,9 +170,14 @@
         for (entry, desk, batches) in &mut self.desks {
             let role_of = |budget: &BudgetName| {
                 let holders = holders::holders_of(budget, entries.iter());
+                let is_holder = holders.iter().any(|holder| holder.name == entry.name);
                 BudgetRole {
                     holders: u32::try_from(holders.len()).unwrap_or(u32::MAX),
-                    holds: holders.iter().any(|holder| holder.name == entry.name),
+                    duty: if is_holder {
+                        HolderDuty::Holds
+                    } else {
+                        HolderDuty::Relieved
+                    },
                     keeps: false,
                 }
             };
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
+use std::thread;
 use std::time::Duration;
 
 use hibiscus_ledger::account::AccountRecord;
@@ -36,6 +37,8 @@
 use http::HeaderMap;
 
 const TEAMS: u64 = 24;
+/// Time after which an instance takes what it knows of the fleet for complete.
+const SETTLED: Duration = Duration::from_millis(1_600);
 
 /// Spells nothing: these tests send no request.
 struct SilentDialect;
@@ -200,3 +203,27 @@
     state.note_memory(LIMIT / 2);
     assert!(state.directory.borrow().is_ready());
 }
+
+/// Guards against a holder that is cut off and draws as if it were alone
+/// (issue 17).
+#[test]
+fn an_instance_that_loses_sight_of_the_fleet_draws_no_more() {
+    let (state, batches) = state();
+    let others: Vec<InstanceEntry> = (1..62).map(instance).collect();
+    for entry in &others {
+        state.apply(TrafficUpdate::Instance(entry.clone()));
+    }
+    state.apply(TrafficUpdate::InstancesRead);
+    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::AccountsCurrent);
+    thread::sleep(SETTLED);
+    state.review_budgets();
+    let drawn = draws(&batches).len();
+    assert!(drawn > 0 && drawn < 24, "{drawn} draws");
+    for entry in others {
+        state.apply(TrafficUpdate::Reachable(entry, false));
+    }
+    state.directory.borrow_mut().tick();
+    state.review_budgets();
+    assert_eq!(draws(&batches), []);
+}
