Log in a large fleet who is held silent and who is heard again

Only the questions of the own watch were logged, so a log did not show when an instance that others watch was taken from the answers to callers.

--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
 use hibiscus_membership::silence::SilenceBoard;
 use hibiscus_membership::silence::SilenceMessage;
 use hibiscus_peer::CertificatePin;
@@ -212,7 +214,13 @@
         let (mut answering, mut remembered) = (0_u32, 0_u32);
         for (name, known) in &mut self.others {
             let silent = self.board.is_silent(name);
-            changed |= silent != known.silent_since.is_some();
+            if silent != known.silent_since.is_some() {
+                changed = true;
+                // In a small fleet the questions tell it.
+                if self.board.is_large() {
+                    log_belief(name, silent);
+                }
+            }
             if !silent {
                 known.silent_since = None;
                 answering += 1;
@@ -343,6 +351,15 @@
     }
 }
 
+/// Logs that `name` is held not to answer, or to answer again.
+fn log_belief(name: &InstanceName, silent: bool) {
+    if silent {
+        event!(EventCode::InstanceSilent, "instance={name}");
+    } else {
+        event!(EventCode::InstanceHeard, "instance={name}");
+    }
+}
+
 /// Those of `entries` whose draw falls below their share of the largest
 /// capacity; the largest are always among them. Up to [`ADDRESS_LEAST`], others
 /// follow in the order of their draws.
