--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -107,6 +107,7 @@
     RequestEnded = "HS4207", Info, "answer passed to the caller";
     CallerLeft = "HS4208", Info, "caller left before its answer was whole";
     RequestDropped = "HS4209", Info, "request ended without an answer";
+    RequestCut = "HS4210", Warn, "connection closed with a request on it";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -142,9 +142,6 @@
     }
 }
 
-/// The word for an end by the caller, or by the path to it.
-const CALLER_ENDED: &str = "caller";
-
 /// Counts a request until its answer has passed.
 #[derive(Debug)]
 pub struct RequestProgress {
@@ -168,10 +165,10 @@
         self.request.note_body_read();
     }
 
-    /// Who ended the connection before the answer had passed.
-    pub fn ended_by(&self) -> &'static str {
-        let reason = self.request.closing();
-        reason.map_or(CALLER_ENDED, CloseReason::word)
+    /// Why this instance ended the connection before the answer had passed;
+    /// `None` when the caller did, or the path to it.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.request.closing()
     }
 }
 
@@ -224,12 +221,19 @@
     /// The caller left before the answer was whole.
     pub fn left(&self) {
         self.count_end(RequestOutcome::Left);
+        if let Some(reason) = self.progress.closing() {
+            event!(
+                EventCode::RequestCut,
+                "request={} reason={} answer=begun",
+                self.id,
+                reason.word()
+            );
+        }
         event!(
             EventCode::CallerLeft,
-            "request={} server={} ended_by={} server_silent={} total_ms={}",
+            "request={} server={} server_silent={} total_ms={}",
             self.id,
             self.flight.server().entry.name,
-            self.progress.ended_by(),
             self.flight.server().is_silent(),
             self.arrived.elapsed().as_millis()
         );
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -56,11 +56,18 @@
         if self.answered {
             return;
         }
+        if let Some(reason) = self.progress.closing() {
+            event!(
+                EventCode::RequestCut,
+                "request={} reason={} answer=none",
+                self.known.id,
+                reason.word()
+            );
+        }
         event!(
             EventCode::RequestDropped,
-            "request={} ended_by={} total_ms={}",
+            "request={} total_ms={}",
             self.known.id,
-            self.progress.ended_by(),
             self.known.arrived.elapsed().as_millis()
         );
     }
