--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -15,24 +15,25 @@
 use hibiscus_peer::PinnedLink;
 use hibiscus_traffic::answer;
 use hibiscus_traffic::budgets::BudgetDesk;
-use hibiscus_traffic::callers::CallerBounds;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::machine;
 use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
+use hibiscus_traffic::members;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::peers;
 use hibiscus_traffic::port;
-use hibiscus_traffic::probe;
+use hibiscus_traffic::port::CallerAddress;
 use hibiscus_traffic::recovery;
 use hibiscus_traffic::relay::AnswerBody;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
+use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::supply;
 use hibiscus_traffic::updates;
-use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateReceiver;
 use hibiscus_types::IncarnationId;
 use http::Request;
@@ -65,6 +66,9 @@
 const TICK: Duration = Duration::from_millis(250);
 /// Time between two looks at the levels; the platform reads them each 5 s.
 const LEVELS_PAUSE: Duration = Duration::from_secs(2);
+/// Time between two looks at the use of memory: a link of 10 Mbit/s brings
+/// 0.6 MB meanwhile.
+const MEMORY_PAUSE: Duration = Duration::from_millis(500);
 /// Time after the begin of a planned stop during which new requests are still
 /// served: callers keep addresses for up to three lifetimes, and streams need
 /// their time before the process is killed.
@@ -127,6 +131,7 @@
         pin: keys.pin(),
         data_centre: settings.data_centre.clone(),
         leaving: false,
+        capacity: settings.capacity(),
     };
     let limits = MachineLimits {
         memory_bytes: settings.memory_bytes,
@@ -190,7 +195,7 @@
         budgets: desk,
         retries,
         directory: InstanceDirectory::new(own.clone()),
-        bounds: CallerBounds::of_machine(settings.memory_bytes, settings.descriptors),
+        bounds: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
     }));
@@ -247,6 +252,7 @@
     *state.link.borrow_mut() = Some(link);
     tokio::task::spawn_local(peers::answer_calls(Rc::clone(&state), calls));
     tokio::task::spawn_local(recovery::close_unproven(Rc::clone(&state)));
+    tokio::task::spawn_local(members::keep(Rc::clone(&state), answers::READINESS_PATH));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_calls(
         readiness,
@@ -264,18 +270,21 @@
         move |_state: &FrontState, request: &Request<Incoming>| answer_metrics(&metrics, request)
     }));
     tokio::task::spawn_local(show_levels(Rc::clone(&state), metrics));
+    tokio::task::spawn_local(watch_memory(Rc::clone(&state)));
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     while state.stopping().is_none() {
         tokio::select! {
             update = updates.recv() => {
                 if let Some(update) = update {
-                    take(&state, update);
+                    state.apply(update);
                 }
             }
             due = tick.tick() => {
                 state.note_lateness(due.elapsed());
                 state.expire_servers();
+                state.directory.borrow_mut().tick();
+                state.members.notify_one();
                 state.end_slow_heads();
                 state.share_server_connections();
                 state.review_budgets();
@@ -326,15 +335,15 @@
     counter!("hibiscus_peer_calls_late_total").absolute(counts.calls_late);
 }
 
-/// Takes news over, and watches an instance that was not known.
-fn take(state: &Rc<FrontState>, update: TrafficUpdate) {
-    if let TrafficUpdate::Instance(entry) = &update
-        && state.directory.borrow_mut().announce(entry.clone())
-    {
-        let watch = probe::watch(Rc::clone(state), entry.clone(), answers::READINESS_PATH);
-        tokio::task::spawn_local(watch);
+/// Keeps the use of memory in bounds for as long as the runtime runs.
+async fn watch_memory(state: Rc<FrontState>) {
+    loop {
+        tokio::time::sleep(MEMORY_PAUSE).await;
+        state.drop_unusable_links();
+        if let Some(resident) = machine::resident() {
+            state.note_memory(resident);
+        }
     }
-    state.apply(update);
 }
 
 /// Serves on while callers learn of the stop, then refuses what is new and
@@ -347,7 +356,7 @@
         tokio::select! {
             update = updates.recv() => {
                 if let Some(update) = update {
-                    take(state, update);
+                    state.apply(update);
                 }
             }
             _at = tick.tick() => state.review_budgets(),
@@ -377,13 +386,13 @@
     state.budgets.give_all_back();
     while !state.budgets.is_acknowledged() || !state.budgets.is_read_back() {
         if let Some(update) = updates.recv().await {
-            take(state, update);
+            state.apply(update);
         }
     }
     state.budgets.write_snapshots();
     while !state.budgets.is_acknowledged() {
         if let Some(update) = updates.recv().await {
-            take(state, update);
+            state.apply(update);
         }
     }
 }
@@ -419,7 +428,9 @@
     let query = request.uri().query().unwrap_or_default();
     let data_centre = answers::caller_data_centre(query);
     let directory = state.directory.borrow();
-    let addresses = directory.addresses(data_centre.as_ref());
+    let caller = request.extensions().get::<CallerAddress>();
+    let caller = caller.map(|caller| caller.0);
+    let addresses = directory.addresses_for(data_centre.as_ref(), caller);
     let body = answers::addresses_body(&addresses, lifetime);
     answer::json_answer(body)
 }
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -11,6 +11,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_membership::silence::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
@@ -68,6 +69,8 @@
         /// The tokens.
         tokens: TokenCount,
     },
+    /// Takes over which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// The answer to a question.
@@ -83,6 +86,8 @@
     Refused(TokenRefusal),
     /// Tokens came back.
     Returned,
+    /// Which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// Answers other instances for as long as the runtime runs.
@@ -146,6 +151,12 @@
             state.budgets.add_given(budget, *tokens);
             PeerAnswer::Returned
         }
+        PeerQuestion::Silence(message) => {
+            let mut directory = state.directory.borrow_mut();
+            let answer = directory.take_message(message.clone());
+            state.members.notify_one();
+            PeerAnswer::Silence(answer)
+        }
     }
 }
 
@@ -215,6 +226,19 @@
     }
 }
 
+/// Tells one instance which others are silent; `None` when it does not answer.
+pub async fn tell_silence(
+    link: &PinnedLink,
+    peer: SocketAddr,
+    message: SilenceMessage,
+) -> Option<SilenceMessage> {
+    let question = PeerQuestion::Silence(message);
+    match ask(link, peer, &question, TIME_LIMIT).await? {
+        PeerAnswer::Silence(answer) => Some(answer),
+        _other => None,
+    }
+}
+
 /// Asks one instance.
 pub(crate) async fn ask(
     link: &PinnedLink,
