--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -56,6 +56,11 @@
     LinesDropped = "HS1113", Warn, "log lines were dropped to keep the volume bounded";
     SlowHeadsEnded = "HS1114", Warn, "connections of callers ended, their heads took too long";
     ConnectionsFull = "HS1115", Warn, "connection of a caller closed, too many are open and none is idle";
+    MemoryRelief = "HS1116", Warn, "memory reached a level at which something is given up, or left it";
+    LimitsKnown = "HS1120", Info, "limits of the machine";
+    LevelsShown = "HS1121", Info, "levels of the process";
+    MemoryNearLimit = "HS1122", Warn, "memory nears the machine's limit";
+    ThreadLate = "HS1123", Warn, "traffic thread is late";
     ConfigInForce = "HS2001", Info, "configuration version is in force";
     ConfigUnreadable = "HS2002", Warn, "configuration stream cannot be read";
     TopicLost = "HS2003", Warn, "topic cannot be read";
@@ -83,6 +88,8 @@
     SnapshotStale = "HS3112", Error, "snapshot is older than the oldest record, the whole total counts as spent";
     SnapshotNotWritten = "HS3113", Warn, "snapshots of accounts were not written";
     SnapshotUnreadable = "HS3114", Error, "snapshot of an account cannot be read";
+    TokensPassedOn = "HS3121", Info, "tokens passed on to an instance that does not hold the budget, or refused";
+    TokensNotBrought = "HS3122", Warn, "tokens that no request used may not have come back to a holder";
     RequestAdmitted = "HS4001", Debug, "request admitted";
     RequestOpened = "HS4002", Debug, "open acknowledged";
     RequestDispatched = "HS4003", Debug, "request sent to a server";
@@ -100,6 +107,7 @@
     ServerFailed = "HS4206", Warn, "server failed";
     RequestEnded = "HS4207", Info, "answer passed to the caller";
     CallerLeft = "HS4208", Info, "caller left before its answer was whole";
+    RequestDropped = "HS4209", Info, "request ended without an answer";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -11,6 +11,8 @@
 mod tokens;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::thread::Thread;
@@ -29,12 +31,16 @@
 use hibiscus_types::InstanceName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 pub use crate::budgets::handle::BudgetHandle;
 pub use crate::budgets::handle::TokenWant;
 use crate::clock::MachineClock;
 use crate::model::FleetConfig;
+use crate::tally::DrawOutcome;
+use crate::tally::WorkTally;
 
 /// Records on their way to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +60,8 @@
     demand: DemandCounter,
     /// Number of the last draw sent.
     draw_serial: u64,
+    /// Tokens that it asked for.
+    asked: TokenCount,
     /// Whether that draw has no verdict yet.
     pending: bool,
     /// Number of the last draw whose verdict came: a stream that is read once
@@ -67,12 +75,17 @@
     reported: (TokenCount, TokenCount),
     /// Tokens that waiting requests need.
     wanted: TokenCount,
+    /// When tokens that other holders gave were last used or added.
+    given_used: Duration,
+    /// Tokens passed on to instances that do not hold the budget, by time: what
+    /// their requests leave comes back.
+    passed_on: VecDeque<(Duration, TokenCount)>,
     /// Wakes the requests that wait.
     changed: Rc<Notify>,
 }
 
 /// Why a request gets no tokens now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TokenRefusal {
     /// The budget cannot cover the request.
     Spent,
@@ -80,6 +93,18 @@
     Unconfirmed,
 }
 
+/// What this instance does for one budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BudgetRole {
+    /// Instances that draw of the budget.
+    pub holders: u32,
+    /// Whether this one is among them. Others draw only for requests that
+    /// wait.
+    pub holds: bool,
+    /// Whether it writes the budget's snapshots.
+    pub keeps: bool,
+}
+
 /// How far the accounts of earlier processes of this machine are closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecoveryPhase {
@@ -98,6 +123,8 @@
     clock: MachineClock,
     fold: AccountFold,
     held: BTreeMap<BudgetName, HeldBudget>,
+    /// Budgets that requests wait for.
+    waiting: BTreeSet<BudgetName>,
     outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
     unsent_snapshots: Vec<AccountSnapshot>,
@@ -122,6 +149,9 @@
     closed: bool,
     /// The thread that reads the stream, once it runs.
     reader: Option<Thread>,
+    /// End of the stream when it was read last.
+    stream_end: u64,
+    tally: Rc<WorkTally>,
 }
 
 impl BudgetDesk {
@@ -138,6 +168,7 @@
             clock,
             fold: AccountFold::default(),
             held: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             outbox,
             unsent: Vec::new(),
             unsent_snapshots: Vec::new(),
@@ -153,9 +184,32 @@
             stopping: false,
             closed: false,
             reader: None,
+            stream_end: 0,
+            tally: Rc::default(),
         }
     }
 
+    /// The counts of the work for the fleet.
+    pub fn tally(&self) -> &Rc<WorkTally> {
+        &self.tally
+    }
+
+    /// The stream ended at the offset `end` when it was read last.
+    pub fn note_end(&mut self, end: u64) {
+        self.stream_end = end;
+    }
+
+    /// Records of the stream that are not folded yet.
+    pub fn lag(&self) -> u64 {
+        self.stream_end.saturating_sub(self.fold.next_offset())
+    }
+
+    /// Accounts over all budgets and holders.
+    pub fn accounts(&self) -> usize {
+        let budgets = self.fold.budgets().values();
+        budgets.map(|account| account.holders.len()).sum()
+    }
+
     /// Names the thread that reads the stream: it pauses between reads, and is
     /// woken when a verdict is to be had.
     pub fn set_reader(&mut self, reader: Thread) {
@@ -188,6 +242,7 @@
     /// Applies a record of the stream.
     pub fn apply(&mut self, offset: u64, record: &[u8], now: Duration) {
         self.heard = now;
+        self.tally.records.add();
         let records: Vec<AccountRecord> = match codec::decode(record) {
             Ok(records) => records,
             Err(error) => {
@@ -213,13 +268,16 @@
             }
             held.verdict_serial = verdict.serial;
             held.purse.add(verdict.granted);
+            self.tally
+                .count_draw(DrawOutcome::of(held.asked, verdict.granted));
             held.pending &= verdict.serial < held.draw_serial;
             held.changed.notify_waiters();
             event!(
                 EventCode::TokensDrawn,
-                "budget={} serial={} granted={} offset={offset}",
+                "budget={} serial={} asked={} granted={} offset={offset}",
                 verdict.budget,
                 verdict.serial,
+                held.asked,
                 verdict.granted
             );
         }
--- a/crates/hibiscus-traffic/src/callers.rs
+++ b/crates/hibiscus-traffic/src/callers.rs
@@ -3,13 +3,15 @@
 //! A connection is *busy* from the head of a request until the answer has
 //! passed, *starting* while a head arrives, and *idle* else. When as many are
 //! open as the machine bears, the one that has been idle for longest makes
-//! room; a head that takes too long ends its connection. Bodies are kept until
-//! their request is answered, so their bytes are counted too.
+//! room; a head that takes too long ends its connection. After a request that
+//! was refused before its body was read, the next bytes are that body's. Bodies
+//! are kept until their request is answered, so their bytes are counted too.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
@@ -22,17 +24,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Memory that a connection with a request may take, in bytes: two buffers of
-/// 8 KiB, its tasks and the kernel's part of what is unread; 16 KiB were
-/// measured for an open stream.
-const CONNECTION_BYTES: usize = 24 * 1024;
-/// Part of the memory that callers' connections may take.
-const CONNECTIONS_PART: f64 = 0.35;
-/// Part of the descriptors that callers' connections may take; the rest is for
-/// servers, instances and the store.
-const DESCRIPTORS_PART: f64 = 0.6;
-/// Part of the memory that callers' bodies may take.
-const BODIES_PART: f64 = 0.2;
+use crate::tally::CloseReason;
+
+/// Time for the last bytes on a connection that was told to end and has no
+/// request.
+const LAST_WRITE: Duration = Duration::from_millis(200);
 
 /// What callers may take of the machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,19 +39,6 @@
     pub body_bytes: usize,
 }
 
-impl CallerBounds {
-    /// The bounds of a machine that gives a process `memory` bytes and
-    /// `descriptors`.
-    pub fn of_machine(memory: usize, descriptors: usize) -> Self {
-        let by_memory = memory as f64 * CONNECTIONS_PART / CONNECTION_BYTES as f64;
-        let by_descriptors = descriptors as f64 * DESCRIPTORS_PART;
-        Self {
-            connections: (by_memory.min(by_descriptors) as usize).max(1),
-            body_bytes: (memory as f64 * BODIES_PART) as usize,
-        }
-    }
-}
-
 /// What a connection does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallerPhase {
@@ -71,8 +54,12 @@
     since: Cell<Instant>,
     /// Requests whose answers have not passed.
     requests: Cell<usize>,
+    /// Whether the next bytes are the rest of a request that was refused.
+    rest: Cell<bool>,
     /// Ends the connection.
     end: Notify,
+    /// Why this instance ends it, if it does.
+    closing: Cell<Option<CloseReason>>,
 }
 
 impl CallerSlot {
@@ -80,6 +67,11 @@
         self.phase.set(phase);
         self.since.set(Instant::now());
     }
+
+    fn end(&self, reason: CloseReason) {
+        self.closing.set(Some(reason));
+        self.end.notify_one();
+    }
 }
 
 /// All connections of callers.
@@ -107,6 +99,11 @@
         self.slots.borrow().len()
     }
 
+    /// Bytes of bodies whose requests are not answered.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes.get()
+    }
+
     /// Whether no connection is open.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -125,7 +122,9 @@
             phase: Cell::new(CallerPhase::Idle),
             since: Cell::new(Instant::now()),
             requests: Cell::new(0),
+            rest: Cell::new(false),
             end: Notify::new(),
+            closing: Cell::new(None),
         });
         self.slots.borrow_mut().insert(number, Rc::clone(&slot));
         Some(CallerConnection {
@@ -142,7 +141,7 @@
         for slot in self.slots.borrow().values() {
             let starting = slot.phase.get() == CallerPhase::Starting;
             if starting && slot.since.get().elapsed() > limit {
-                slot.end.notify_one();
+                slot.end(CloseReason::SlowHead);
                 ended += 1;
             }
         }
@@ -166,7 +165,7 @@
             .filter(|(_number, slot)| slot.phase.get() == CallerPhase::Idle);
         let longest = idle.min_by_key(|(_number, slot)| slot.since.get());
         let number = longest.map(|(number, _slot)| *number)?;
-        slots.remove(&number)?.end.notify_one();
+        slots.remove(&number)?.end(CloseReason::Room);
         Some(())
     }
 }
@@ -185,9 +184,33 @@
         self.slot.end.notified().await;
     }
 
+    /// Waits until `connection`, which was told to end, has ended; false when
+    /// its last bytes took too long. Its head may have become whole in the same
+    /// moment, and the request then has the time that it would have had.
+    pub async fn finish<F: Future>(&self, connection: F) -> bool {
+        let mut connection = pin!(connection);
+        loop {
+            let ended = tokio::time::timeout(LAST_WRITE, connection.as_mut()).await;
+            if ended.is_ok() || self.slot.requests.get() == 0 {
+                return ended.is_ok();
+            }
+        }
+    }
+
+    /// Why this instance ends the connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+
+    /// Notes that this instance ends the connection because of a planned stop.
+    pub fn note_stopping(&self) {
+        self.slot.closing.set(Some(CloseReason::Stopping));
+    }
+
     /// Counts a request until the returned value is dropped.
     pub fn begin_request(&self) -> CallerRequest {
         self.slot.requests.set(self.slot.requests.get() + 1);
+        self.slot.rest.set(true);
         self.slot.enter(CallerPhase::Busy);
         CallerRequest {
             slot: Rc::clone(&self.slot),
@@ -215,6 +238,18 @@
     slot: Rc<CallerSlot>,
 }
 
+impl CallerRequest {
+    /// The request's body was read to its end.
+    pub fn note_body_read(&self) {
+        self.slot.rest.set(false);
+    }
+
+    /// Why this instance ends the request's connection, if it does.
+    pub fn closing(&self) -> Option<CloseReason> {
+        self.slot.closing.get()
+    }
+}
+
 impl Drop for CallerRequest {
     fn drop(&mut self) {
         let requests = self.slot.requests.get() - 1;
@@ -269,7 +304,9 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let is_idle = self.slot.phase.get() == CallerPhase::Idle;
-        if is_idle && buffer.filled().len() > before {
+        let has_read = buffer.filled().len() > before;
+        // The HTTP library reads once for the rest of a body, or closes.
+        if is_idle && has_read && !self.slot.rest.take() {
             self.slot.enter(CallerPhase::Starting);
         }
         polled
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -1,11 +1,17 @@
 //! Which instances callers are told to use.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_membership::silence::SilenceBoard;
+use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_peer::CertificatePin;
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
@@ -16,6 +22,10 @@
 /// Addresses in one answer; callers use no more.
 const ADDRESS_LIMIT: usize = 64;
 
+/// Addresses in one answer at the least, if so many instances serve: a caller
+/// that keeps the answer still finds one after several have died.
+const ADDRESS_LEAST: usize = 12;
+
 /// Replaced processes of an instance that are remembered: a late copy of an
 /// announcement comes within seconds.
 const REPLACED_KEPT: usize = 8;
@@ -24,13 +34,15 @@
 /// between instances last seconds, and replaced ones must not count for ever.
 const FORGOTTEN_TIME: Duration = Duration::from_secs(600);
 
+/// Subjects whose first instance is remembered: more than there are budgets.
+const FIRST_KEPT: usize = 4_096;
+
 /// One instance and whether it answers.
 #[derive(Clone, Debug)]
 struct KnownInstance {
     entry: InstanceEntry,
-    reachable: bool,
-    /// When it answered last, or announced itself.
-    heard: Instant,
+    /// Since when it is held not to answer.
+    silent_since: Option<Instant>,
     /// Processes that the present one replaced, oldest first.
     replaced: VecDeque<IncarnationId>,
 }
@@ -41,15 +53,32 @@
     own: InstanceEntry,
     ready: bool,
     others: BTreeMap<InstanceName, KnownInstance>,
+    board: SilenceBoard,
+    begun: Instant,
+    /// Others that are held to answer.
+    answering: u32,
+    /// Others that are not forgotten.
+    remembered: u32,
+    /// Pins of processes that were replaced since they were last asked for.
+    replaced_pins: Vec<CertificatePin>,
+    /// For which subjects this instance is the first, until the instances
+    /// that answer change.
+    firsts: RefCell<HashMap<String, bool>>,
 }
 
 impl InstanceDirectory {
     /// A directory that knows only its own instance.
     pub fn new(own: InstanceEntry) -> Self {
         Self {
+            board: SilenceBoard::new(own.name.clone(), own.incarnation),
             own,
             ready: false,
             others: BTreeMap::new(),
+            begun: Instant::now(),
+            answering: 0,
+            remembered: 0,
+            replaced_pins: Vec::new(),
+            firsts: RefCell::default(),
         }
     }
 
@@ -67,44 +96,140 @@
         if entry.name == self.own.name {
             return false;
         }
-        let Some(known) = self.others.get_mut(&entry.name) else {
+        let now = self.begun.elapsed();
+        let (name, incarnation) = (entry.name.clone(), entry.incarnation);
+        let leaving = entry.leaving;
+        let Some(known) = self.others.get_mut(&name) else {
             let known = KnownInstance {
                 entry,
-                reachable: false,
-                heard: Instant::now(),
+                silent_since: None,
                 replaced: VecDeque::new(),
             };
-            self.others.insert(known.entry.name.clone(), known);
+            self.others.insert(name.clone(), known);
+            self.board.announce(&name, incarnation, leaving, now);
+            self.recount();
             return true;
         };
-        if known.entry.incarnation == entry.incarnation {
-            known.entry = entry;
-            return false;
-        }
-        if known.replaced.contains(&entry.incarnation) {
+        if known.replaced.contains(&incarnation) {
             return false;
         }
-        known.replaced.push_back(known.entry.incarnation);
-        while known.replaced.len() > REPLACED_KEPT {
-            known.replaced.pop_front();
+        let replaced = known.entry.incarnation != incarnation;
+        if replaced {
+            known.replaced.push_back(known.entry.incarnation);
+            while known.replaced.len() > REPLACED_KEPT {
+                known.replaced.pop_front();
+            }
+            known.silent_since = None;
+            if known.entry.pin != entry.pin {
+                self.replaced_pins.push(known.entry.pin);
+            }
         }
         known.entry = entry;
-        known.reachable = false;
-        known.heard = Instant::now();
-        true
+        self.board.announce(&name, incarnation, leaving, now);
+        self.recount();
+        replaced
+    }
+
+    /// Pins of the processes that were replaced since the last call.
+    pub fn take_replaced_pins(&mut self) -> Vec<CertificatePin> {
+        std::mem::take(&mut self.replaced_pins)
     }
 
     /// Notes whether the process that announced `entry` answers.
     pub fn note_reachable(&mut self, entry: &InstanceEntry, reachable: bool) {
-        let Some(known) = self.others.get_mut(&entry.name) else {
-            return;
-        };
-        if known.entry.incarnation == entry.incarnation {
-            known.reachable = reachable;
-            if reachable {
-                known.heard = Instant::now();
+        let now = self.begun.elapsed();
+        self.board
+            .note(&entry.name, entry.incarnation, reachable, now);
+        self.recount();
+    }
+
+    /// Lets time pass: whom to watch, and who is forgotten.
+    pub fn tick(&mut self) {
+        self.board.tick(self.begun.elapsed());
+        self.recount();
+    }
+
+    /// Takes over what another instance found, and answers it.
+    pub fn take_message(&mut self, message: SilenceMessage) -> SilenceMessage {
+        let answer = self.board.take(message, self.begun.elapsed());
+        self.recount();
+        answer
+    }
+
+    /// Takes over an answer, to a question for all that is known if `joining`.
+    pub fn take_answer(&mut self, answer: SilenceMessage, joining: bool) {
+        self.board.take_answer(answer, self.begun.elapsed());
+        if joining {
+            self.board.note_joined();
+        }
+        self.recount();
+    }
+
+    /// Whether this instance found something that others must learn.
+    pub fn has_news(&self) -> bool {
+        self.board.has_news()
+    }
+
+    /// What others must learn.
+    pub fn next_news(&mut self) -> Option<SilenceMessage> {
+        self.board.next_news()
+    }
+
+    /// A message that repairs what others missed.
+    pub fn next_exchange(&mut self) -> SilenceMessage {
+        self.board.next_exchange()
+    }
+
+    /// Whether the fleet is so large that this instance watches a few others.
+    pub fn is_large(&self) -> bool {
+        self.board.is_large()
+    }
+
+    /// The processes that this instance watches.
+    pub fn watched(&self) -> Vec<&InstanceEntry> {
+        let watched = self.board.watched().iter();
+        let known = watched.filter_map(|name| self.others.get(name));
+        known.map(|known| &known.entry).collect()
+    }
+
+    /// Whether this instance watches the process that announced `entry`.
+    pub fn watches(&self, entry: &InstanceEntry) -> bool {
+        self.knows(entry) && self.board.watched().contains(&entry.name)
+    }
+
+    /// Where the instances take questions that learn of news from this one.
+    pub fn contacts(&self) -> Vec<SocketAddr> {
+        let known = self
+            .board
+            .contacts()
+            .filter_map(|name| self.others.get(name));
+        known.map(|known| known.entry.peers).collect()
+    }
+
+    /// Counts the others anew.
+    fn recount(&mut self) {
+        let mut changed = false;
+        let (mut answering, mut remembered) = (0_u32, 0_u32);
+        for (name, known) in &mut self.others {
+            let silent = self.board.is_silent(name);
+            changed |= silent != known.silent_since.is_some();
+            if !silent {
+                known.silent_since = None;
+                answering += 1;
+                remembered += 1;
+                continue;
+            }
+            let since = known.silent_since.get_or_insert_with(Instant::now);
+            if since.elapsed() < FORGOTTEN_TIME {
+                remembered += 1;
             }
         }
+        // One more that answers since its announcement changes the count.
+        if changed || answering != self.answering {
+            self.firsts.borrow_mut().clear();
+        }
+        self.answering = answering;
+        self.remembered = remembered;
     }
 
     /// Notes whether this instance serves.
@@ -119,51 +244,85 @@
 
     /// Instances that may serve, this one included.
     pub fn live(&self) -> u32 {
-        let others = self.others.values().filter(|known| known.reachable);
-        u32::try_from(others.count())
-            .unwrap_or(u32::MAX)
-            .saturating_add(1)
+        self.answering.saturating_add(1)
     }
 
     /// Instances that may be serving, this one included: also those that do
     /// not answer, since they may be cut off from here only.
     pub fn may_serve(&self) -> u32 {
-        let others = self.others.values();
-        let others = others.filter(|known| known.heard.elapsed() < FORGOTTEN_TIME);
-        u32::try_from(others.count())
-            .unwrap_or(u32::MAX)
-            .saturating_add(1)
+        self.remembered.saturating_add(1)
     }
 
     /// Whether this instance is the first of those that answer in the order
     /// that `subject` gives them. All instances agree on it but for moments, so
     /// it may only choose who does what may be done twice.
     pub fn is_first_for(&self, subject: &str) -> bool {
+        if let Some(first) = self.firsts.borrow().get(subject) {
+            return *first;
+        }
         let rank = |entry: &InstanceEntry| {
             stable_hash(&[subject.as_bytes(), entry.name.as_str().as_bytes()])
         };
         let own = rank(&self.own);
-        let mut others = self.others.values().filter(|known| known.reachable);
-        others.all(|known| rank(&known.entry) > own)
+        let mut others = self.held_to_answer();
+        let first = others.all(|known| rank(&known.entry) > own);
+        let mut firsts = self.firsts.borrow_mut();
+        if firsts.len() >= FIRST_KEPT {
+            firsts.clear();
+        }
+        firsts.insert(subject.to_owned(), first);
+        first
+    }
+
+    /// The others that are held to answer.
+    fn held_to_answer(&self) -> impl Iterator<Item = &KnownInstance> {
+        let others = self.others.values();
+        others.filter(|known| known.silent_since.is_none())
+    }
+
+    /// This instance and those that answer and do not leave.
+    pub fn answering(&self) -> impl Iterator<Item = &InstanceEntry> {
+        let others = self.held_to_answer();
+        let others = others.filter(|known| !known.entry.leaving);
+        others.map(|known| &known.entry).chain([&self.own])
+    }
+
+    /// This instance.
+    pub fn own(&self) -> &InstanceEntry {
+        &self.own
     }
 
     /// Where the instances that answer take questions.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        let others = self.others.values().filter(|known| known.reachable);
-        others.map(|known| known.entry.peers).collect()
+        self.held_to_answer()
+            .map(|known| known.entry.peers)
+            .collect()
     }
 
-    /// Addresses of the instances that serve, those in the data centre
-    /// `near` first, in random order within the two groups. Far ones are named
-    /// too: callers pick one at random, and the near ones alone would get all
-    /// of the load. Never none.
+    /// [`Self::addresses_for`] a caller of whom nothing is known.
     pub fn addresses(&self, near: Option<&DataCentre>) -> Vec<SocketAddr> {
+        self.addresses_for(near, None)
+    }
+
+    /// Addresses of instances that serve, those in the data centre `near`
+    /// first, in random order within the two groups. Far ones are named too:
+    /// callers pick one at random, and the near ones alone would get all of
+    /// the load. Never none.
+    ///
+    /// Instances are named the more often the more capacity they have; all of
+    /// them when all have the same. One `caller` is named the same instances
+    /// each time: it gives up connections to those that a new answer misses.
+    pub fn addresses_for(
+        &self,
+        near: Option<&DataCentre>,
+        caller: Option<IpAddr>,
+    ) -> Vec<SocketAddr> {
         let mut named: Vec<&InstanceEntry> = Vec::new();
         if self.ready {
             named.push(&self.own);
         }
-        for known in self.others.values() {
-            if known.reachable && !known.entry.leaving {
+        for known in self.held_to_answer() {
+            if !known.entry.leaving {
                 named.push(&known.entry);
             }
         }
@@ -172,8 +331,40 @@
             named.push(&self.own);
         }
         fastrand::shuffle(&mut named);
+        let mut named = match caller.map(|caller| caller.to_string()) {
+            Some(caller) => draw_by_capacity(named, |entry| {
+                stable_hash(&[caller.as_bytes(), entry.name.as_str().as_bytes()])
+            }),
+            None => draw_by_capacity(named, |_entry| fastrand::u64(..)),
+        };
         named.sort_by_key(|entry| Some(&entry.data_centre) != near);
         named.truncate(ADDRESS_LIMIT);
         named.into_iter().map(|entry| entry.callers).collect()
     }
 }
+
+/// Those of `entries` whose draw falls below their share of the largest
+/// capacity; the largest are always among them. Up to [`ADDRESS_LEAST`], others
+/// follow in the order of their draws.
+fn draw_by_capacity(
+    entries: Vec<&InstanceEntry>,
+    draw: impl Fn(&InstanceEntry) -> u64,
+) -> Vec<&InstanceEntry> {
+    let largest = entries.iter().map(|entry| entry.capacity).max();
+    let largest = u64::from(largest.unwrap_or_default()).max(1);
+    let mut named = Vec::with_capacity(entries.len());
+    let mut left_out = Vec::new();
+    for entry in entries {
+        let drawn = draw(entry);
+        if drawn % largest < u64::from(entry.capacity) {
+            named.push(entry);
+        } else {
+            left_out.push((drawn, entry));
+        }
+    }
+    let missing = ADDRESS_LEAST.saturating_sub(named.len());
+    left_out.sort_by_key(|(drawn, _entry)| *drawn);
+    let others = left_out.into_iter().take(missing);
+    named.extend(others.map(|(_drawn, entry)| entry));
+    named
+}
--- a/crates/hibiscus-traffic/src/life.rs
+++ b/crates/hibiscus-traffic/src/life.rs
@@ -15,6 +15,7 @@
 use hibiscus_events::event;
 use http::Request;
 use http::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::answer;
@@ -38,6 +39,31 @@
     id: String,
     kind: Option<RequestKind>,
     arrived: Instant,
+    /// Whether no part of its body is to come.
+    body_read: bool,
+}
+
+/// A request without an answer so far. Its connection's task is dropped when
+/// the connection ends, and the request with it.
+struct UnansweredRequest<'a> {
+    known: KnownRequest,
+    progress: &'a RequestProgress,
+    answered: bool,
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        event!(
+            EventCode::RequestDropped,
+            "request={} ended_by={} total_ms={}",
+            self.known.id,
+            self.progress.ended_by(),
+            self.known.arrived.elapsed().as_millis()
+        );
+    }
 }
 
 /// Serves one request; every way out is an answer.
@@ -47,17 +73,29 @@
     caller: CallerRequest,
 ) -> Response<AnswerBody> {
     let progress = RequestProgress::new(caller, state.count_request());
-    let mut known = KnownRequest {
-        id: String::new(),
-        kind: None,
-        arrived: Instant::now(),
+    let mut unanswered = UnansweredRequest {
+        known: KnownRequest {
+            id: String::new(),
+            kind: None,
+            arrived: Instant::now(),
+            body_read: request.body().is_end_stream(),
+        },
+        progress: &progress,
+        answered: false,
     };
-    match work(&state, request, &mut known).await {
+    let outcome = work(&state, request, &mut unanswered.known).await;
+    unanswered.answered = true;
+    if unanswered.known.body_read {
+        progress.note_body_read();
+    }
+    let outcome = outcome.map_err(|reason| refuse(&state, reason, &unanswered.known));
+    drop(unanswered);
+    match outcome {
         Ok((admitted, forwarded)) => {
             let measures = Rc::clone(&state.measures);
             forwarded.into_answer(&admitted, progress, measures)
         }
-        Err(reason) => refuse(&state, reason, &known),
+        Err(refusal) => refusal,
     }
 }
 
@@ -74,6 +112,9 @@
     if state.is_closing() {
         return Err(OwnReason::Stopping);
     }
+    if !state.has_room() {
+        return Err(OwnReason::Overloaded);
+    }
     let admitted = admission::admit(state, signs, head, body, known).await?;
     let charge = reservation::reserve(state, &admitted).await;
     let charge = charge.inspect_err(|_reason| reservation::log_shortage(state, &admitted))?;
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -11,6 +11,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_membership::silence::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
@@ -21,8 +22,12 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 
+use crate::budgets::TokenRefusal;
 use crate::dialect::RequestDialect;
 use crate::state::TrafficState;
+use crate::supply;
+use crate::tally::QuestionOutcome;
+use crate::tally::QuestionSubject;
 
 /// Calls that wait to be answered.
 pub const RING_CAPACITY: usize = 256;
@@ -50,6 +55,22 @@
     },
     /// Tells the time of day of the machine.
     TimeOfDay,
+    /// Asks a holder of a budget for what one request needs.
+    Reserve {
+        /// The budget.
+        budget: BudgetName,
+        /// Tokens asked for; fewer are of no use.
+        tokens: TokenCount,
+    },
+    /// Brings back what requests left of tokens that a holder passed on.
+    Return {
+        /// The budget.
+        budget: BudgetName,
+        /// The tokens.
+        tokens: TokenCount,
+    },
+    /// Takes over which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// The answer to a question.
@@ -59,6 +80,14 @@
     Tokens(TokenCount),
     /// Milliseconds since the Unix epoch.
     TimeOfDay(u64),
+    /// The tokens were passed on.
+    Reserved(TokenCount),
+    /// They cannot be had from this holder.
+    Refused(TokenRefusal),
+    /// Tokens came back.
+    Returned,
+    /// Which instances are silent.
+    Silence(SilenceMessage),
 }
 
 /// Answers other instances for as long as the runtime runs.
@@ -67,10 +96,7 @@
     mut calls: mpsc::Receiver<PinnedCall>,
 ) {
     while let Some(call) = calls.recv().await {
-        // What is given to a peer that has left is lost.
-        if !call.is_wanted() {
-            continue;
-        }
+        state.tally.link_asked.add();
         let question = match codec::decode::<PeerQuestion>(&call.body) {
             Ok(question) => question,
             Err(error) => {
@@ -78,16 +104,33 @@
                 continue;
             }
         };
-        let answer = answer(&state, &question);
-        match codec::encode(&answer) {
-            Ok(body) => call.reply(body),
-            Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
+        // What is given to a peer that has left is lost.
+        let brings = matches!(question, PeerQuestion::Return { .. });
+        if !brings && !call.is_wanted() {
+            continue;
         }
+        tokio::task::spawn_local(answer_call(Rc::clone(&state), question, call));
+    }
+}
+
+/// Answers one call; a draw may take some time.
+async fn answer_call<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    question: PeerQuestion,
+    call: PinnedCall,
+) {
+    let answer = answer(&state, &question).await;
+    match codec::encode(&answer) {
+        Ok(body) => call.reply(body),
+        Err(error) => event!(EventCode::AnswerNotEncoded, "cause={error}"),
     }
 }
 
 /// Decides on one question.
-fn answer<D: RequestDialect>(state: &TrafficState<D>, question: &PeerQuestion) -> PeerAnswer {
+async fn answer<D: RequestDialect>(
+    state: &Rc<TrafficState<D>>,
+    question: &PeerQuestion,
+) -> PeerAnswer {
     match question {
         PeerQuestion::Tokens { budget, tokens } => {
             let given = state.budgets.give(budget, *tokens);
@@ -98,6 +141,22 @@
             PeerAnswer::Tokens(given)
         }
         PeerQuestion::TimeOfDay => PeerAnswer::TimeOfDay(UnixMillis::now().get()),
+        PeerQuestion::Reserve { budget, tokens } => {
+            match supply::pass_on(state, budget, *tokens).await {
+                Ok(()) => PeerAnswer::Reserved(*tokens),
+                Err(refusal) => PeerAnswer::Refused(refusal),
+            }
+        }
+        PeerQuestion::Return { budget, tokens } => {
+            state.budgets.add_given(budget, *tokens);
+            PeerAnswer::Returned
+        }
+        PeerQuestion::Silence(message) => {
+            let mut directory = state.directory.borrow_mut();
+            let answer = directory.take_message(message.clone());
+            state.members.notify_one();
+            PeerAnswer::Silence(answer)
+        }
     }
 }
 
@@ -109,14 +168,17 @@
     budget: &BudgetName,
     tokens: TokenCount,
 ) -> bool {
-    let mut peers = state.directory.borrow().peers();
-    fastrand::shuffle(&mut peers);
+    let mut peers = state.other_holders(budget);
     peers.truncate(ASKED_LIMIT);
     let mut gathered = TokenCount::ZERO;
     for peer in peers {
         let missing = tokens.saturating_sub(gathered);
         let asked = TokenCount::new(missing.get().saturating_mul(ASKED_FACTOR));
-        let Some(given) = ask_tokens(link, peer, budget, asked).await else {
+        let given = ask_tokens(link, peer, budget, asked).await;
+        state
+            .tally
+            .count_question(QuestionSubject::Link, gift_outcome(given));
+        let Some(given) = given else {
             event!(EventCode::TokensNotAnswered, "peer={peer} budget={budget}");
             continue;
         };
@@ -129,6 +191,15 @@
     false
 }
 
+/// How a question for tokens ended.
+fn gift_outcome(given: Option<TokenCount>) -> QuestionOutcome {
+    match given {
+        None => QuestionOutcome::Unanswered,
+        Some(TokenCount::ZERO) => QuestionOutcome::Refused,
+        Some(_tokens) => QuestionOutcome::Answered,
+    }
+}
+
 /// Asks one instance for tokens.
 async fn ask_tokens(
     link: &PinnedLink,
@@ -142,7 +213,7 @@
     };
     match ask(link, peer, &question, ANSWER_LIMIT).await? {
         PeerAnswer::Tokens(given) => Some(given),
-        PeerAnswer::TimeOfDay(_millis) => None,
+        _other => None,
     }
 }
 
@@ -151,12 +222,25 @@
 pub async fn ask_time(link: &PinnedLink, peer: SocketAddr) -> Option<u64> {
     match ask(link, peer, &PeerQuestion::TimeOfDay, TIME_LIMIT).await? {
         PeerAnswer::TimeOfDay(millis) => Some(millis),
-        PeerAnswer::Tokens(_given) => None,
+        _other => None,
+    }
+}
+
+/// Tells one instance which others are silent; `None` when it does not answer.
+pub async fn tell_silence(
+    link: &PinnedLink,
+    peer: SocketAddr,
+    message: SilenceMessage,
+) -> Option<SilenceMessage> {
+    let question = PeerQuestion::Silence(message);
+    match ask(link, peer, &question, TIME_LIMIT).await? {
+        PeerAnswer::Silence(answer) => Some(answer),
+        _other => None,
     }
 }
 
 /// Asks one instance.
-async fn ask(
+pub(crate) async fn ask(
     link: &PinnedLink,
     peer: SocketAddr,
     question: &PeerQuestion,
--- a/crates/hibiscus-traffic/src/port.rs
+++ b/crates/hibiscus-traffic/src/port.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -25,16 +26,19 @@
 use crate::life;
 use crate::relay::AnswerBody;
 use crate::state::TrafficState;
+use crate::tally::CloseReason;
 
 /// Time for a head while no configuration is known.
 const FIRST_IDLE_LIMIT: Duration = Duration::from_secs(15);
 /// Least size of a connection's buffer, as the HTTP library requires.
 const LEAST_BUFFER: usize = 8 * 1024;
-/// Time for the last bytes on a connection that makes room for others.
-const LAST_WRITE: Duration = Duration::from_millis(200);
 /// Pause after a failure to accept, such as running out of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Where a call about this instance comes from; an extension of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Opens a port.
 ///
 /// # Errors
@@ -47,7 +51,7 @@
 /// Accepts callers' connections for as long as the runtime runs.
 pub async fn serve_callers<D: RequestDialect>(listener: TcpListener, state: Rc<TrafficState<D>>) {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, _from)) = accept(&listener).await else {
             continue;
         };
         let Some(caller) = state.callers.open() else {
@@ -56,6 +60,7 @@
                 "connections={}",
                 state.callers.len()
             );
+            state.tally.count_close(CloseReason::Full);
             continue;
         };
         tokio::task::spawn_local(serve_caller(stream, caller, Rc::clone(&state)));
@@ -69,13 +74,14 @@
     F: Fn(&TrafficState<D>, &Request<Incoming>) -> Response<AnswerBody> + Clone + 'static,
 {
     loop {
-        let Some(stream) = accept(&listener).await else {
+        let Some((stream, from)) = accept(&listener).await else {
             continue;
         };
         let state = Rc::clone(&state);
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request: Request<Incoming>| {
+            let service = service_fn(|mut request: Request<Incoming>| {
+                request.extensions_mut().insert(CallerAddress(from.ip()));
                 let answer = answer(&state, &request);
                 async move { Ok::<_, Infallible>(answer) }
             });
@@ -89,12 +95,12 @@
     }
 }
 
-/// The next connection.
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+/// The next connection, and where it comes from.
+async fn accept(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
     match listener.accept().await {
-        Ok((stream, _caller)) => {
+        Ok((stream, from)) => {
             connect::set_options(&stream);
-            Some(stream)
+            Some((stream, from))
         }
         Err(error) => {
             event!(EventCode::ConnectionNotAccepted, "cause={error}");
@@ -128,12 +134,16 @@
     tokio::select! {
         _ended = connection.as_mut() => {}
         () = state.closing() => {
+            caller.note_stopping();
             connection.as_mut().graceful_shutdown();
             let _ended = connection.await;
         }
         () = caller.ended() => {
             connection.as_mut().graceful_shutdown();
-            let _ended = tokio::time::timeout(LAST_WRITE, connection).await;
+            let _ended = caller.finish(connection).await;
         }
     }
+    if let Some(reason) = caller.closing() {
+        state.tally.count_close(reason);
+    }
 }
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -16,22 +17,35 @@
 
 use crate::budgets::BudgetDesk;
 use crate::budgets::BudgetHandle;
-use crate::callers::CallerBounds;
+use crate::budgets::BudgetRole;
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
+use crate::holders;
+use crate::holders::HolderRefusals;
+use crate::machine::MachineLimits;
+use crate::machine::MachineUse;
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
+use crate::model::InstanceEntry;
+use crate::pressure::PressureWatch;
+use crate::relief::MemoryPressure;
+use crate::relief::PressureGauge;
 use crate::retries::RetryCounter;
 use crate::roster::RosterChange;
 use crate::roster::ServerRoster;
 use crate::servers;
 use crate::servers::ServerPool;
+use crate::shares::MemoryShares;
 use crate::table::RouteTable;
+use crate::tally::WorkTally;
 use crate::updates::TrafficUpdate;
 
 /// Time for a head while no configuration is known: the usual limit.
 const FIRST_HEAD_LIMIT: Duration = Duration::from_secs(3);
+/// Time for instances that start together to announce themselves and to be
+/// found by each other: they start within 0.3 s, an append takes milliseconds.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
 /// What the state of a request path is made of.
 #[expect(missing_debug_implementations, reason = "moved into the state at once")]
@@ -46,8 +60,13 @@
     pub retries: RetryCounter,
     /// The instances.
     pub directory: InstanceDirectory,
-    /// What callers may take of the machine.
-    pub bounds: CallerBounds,
+    /// What each duty may take of the machine.
+    pub bounds: MemoryShares,
+    /// What the machine gives the process.
+    pub limits: MachineLimits,
+    /// Whether the whole system starts for the first time: then announcements
+    /// of others are still to come.
+    pub first_start: bool,
 }
 
 /// State of the request path. Tasks of one thread share it; no borrow is held
@@ -63,12 +82,19 @@
     pub retries: RefCell<RetryCounter>,
     /// The instances.
     pub directory: RefCell<InstanceDirectory>,
+    /// Holders that lately had no tokens.
+    pub refusals: RefCell<HolderRefusals>,
     /// The link to the other instances, once it is open.
     pub link: RefCell<Option<PinnedLink>>,
+    /// Tells [`crate::members`] that whom to watch or what to pass on may
+    /// have changed.
+    pub members: Notify,
     /// The processes that the link accepts.
     pub pins: PinSet,
     /// The callers' connections.
     pub callers: Rc<CallerRegistry>,
+    /// Counts of the work for the fleet.
+    pub tally: Rc<WorkTally>,
     /// Counters and histograms.
     pub measures: Rc<TrafficMeasures>,
     /// The servers.
@@ -77,30 +103,45 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// When the table came into force.
     table_since: Cell<Duration>,
+    /// Whether the whole system starts for the first time.
+    first_start: bool,
+    /// When the instances' announcements were first read.
+    instances_read: Cell<Option<Duration>>,
     in_progress: Rc<Cell<usize>>,
     stopping: Cell<Option<Instant>>,
     closing: Cell<bool>,
     close: Notify,
     started: Instant,
+    pressure: PressureWatch,
+    bounds: MemoryShares,
+    gauge: RefCell<PressureGauge>,
 }
 
 impl<D: RequestDialect> TrafficState<D> {
     /// State before any news.
     pub fn new(parts: TrafficParts<D>) -> Self {
         Self {
+            tally: Rc::clone(parts.budgets.tally()),
+            pressure: PressureWatch::new(parts.limits),
+            bounds: parts.bounds,
+            gauge: RefCell::new(PressureGauge::new(parts.bounds.memory)),
             dialect: parts.dialect,
             data_centre: parts.data_centre,
             budgets: BudgetHandle::new(parts.budgets),
             retries: RefCell::new(parts.retries),
             directory: RefCell::new(parts.directory),
-            callers: CallerRegistry::new(parts.bounds),
+            callers: CallerRegistry::new(parts.bounds.callers),
+            refusals: RefCell::default(),
             link: RefCell::default(),
+            members: Notify::new(),
             measures: Rc::default(),
             pins: PinSet::default(),
-            servers: RefCell::default(),
+            servers: RefCell::new(ServerPool::new(parts.bounds.idle_links)),
             roster: RefCell::default(),
             table: RefCell::default(),
             table_since: Cell::default(),
+            first_start: parts.first_start,
+            instances_read: Cell::default(),
             in_progress: Rc::default(),
             stopping: Cell::new(None),
             closing: Cell::new(false),
@@ -152,6 +193,39 @@
         CountGuard::new(&self.in_progress)
     }
 
+    /// Whether the memory has room for one more request, which is counted
+    /// already.
+    pub fn has_room(&self) -> bool {
+        let level = self.gauge.borrow().level();
+        level.admits(self.in_progress())
+    }
+
+    /// Takes over that the process uses `resident` bytes of memory.
+    pub fn note_memory(&self, resident: usize) {
+        let changed = self.gauge.borrow_mut().observe(resident);
+        if !changed {
+            return;
+        }
+        let level = self.gauge.borrow().level();
+        event!(
+            EventCode::MemoryRelief,
+            "level={level:?} resident_bytes={resident} limit_bytes={} requests={}",
+            self.bounds.memory,
+            self.in_progress()
+        );
+        let idle = match level {
+            MemoryPressure::Calm => self.bounds.idle_links,
+            MemoryPressure::Tight | MemoryPressure::Full => 0,
+        };
+        self.servers.borrow().idle_links().set_limit(idle);
+        self.update_ready();
+    }
+
+    /// Drops kept connections to servers that are of no use any more.
+    pub fn drop_unusable_links(&self) {
+        self.servers.borrow().idle_links().drop_unusable();
+    }
+
     /// Takes a piece of news over.
     pub fn apply(&self, update: TrafficUpdate) {
         match update {
@@ -186,10 +260,13 @@
             }
             TrafficUpdate::ServersLost => self.roster.borrow_mut().note_store_lost(),
             TrafficUpdate::ServersRead => self.roster.borrow_mut().note_store_read(self.now()),
-            TrafficUpdate::Account { offset, record } => {
-                self.budgets.apply(offset, &record);
-                self.review_budgets();
+            TrafficUpdate::Accounts { first, records } => {
+                for (offset, record) in (first..).zip(&records) {
+                    self.budgets.apply(offset, record);
+                }
+                self.review_waiting();
             }
+            TrafficUpdate::AccountsEnd(end) => self.budgets.note_end(end),
             TrafficUpdate::AccountsCurrent => {
                 self.budgets.recover();
                 self.review_budgets();
@@ -199,17 +276,22 @@
             }
             TrafficUpdate::AccountsAppended { number, end } => {
                 self.budgets.acknowledge(number, end);
-                self.review_budgets();
+                self.review_waiting();
             }
             TrafficUpdate::Instance(entry) => {
-                self.pins.insert(entry.pin);
-                // Whoever watches instances has announced it already.
-                let _known = self.directory.borrow_mut().announce(entry);
+                self.announce(entry);
+                self.members.notify_one();
+            }
+            TrafficUpdate::Reachable(entry, reachable) => {
+                let mut directory = self.directory.borrow_mut();
+                directory.note_reachable(&entry, reachable);
+                self.members.notify_one();
+            }
+            TrafficUpdate::InstancesRead => {
+                if self.instances_read.get().is_none() {
+                    self.instances_read.set(Some(self.now()));
+                }
             }
-            TrafficUpdate::Reachable(entry, reachable) => self
-                .directory
-                .borrow_mut()
-                .note_reachable(&entry, reachable),
             TrafficUpdate::Stop => {
                 self.stopping.set(Some(Instant::now()));
                 self.budgets.begin_stop();
@@ -220,11 +302,78 @@
         self.update_ready();
     }
 
-    /// Decides on draws and reports.
+    /// Takes an announcement over; the link accepts the newest process of
+    /// each instance only.
+    fn announce(&self, entry: InstanceEntry) {
+        let mut directory = self.directory.borrow_mut();
+        let pin = entry.pin;
+        let newest = entry.clone();
+        let _was_new = directory.announce(entry);
+        if directory.knows(&newest) {
+            self.pins.insert(pin);
+        }
+        for pin in directory.take_replaced_pins() {
+            self.pins.remove(&pin);
+        }
+    }
+
+    /// Decides on draws and reports of the budgets that requests wait for.
+    pub fn review_waiting(&self) {
+        let directory = self.directory.borrow();
+        self.budgets
+            .review_waiting(|budget| self.role_of(&directory, budget));
+    }
+
+    /// Decides on draws and reports of all budgets.
     pub fn review_budgets(&self) {
         let directory = self.directory.borrow();
-        let is_keeper = |budget: &BudgetName| directory.is_first_for(budget.as_str());
-        self.budgets.review(directory.live(), is_keeper);
+        self.budgets
+            .review(|budget| self.role_of(&directory, budget));
+    }
+
+    /// What this instance does for `budget`. Before the other instances are
+    /// known it draws for requests that wait only: a whole fleet that starts
+    /// would else draw as if each instance were alone.
+    fn role_of(&self, directory: &InstanceDirectory, budget: &BudgetName) -> BudgetRole {
+        let holders = holders::holders_of(budget, directory.answering());
+        let own = directory.own();
+        let is_holder = holders.iter().any(|holder| holder.name == own.name);
+        BudgetRole {
+            holders: u32::try_from(holders.len()).unwrap_or(u32::MAX),
+            holds: is_holder && self.knows_fleet(),
+            keeps: directory.is_first_for(budget.as_str()),
+        }
+    }
+
+    /// Whether this instance asks others for tokens of `budget` instead of
+    /// drawing them.
+    pub fn asks_for(&self, budget: &BudgetName) -> bool {
+        let directory = self.directory.borrow();
+        let holders = holders::holders_of(budget, directory.answering());
+        let own = directory.own();
+        self.knows_fleet() && holders.iter().all(|holder| holder.name != own.name)
+    }
+
+    /// Where the other holders of `budget` take questions, in the order in
+    /// which this instance asks them.
+    pub fn other_holders(&self, budget: &BudgetName) -> Vec<SocketAddr> {
+        let directory = self.directory.borrow();
+        let own = directory.own();
+        let mut holders = holders::holders_of(budget, directory.answering());
+        holders.retain(|holder| holder.name != own.name);
+        holders::order_for(own, &mut holders);
+        holders.iter().map(|holder| holder.peers).collect()
+    }
+
+    /// Whether the other instances have had time to announce themselves and to
+    /// be found. A process that is not the first of its system and reads of no
+    /// other is alone.
+    fn knows_fleet(&self) -> bool {
+        let Some(read) = self.instances_read.get() else {
+            return false;
+        };
+        let is_alone = !self.first_start && self.directory.borrow().may_serve() == 1;
+        is_alone || self.now().saturating_sub(read) >= SETTLE_TIME
     }
 
     /// Ends callers' connections whose heads take too long.
@@ -271,8 +420,21 @@
             tokens: self.budgets.token_sums(),
             tokens_free: self.budgets.free_tokens(),
             ready: directory.is_ready(),
+            used: MachineUse::read(),
+            body_bytes: self.callers.body_bytes(),
+            idle_links: servers.idle_links().len(),
+            accounts: self.budgets.accounts(),
+            account_lag: self.budgets.lag(),
         };
         levels.show();
+        self.tally.show();
+        self.pressure.note_levels(&levels, &self.tally);
+    }
+
+    /// The thread's timer was late by `delay`.
+    pub fn note_lateness(&self, delay: Duration) {
+        self.measures.timer_late(delay);
+        self.pressure.note_lateness(delay);
     }
 
     /// Drops servers that did not come back.
@@ -298,11 +460,12 @@
         }
     }
 
-    /// An instance serves when it knows a configuration and a server, and
-    /// does not stop.
+    /// An instance serves when it knows a configuration and a server, does not
+    /// stop and has memory left.
     fn update_ready(&self) {
         let knows = self.table.borrow().is_some() && !self.servers.borrow().is_empty();
-        let ready = knows && self.stopping.get().is_none();
+        let full = self.gauge.borrow().level() == MemoryPressure::Full;
+        let ready = knows && self.stopping.get().is_none() && !full;
         if self.directory.borrow().is_ready() == ready {
             return;
         }
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -29,13 +29,15 @@
     ServersLost,
     /// The servers' topic was read.
     ServersRead,
-    /// An encoded record of the account stream.
-    Account {
-        /// Its offset.
-        offset: u64,
-        /// Its bytes.
-        record: Vec<u8>,
+    /// Encoded records of the account stream, one after the other.
+    Accounts {
+        /// Offset of the first of them.
+        first: u64,
+        /// Their bytes.
+        records: Vec<Vec<u8>>,
     },
+    /// The account stream ends at this offset; its records follow.
+    AccountsEnd(u64),
     /// All account records that the store had were told.
     AccountsCurrent,
     /// The account records before an offset are gone; these snapshots stand for
@@ -53,6 +55,8 @@
         /// Offset after its records; `None` if it had only snapshots.
         end: Option<u64>,
     },
+    /// The announcements that the store had were told.
+    InstancesRead,
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Another instance answers, or does not.
