--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -1,7 +1,7 @@
 //! One holder's desk: what it reports and when.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+mod fixtures;
+
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -17,37 +17,15 @@
 use hibiscus_traffic::budgets::BudgetRole;
 use hibiscus_traffic::budgets::TokenRefusal;
 use hibiscus_traffic::clock::MachineClock;
-use hibiscus_traffic::model::CallerLimits;
-use hibiscus_traffic::model::FleetConfig;
-use hibiscus_traffic::model::TeamRule;
-use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 
-const PREPAID: u64 = 700_000;
+use crate::fixtures::budget;
+use crate::fixtures::config;
+use crate::fixtures::instance;
 
-fn config() -> FleetConfig {
-    FleetConfig {
-        version: 1,
-        routes: Vec::new(),
-        connections: BTreeMap::new(),
-        engines: BTreeMap::new(),
-        limits: CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(1),
-        },
-        teams: vec![Arc::new(TeamRule {
-            name: "team".into(),
-            keys: Vec::new(),
-            priority: None,
-            prepaid: Some(TokenCount::new(PREPAID)),
-        })],
-        needs_key: true,
-    }
-}
+const PREPAID: u64 = 700_000;
 
 /// The role of one of seven holders.
 fn role(keeps: bool) -> BudgetRole {
@@ -69,9 +47,9 @@
     fn start() -> Self {
         let (outbox, batches) = mpsc::sync_channel(16);
         let clock = MachineClock::of_this_boot();
-        let holder = IncarnationId::from_u128(1);
-        let mut desk = BudgetDesk::new(holder, "front-1".into(), clock, outbox);
-        desk.set_totals(&config());
+        let own = instance(0);
+        let mut desk = BudgetDesk::new(own.incarnation, own.name, clock, outbox);
+        desk.set_totals(&config(1, PREPAID));
         desk.recover();
         Self {
             desk,
@@ -138,7 +116,7 @@
 #[test]
 fn a_holder_that_stops_closes_its_account_and_spends_nothing_after() {
     let mut case = DeskCase::start();
-    let budget = BudgetName::from("team");
+    let budget = budget(0);
     let now = Duration::ZERO;
     // The first draw is on its way when the stop ends.
     case.desk.review(|_budget| role(false), now);
@@ -162,7 +140,7 @@
 #[test]
 fn a_holder_that_stops_with_a_request_in_progress_keeps_its_account_open() {
     let mut case = DeskCase::start();
-    let budget = BudgetName::from("team");
+    let budget = budget(0);
     case.review(Duration::ZERO);
     let hold = case
         .desk
@@ -184,7 +162,7 @@
     let batch = other.batches.try_recv().expect("a first draw");
     let record = codec::encode(&batch.records).expect("records are encoded");
     case.desk.apply(0, &record, Duration::ZERO);
-    let budget = BudgetName::from("team");
+    let budget = budget(0);
     let drawn = TokenCount::new(PREPAID / 10 / 7);
     let more = drawn + TokenCount::new(1);
     let reserved = case.desk.reserve(&budget, more, Duration::ZERO);
@@ -197,7 +175,7 @@
 fn tokens_that_another_holder_passed_on_are_not_taken_for_spent() {
     let mut case = DeskCase::start();
     case.review(Duration::ZERO);
-    let budget = BudgetName::from("team");
+    let budget = budget(0);
     let other = IncarnationId::from_u128(9);
     let passed = TokenCount::new(PREPAID / 2);
     let records = vec![
--- a/crates/hibiscus-traffic/tests/holders.rs
+++ b/crates/hibiscus-traffic/tests/holders.rs
@@ -1,9 +1,9 @@
 //! Which instances hold the budgets of a fleet, and what that costs the store.
 
-use std::collections::BTreeMap;
+mod fixtures;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -18,67 +18,22 @@
 use hibiscus_traffic::holders;
 use hibiscus_traffic::holders::HOLDERS;
 use hibiscus_traffic::holders::HolderRefusals;
-use hibiscus_traffic::model::CallerLimits;
-use hibiscus_traffic::model::FleetConfig;
 use hibiscus_traffic::model::InstanceEntry;
-use hibiscus_traffic::model::TeamRule;
 use hibiscus_types::BudgetName;
-use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 
+use crate::fixtures::budget;
+use crate::fixtures::config;
+use crate::fixtures::instance;
+
 const BUDGETS: usize = 24;
 const PREPAID: u64 = 4_000_000;
 
-fn budget(number: usize) -> BudgetName {
-    BudgetName::from(format!("team-{number}").as_str())
-}
-
-fn instance(number: usize) -> InstanceEntry {
-    let address = |port: usize| {
-        let port = u16::try_from(port).expect("a port");
-        ([127, 0, 0, 1], port).into()
-    };
-    InstanceEntry {
-        name: format!("front-{number}").as_str().into(),
-        incarnation: IncarnationId::from_u128(number as u128 + 1),
-        callers: address(1_000 + number),
-        readiness: address(11_000 + number),
-        peers: address(21_000 + number),
-        pin: [0; 32],
-        data_centre: format!("centre-{}", number % 4).as_str().into(),
-        leaving: false,
-        capacity: 500,
-    }
-}
-
 fn fleet(size: usize) -> Vec<InstanceEntry> {
     (0..size).map(instance).collect()
 }
 
-fn config() -> FleetConfig {
-    let team = |number| TeamRule {
-        name: format!("team-{number}").as_str().into(),
-        keys: Vec::new(),
-        priority: None,
-        prepaid: Some(TokenCount::new(PREPAID)),
-    };
-    FleetConfig {
-        version: 1,
-        routes: Vec::new(),
-        connections: BTreeMap::new(),
-        engines: BTreeMap::new(),
-        limits: CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(1),
-        },
-        teams: (0..BUDGETS).map(|number| Arc::new(team(number))).collect(),
-        needs_key: true,
-    }
-}
-
 /// Guards against a small fleet that pays a question for each request.
 #[test]
 fn a_small_fleet_holds_every_budget_everywhere() {
@@ -152,7 +107,7 @@
             let (outbox, batches) = mpsc::sync_channel(16);
             let clock = MachineClock::of_this_boot();
             let mut desk = BudgetDesk::new(entry.incarnation, entry.name.clone(), clock, outbox);
-            desk.set_totals(&config());
+            desk.set_totals(&config(BUDGETS, PREPAID));
             desk.recover();
             desks.push((entry, desk, batches));
         }
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -1,6 +1,7 @@
 //! What news cost the thread that serves requests.
 
-use std::collections::BTreeMap;
+mod fixtures;
+
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
@@ -18,25 +19,26 @@
 use hibiscus_traffic::dialect::SignFault;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::machine::MachineLimits;
-use hibiscus_traffic::model::CallerLimits;
-use hibiscus_traffic::model::FleetConfig;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::model::ServerEntry;
 use hibiscus_traffic::model::ServerPhase;
-use hibiscus_traffic::model::TeamRule;
 use hibiscus_traffic::retries::RetryBound;
 use hibiscus_traffic::retries::RetryCounter;
 use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates::TrafficUpdate;
-use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 use http::HeaderMap;
 
-const TEAMS: u64 = 24;
+use crate::fixtures::budget;
+use crate::fixtures::config;
+use crate::fixtures::instance;
+
+const TEAMS: usize = 24;
+const PREPAID: u64 = 1_000_000;
 /// Time after which an instance takes what it knows of the fleet for complete.
 const SETTLED: Duration = Duration::from_millis(1_600);
 
@@ -59,44 +61,6 @@
     fn set_answer_id(&self, _id: &str, _headers: &mut HeaderMap) {}
 }
 
-fn instance(number: u16) -> InstanceEntry {
-    let address = |port: u16| ([127, 0, 0, 1], port).into();
-    InstanceEntry {
-        name: format!("front-{number}").as_str().into(),
-        incarnation: IncarnationId::from_u128(u128::from(number) + 1),
-        callers: address(1_000 + number),
-        readiness: address(2_000 + number),
-        peers: address(3_000 + number),
-        pin: [0; 32],
-        data_centre: "a".into(),
-        leaving: false,
-        capacity: 500,
-    }
-}
-
-fn config() -> FleetConfig {
-    let team = |number: u64| TeamRule {
-        name: format!("team-{number}").as_str().into(),
-        keys: Vec::new(),
-        priority: None,
-        prepaid: Some(TokenCount::new(1_000_000)),
-    };
-    FleetConfig {
-        version: 1,
-        routes: Vec::new(),
-        connections: BTreeMap::new(),
-        engines: BTreeMap::new(),
-        limits: CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::from_secs(1),
-            idle_timeout: Duration::from_secs(1),
-        },
-        teams: (0..TEAMS).map(|number| Arc::new(team(number))).collect(),
-        needs_key: true,
-    }
-}
-
 /// A request path, and the batches that go to the store.
 fn state() -> (TrafficState<SilentDialect>, Receiver<AccountBatch>) {
     let (outbox, batches) = mpsc::sync_channel(16);
@@ -132,12 +96,12 @@
 #[test]
 fn records_of_other_instances_cause_no_look_at_each_budget() {
     let (state, _batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
     state.apply(TrafficUpdate::AccountsCurrent);
     let before = state.tally.reviews.get();
     let draw = |number: u64| {
         let record = AccountRecord::Draw {
-            budget: format!("team-{}", number % TEAMS).as_str().into(),
+            budget: budget(number as usize % TEAMS),
             holder: IncarnationId::from_u128(100),
             machine: "front-9".into(),
             serial: number,
@@ -158,12 +122,12 @@
 #[test]
 fn an_instance_that_does_not_know_the_others_draws_for_waiting_requests_only() {
     let (state, batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
     state.apply(TrafficUpdate::AccountsCurrent);
     state.apply(TrafficUpdate::InstancesRead);
     state.review_budgets();
     assert_eq!(draws(&batches), []);
-    let budget = BudgetName::from("team-3");
+    let budget = budget(3);
     let tokens = TokenCount::new(9_000);
     let _want = state.budgets.want(&budget, tokens);
     state.review_waiting();
@@ -180,7 +144,7 @@
 fn an_instance_whose_memory_is_full_refuses_and_is_named_to_nobody() {
     const LIMIT: usize = 88 << 20;
     let (state, _batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
     state.apply(TrafficUpdate::AllServers(vec![ServerEntry {
         name: "i-1".into(),
         service: "models".into(),
@@ -214,7 +178,7 @@
         state.apply(TrafficUpdate::Instance(entry.clone()));
     }
     state.apply(TrafficUpdate::InstancesRead);
-    state.apply(TrafficUpdate::Config(Arc::new(config())));
+    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
     state.apply(TrafficUpdate::AccountsCurrent);
     thread::sleep(SETTLED);
     state.review_budgets();
