Bound the time in which a stopping instance brings tokens back

Found by reading: a planned stop brought what it was given back one budget after the other, 1.5 s each when a holder has just died, and the stop's limit could pass before what was drawn went back, so that its tokens were lost for the team. All are brought at once now, for 500 ms at most. No test plays a dead holder during a stop; the planned stops of the test suite pass.

--- a/crates/hibiscus-traffic/src/supply.rs
+++ b/crates/hibiscus-traffic/src/supply.rs
@@ -17,6 +17,7 @@
 use hibiscus_ledger::account::purse::TokenHold;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
+use tokio::task::JoinSet;
 
 use crate::budgets::TokenRefusal;
 use crate::dialect::RequestDialect;
@@ -43,6 +44,10 @@
 /// Time after which tokens that no request used go back to a holder.
 const GIVEN_REST: Duration = Duration::from_secs(1);
 
+/// Time that a planned stop waits for tokens to be brought back: what was drawn
+/// must go back after it.
+const STOP_WAIT: Duration = Duration::from_millis(500);
+
 /// Result of getting tokens.
 pub type Result<T> = std::result::Result<T, TokenRefusal>;
 
@@ -104,11 +109,15 @@
     }
 }
 
-/// Sends all that others gave to other holders, at the end of a planned stop.
+/// Sends all that others gave to other holders, at the end of a planned stop,
+/// and waits for their answers as long as the stop allows.
 pub async fn return_all<D: RequestDialect>(state: &Rc<TrafficState<D>>) {
+    let mut returns = JoinSet::new();
     for (budget, tokens) in state.budgets.take_idle_given(Duration::ZERO) {
-        send_back(Rc::clone(state), budget, tokens).await;
+        returns.spawn_local(send_back(Rc::clone(state), budget, tokens));
     }
+    // Tokens whose answers are late may still arrive.
+    let _late = tokio::time::timeout(STOP_WAIT, returns.join_all()).await;
 }
 
 /// Brings `tokens` back to one holder, which is asked once: an answer may be
