--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -1,9 +1,12 @@
 //! What instances ask each other for.
 //!
-//! An instance that cannot reach the store, or finds a budget drawn up, asks
-//! the others for tokens. The giver counts them as spent before it answers,
-//! so a reply that is lost loses tokens and spends none twice. One whose
-//! machine lost its power asks for the time of day ([`crate::recovery`]).
+//! An instance that does not hold a budget asks a holder for what a request
+//! needs, and brings back what is left ([`crate::supply`]). A holder that cannot
+//! draw asks the other holders for some of theirs. Who gives tokens counts them
+//! as spent before it answers, so a reply that is lost loses tokens and spends
+//! none twice. One whose machine lost its power asks for the time of day
+//! ([`crate::recovery`]), and watchers pass on who is silent
+//! ([`crate::members`]).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
