Log size, time and backlog of each configuration read, and each reply that is cut

The log could not tell a transfer that is cut from an instance that takes versions in order, nor either from decoding: HS2001 said only version and counts, HS2003 comes once for a series of failures.

HS2001 now says bytes, time of the transfer, records that were behind it, time for decoding, waiting and indexing; HS2004 for how long a topic was lost, over how many failures and how many bytes of cut replies; HS2007 each reply that is cut, with its bytes; HS2008 routes of an unknown kind, which were left out in silence. No decision changes.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -67,6 +67,8 @@
     TopicRegained = "HS2004", Info, "topic is read again";
     RecordWithoutKey = "HS2005", Warn, "record without a key";
     HistoryDropped = "HS2006", Info, "history was dropped";
+    ReplyCut = "HS2007", Warn, "reply of the store was cut before it was whole";
+    RouteLeftOut = "HS2008", Error, "route of an unknown kind left out of the configuration";
     GrantObtained = "HS3001", Info, "allowance granted";
     GrantRefused = "HS3002", Warn, "allowance refused";
     GrantSealed = "HS3003", Warn, "grant sealed by this witness";
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
@@ -10,6 +11,7 @@
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::model::InstanceEntry;
+use hibiscus_traffic::updates::ConfigArrival;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::ServerName;
@@ -18,6 +20,7 @@
 use platform::records;
 use platform::records::KeyedRecord;
 use platform::servers;
+use platform::store::ReplyTransfer;
 use platform::store::StoreClient;
 use platform::store::StoreError;
 
@@ -48,6 +51,9 @@
         Duration::ZERO
     }
 
+    /// Notes how the records came that are taken over next.
+    fn note_arrival(&mut self, _arrival: PageArrival) {}
+
     /// Takes over the newest record of each key.
     fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
         for record in records {
@@ -62,6 +68,14 @@
     fn reached(&mut self, _reached: bool, _updates: &UpdateSender) {}
 }
 
+/// How a page of records came.
+#[derive(Clone, Copy, Debug, Default)]
+struct PageArrival {
+    transfer: ReplyTransfer,
+    /// Records of the topic after the page, when it was sent.
+    behind: u64,
+}
+
 /// Sends news to the traffic thread, waiting for room. It fails only when
 /// that thread has ended, and the process with it.
 fn tell(updates: &UpdateSender, update: TrafficUpdate) {
@@ -73,27 +87,47 @@
 /// Logs the loss and the return of a topic.
 #[derive(Default)]
 struct ReachLog {
-    lost: bool,
+    /// When the first of the present failures was.
+    lost: Option<Instant>,
+    /// Failures since then.
+    failures: u32,
+    /// Bytes of replies that were cut since then.
+    cut_bytes: usize,
 }
 
 impl ReachLog {
     /// Time for which the next read waits.
     fn wait(&self) -> Duration {
-        if self.lost { AWAY_WAIT } else { READ_WAIT }
+        if self.lost.is_some() {
+            AWAY_WAIT
+        } else {
+            READ_WAIT
+        }
     }
 
     fn failed(&mut self, topic: &str, error: &StoreError) {
-        if !self.lost {
+        if let StoreError::Cut { transfer, .. } = error {
+            self.cut_bytes += transfer.bytes;
+            event!(EventCode::ReplyCut, "topic={topic} cause={error}");
+        }
+        if self.lost.is_none() {
             event!(EventCode::TopicLost, "topic={topic} cause={error}");
         }
-        self.lost = true;
+        self.lost.get_or_insert_with(Instant::now);
+        self.failures += 1;
     }
 
     fn succeeded(&mut self, topic: &str) {
-        if self.lost {
-            event!(EventCode::TopicRegained, "topic={topic}");
+        if let Some(since) = self.lost {
+            event!(
+                EventCode::TopicRegained,
+                "topic={topic} lost_ms={} failures={} cut_bytes={}",
+                since.elapsed().as_millis(),
+                self.failures,
+                self.cut_bytes
+            );
         }
-        self.lost = false;
+        *self = Self::default();
     }
 }
 
@@ -107,13 +141,22 @@
         let step = match next {
             None => store.newest(topic).map(|newest| {
                 reader.reached(true, updates);
+                reader.note_arrival(PageArrival {
+                    transfer: newest.transfer,
+                    behind: 0,
+                });
                 reader.reset(newest.records, updates);
                 newest.next
             }),
-            Some(from) => store.read(topic, from, reach.wait()).map(|page| {
+            Some(from) => store.read(topic, from, reach.wait()).map(|read| {
                 reader.reached(true, updates);
-                let count = u64::try_from(page.records.len()).unwrap_or(u64::MAX);
-                for record in &page.records {
+                let records = &read.page.records;
+                let count = u64::try_from(records.len()).unwrap_or(u64::MAX);
+                reader.note_arrival(PageArrival {
+                    transfer: read.transfer,
+                    behind: read.page.end.saturating_sub(from + count),
+                });
+                for record in records {
                     match records::decode_keyed(record) {
                         Some(record) => reader.take(record, updates),
                         None => event!(EventCode::RecordWithoutKey, "topic={topic}"),
@@ -142,27 +185,53 @@
 }
 
 /// Reads the configuration.
-struct ConfigReader;
+#[derive(Default)]
+struct ConfigReader {
+    arrival: PageArrival,
+}
 
 impl TopicReader for ConfigReader {
     fn topic(&self) -> &'static str {
         config::TOPIC
     }
 
+    fn note_arrival(&mut self, arrival: PageArrival) {
+        self.arrival = arrival;
+    }
+
     fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
         let Some(value) = record.value.filter(|_value| record.key == config::KEY) else {
             return;
         };
+        let received = Instant::now();
         match config::decode(&value) {
-            Ok(config) => tell(updates, TrafficUpdate::Config(Arc::new(config))),
-            Err(error) => event!(EventCode::ConfigUnreadable, "cause={error}"),
+            Ok(config) => {
+                if !config.left_out.is_empty() {
+                    let (version, routes) = (config.version, config.left_out.join(","));
+                    event!(EventCode::RouteLeftOut, "version={version} routes={routes}");
+                }
+                let arrival = ConfigArrival {
+                    bytes: self.arrival.transfer.bytes,
+                    read: self.arrival.transfer.time,
+                    behind: self.arrival.behind,
+                    decode: received.elapsed(),
+                    told: Instant::now(),
+                };
+                let config = Arc::new(config);
+                tell(updates, TrafficUpdate::Config { config, arrival });
+            }
+            Err(error) => event!(
+                EventCode::ConfigUnreadable,
+                "bytes={} cause={error}",
+                value.len()
+            ),
         }
     }
 }
 
 /// Follows the configuration.
 pub(crate) fn follow_config(store: &StoreClient, updates: &UpdateSender) {
-    follow_keyed(store, updates, ConfigReader);
+    follow_keyed(store, updates, ConfigReader::default());
 }
 
 /// Reads the servers' entries.
@@ -288,7 +357,7 @@
                     None
                 })
             }
-            page => page.map(Some),
+            read => read.map(|read| Some(read.page)),
         };
         match page {
             Ok(None) => {}
--- a/crates/hibiscus-traffic/src/model.rs
+++ b/crates/hibiscus-traffic/src/model.rs
@@ -119,6 +119,8 @@
     pub version: u64,
     /// The routes.
     pub routes: Vec<Arc<RouteRule>>,
+    /// Names of routes that were left out, since their kind is not known here.
+    pub left_out: Vec<String>,
     /// Services whose servers are model engines.
     pub engines: BTreeMap<ServiceName, EngineShape>,
     /// Connections that a server of a service accepts from all callers.
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,6 +30,7 @@
 use crate::machine::MachineUse;
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
+use crate::model::FleetConfig;
 use crate::model::InstanceEntry;
 use crate::pressure::PressureWatch;
 use crate::relief::MemoryPressure;
@@ -41,6 +43,7 @@
 use crate::shares::MemoryShares;
 use crate::table::RouteTable;
 use crate::tally::WorkTally;
+use crate::updates::ConfigArrival;
 use crate::updates::TrafficUpdate;
 
 /// Time for a head while no configuration is known: the usual limit.
@@ -231,22 +234,10 @@
     /// Takes a piece of news over.
     pub fn apply(&self, update: TrafficUpdate) {
         match update {
-            TrafficUpdate::Config(config) => {
-                let known = self.table().map(|table| table.config().version);
-                if known.is_some_and(|known| known >= config.version) {
+            TrafficUpdate::Config { config, arrival } => {
+                if !self.put_in_force(config, &arrival) {
                     return;
                 }
-                event!(
-                    EventCode::ConfigInForce,
-                    "version={} routes={} teams={}",
-                    config.version,
-                    config.routes.len(),
-                    config.teams.len()
-                );
-                self.budgets.set_totals(&config);
-                self.table_since.set(self.now());
-                *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(config)));
-                self.review_budgets();
             }
             TrafficUpdate::AllServers(entries) => {
                 let changes = self.roster.borrow_mut().replace(entries, self.now());
@@ -305,6 +296,35 @@
         self.update_ready();
     }
 
+    /// Replaces the configuration in force by `config`; false when that one is
+    /// as new.
+    fn put_in_force(&self, config: Arc<FleetConfig>, arrival: &ConfigArrival) -> bool {
+        let known = self.table().map(|table| table.config().version);
+        if known.is_some_and(|known| known >= config.version) {
+            return false;
+        }
+        let taken = Instant::now();
+        self.budgets.set_totals(&config);
+        let table = Rc::new(RouteTable::new(Arc::clone(&config)));
+        *self.table.borrow_mut() = Some(table);
+        self.table_since.set(self.now());
+        self.review_budgets();
+        event!(
+            EventCode::ConfigInForce,
+            "version={} routes={} teams={} bytes={} read_ms={} behind={} decode_ms={} queued_ms={} index_ms={}",
+            config.version,
+            config.routes.len(),
+            config.teams.len(),
+            arrival.bytes,
+            arrival.read.as_millis(),
+            arrival.behind,
+            arrival.decode.as_millis(),
+            taken.saturating_duration_since(arrival.told).as_millis(),
+            taken.elapsed().as_millis()
+        );
+        true
+    }
+
     /// Takes an announcement over; the link accepts the newest process of
     /// each instance only.
     fn announce(&self, entry: InstanceEntry) {
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -1,6 +1,8 @@
 //! News from the other duties' threads.
 
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::ServerName;
@@ -14,11 +16,31 @@
 /// waits.
 pub const RING_CAPACITY: usize = 256;
 
+/// How a configuration came to the request path.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigArrival {
+    /// Bytes that were read for it.
+    pub bytes: usize,
+    /// Time that reading them took, from the head of the reply on.
+    pub read: Duration,
+    /// Records of the operators' topic after it, when it was read.
+    pub behind: u64,
+    /// Time that decoding took.
+    pub decode: Duration,
+    /// When it was told to the request path.
+    pub told: Instant,
+}
+
 /// Something that the request path must know.
 #[derive(Debug)]
 pub enum TrafficUpdate {
     /// A configuration version.
-    Config(Arc<FleetConfig>),
+    Config {
+        /// The configuration.
+        config: Arc<FleetConfig>,
+        /// How it came here.
+        arrival: ConfigArrival,
+    },
     /// The newest entries of all servers.
     AllServers(Vec<ServerEntry>),
     /// A server wrote its entry.
--- a/crates/hibiscus-traffic/tests/parts.rs
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -117,6 +117,7 @@
             route("/a/b/", &[("one", 90), ("two", 10)]),
         ],
         engines: Default::default(),
+        left_out: Vec::new(),
         connections: Default::default(),
         teams: vec![Arc::new(TeamRule {
             name: "team".into(),
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_traffic::budgets::AccountBatch;
@@ -19,6 +20,7 @@
 use hibiscus_traffic::dialect::SignFault;
 use hibiscus_traffic::directory::InstanceDirectory;
 use hibiscus_traffic::machine::MachineLimits;
+use hibiscus_traffic::model::FleetConfig;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::model::ServerEntry;
 use hibiscus_traffic::model::ServerPhase;
@@ -27,6 +29,7 @@
 use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::updates::ConfigArrival;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
@@ -61,6 +64,20 @@
     fn set_answer_id(&self, _id: &str, _headers: &mut HeaderMap) {}
 }
 
+/// News of `config`.
+fn new_config(config: FleetConfig) -> TrafficUpdate {
+    TrafficUpdate::Config {
+        config: Arc::new(config),
+        arrival: ConfigArrival {
+            bytes: 0,
+            read: Duration::ZERO,
+            behind: 0,
+            decode: Duration::ZERO,
+            told: Instant::now(),
+        },
+    }
+}
+
 /// A request path, and the batches that go to the store.
 fn state() -> (TrafficState<SilentDialect>, Receiver<AccountBatch>) {
     let (outbox, batches) = mpsc::sync_channel(16);
@@ -96,7 +113,7 @@
 #[test]
 fn records_of_other_instances_cause_no_look_at_each_budget() {
     let (state, _batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
+    state.apply(new_config(config(TEAMS, PREPAID)));
     state.apply(TrafficUpdate::AccountsCurrent);
     let before = state.tally.reviews.get();
     let draw = |number: u64| {
@@ -122,7 +139,7 @@
 #[test]
 fn an_instance_that_does_not_know_the_others_draws_for_waiting_requests_only() {
     let (state, batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
+    state.apply(new_config(config(TEAMS, PREPAID)));
     state.apply(TrafficUpdate::AccountsCurrent);
     state.apply(TrafficUpdate::InstancesRead);
     state.review_budgets();
@@ -144,7 +161,7 @@
 fn an_instance_whose_memory_is_full_refuses_and_is_named_to_nobody() {
     const LIMIT: usize = 88 << 20;
     let (state, _batches) = state();
-    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
+    state.apply(new_config(config(TEAMS, PREPAID)));
     state.apply(TrafficUpdate::AllServers(vec![ServerEntry {
         name: "i-1".into(),
         service: "models".into(),
@@ -178,7 +195,7 @@
         state.apply(TrafficUpdate::Instance(entry.clone()));
     }
     state.apply(TrafficUpdate::InstancesRead);
-    state.apply(TrafficUpdate::Config(Arc::new(config(TEAMS, PREPAID))));
+    state.apply(new_config(config(TEAMS, PREPAID)));
     state.apply(TrafficUpdate::AccountsCurrent);
     thread::sleep(SETTLED);
     state.review_budgets();
