--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -1,6 +1,7 @@
 //! The daemon on the users' platform, as a process before stand-ins.
 
 mod accounts;
+mod changes;
 mod fleet;
 mod forwarding;
 mod lifetime;
--- /dev/null
+++ b/tests/testsuite/front/changes.rs
@@ -0,0 +1,140 @@
+//! Large configurations, slow links and changes in quick succession.
+
+use std::fmt::Write;
+use std::thread;
+use std::time::Duration;
+
+use platform_standins::BackendBehaviour;
+use platform_standins::BackendStandin;
+use platform_standins::FrontProcess;
+use platform_standins::StoreFaults;
+use platform_standins::StoreStandin;
+use platform_standins::front::FrontPorts;
+
+use crate::front::PREPAID;
+use crate::front::Platform;
+use crate::front::config;
+use crate::front::request;
+use crate::front::status;
+use crate::front::wait_for;
+use crate::front::write_server;
+
+/// Routes of a large configuration, which takes some 600 KB.
+const MANY_ROUTES: usize = 2_800;
+
+/// Time after which a read that waits for records has ended.
+const READ_ENDED: Duration = Duration::from_secs(2);
+/// Time after which the instances of a fleet know each other.
+const SETTLED: Duration = Duration::from_secs(4);
+
+/// `count` routes more, and one at the path `/new-VERSION/`.
+fn more_routes(version: u64, count: usize) -> String {
+    let mut text = String::new();
+    let names = (0..count).map(|number| format!("extra-{number}"));
+    for name in names.chain([format!("new-{version}")]) {
+        let written = write!(
+            text,
+            r#",{{"name":"r-{name}","hostname":"h.example","path-prefix":"/{name}/","route-type":"idempotent","timeout-ms":3000,"target-latency-ms":500,"priority":1,"service":"plain","max-attempts":2,"allow-anonymous":false,"session-affinity":false,"stream-resume":false}}"#
+        );
+        written.expect("a string takes all");
+    }
+    text
+}
+
+/// Publishes a version with `count` routes more.
+fn publish(store: &StoreStandin, version: u64, count: usize) {
+    let text = config(version, PREPAID, &more_routes(version, count));
+    store.write("keyed.op", "config", text.as_bytes());
+}
+
+/// Whether `front` serves the route that `version` added.
+fn serves(front: &FrontProcess, version: u64) -> bool {
+    let path = format!("/new-{version}/x");
+    let answer = front.call(&request(&path, &format!("id-{version}"), ""));
+    status(&answer) == "200"
+}
+
+/// Versions that came into force at `front`.
+fn versions_in_force(front: &FrontProcess) -> usize {
+    let log = std::fs::read_to_string(front.log_file()).unwrap_or_default();
+    log.lines().filter(|line| line.contains("HS2001 ")).count()
+}
+
+/// Guards against a transfer that is cut and begun again for ever, since its
+/// time is bounded and its size is not (issue 20).
+#[test]
+fn a_configuration_whose_transfer_takes_longer_than_a_call_comes_into_force() {
+    let platform = Platform::start();
+    platform.store.set_faults(StoreFaults {
+        read_rate: Some(200_000),
+        ..StoreFaults::default()
+    });
+    thread::sleep(READ_ENDED);
+    publish(&platform.store, 2, MANY_ROUTES);
+    wait_for("version 2", || serves(&platform.front, 2));
+}
+
+/// Guards against an instance that starts and never gets a configuration over
+/// a slow link (issue 20).
+#[test]
+fn an_instance_starts_with_a_configuration_whose_transfer_takes_longer_than_a_call() {
+    let mut platform = Platform::start();
+    publish(&platform.store, 2, MANY_ROUTES);
+    platform.front.kill();
+    platform.store.set_faults(StoreFaults {
+        read_rate: Some(200_000),
+        ..StoreFaults::default()
+    });
+    platform.start_again();
+    assert!(serves(&platform.front, 2));
+}
+
+/// Guards against an instance that takes all versions between its own and the
+/// newest, and falls further behind with each (issue 20).
+#[test]
+fn an_instance_that_is_behind_takes_the_newest_version_at_once() {
+    let platform = Platform::start();
+    platform.store.set_faults(StoreFaults {
+        refuse: Some(503),
+        ..StoreFaults::default()
+    });
+    thread::sleep(READ_ENDED);
+    let before = versions_in_force(&platform.front);
+    for version in 2..14 {
+        publish(&platform.store, version, 600);
+    }
+    platform.store.set_faults(StoreFaults::default());
+    wait_for("version 13", || serves(&platform.front, 13));
+    let taken = versions_in_force(&platform.front) - before;
+    assert!(taken <= 2, "{taken} versions were taken, 12 were published");
+}
+
+/// Instances of a fleet, more than may read the operators' topic whole.
+const INSTANCES: usize = 10;
+
+/// Guards against a fleet whose instances each read each version whole, so
+/// that the store's rate and their links are used up by one change (issue 20).
+#[test]
+fn a_change_is_read_whole_by_a_few_instances_of_a_fleet() {
+    let store = StoreStandin::start();
+    let plain = BackendStandin::start(BackendBehaviour::Answer);
+    publish(&store, 1, MANY_ROUTES);
+    write_server(&store, "i-plain", "plain", &plain, "ready");
+    let start = |number| {
+        let name = format!("front-{number}");
+        FrontProcess::start(&name, FrontPorts::find(), store.address())
+    };
+    let fronts: Vec<FrontProcess> = (0..INSTANCES).map(start).collect();
+    for front in &fronts {
+        front.wait_ready();
+    }
+    thread::sleep(SETTLED);
+    let before = store.handed_out("keyed.op");
+    let size = config(2, PREPAID, &more_routes(2, MANY_ROUTES)).len();
+    publish(&store, 2, MANY_ROUTES);
+    for front in &fronts {
+        wait_for("version 2", || serves(front, 2));
+    }
+    let read = (store.handed_out("keyed.op") - before) / size;
+    assert!(read <= 5, "the version was read {read} times");
+}
