Read versions whole at a few instances, and publish what changes to the others

Giving calls up by silence only ends the transfers that never end; what made them so long, and kept an instance late, stayed.

Cause: each of 62 instances read each version whole, 625 KB at 2,850 routes, and all versions in their order. One change cost 39 MB, 0.5 s of the rate that the store gives all readers, and 0.55 to 1.4 s of a link of 10 Mbit/s. The class is a cost of each change that grows with the fleet and with the whole state instead of with the change. At the size to design for it is 6.3 s of the store for one version, by arithmetic.

Ruled out: the processor (0.1 s at most for decoding, waiting and indexing). Weighed: a poll of the newest record by all (bounds the backlog, not the bytes); changes over the link between instances (as many connections as there are instances, and a second way for news that the store has anyway); compression (the store offers none).

Now three instances, the largest of different data centres, wait for the operators' records. They append what differs from the version before to a topic of the fleet, on the condition that nobody did so meanwhile, and all follow that topic. A change applies to the configuration at one offset of the operators' topic and to no other. Any instance that finds the operators' topic ahead (a look each 0.5 s, 16 bytes) and gets no change in time reads the newest record itself, without those between. So nobody depends on a relay, and the store's client is the only way of news.

New: the change itself (crates/ hibiscus-traffic/tests/change.rs, with random configurations), and with processes a fleet whose changes cannot be published, late copies and records that are no change, and changes that the store has dropped.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -69,6 +69,11 @@
     HistoryDropped = "HS2006", Info, "history was dropped";
     ReplyCut = "HS2007", Warn, "reply of the store was cut before it was whole";
     RouteLeftOut = "HS2008", Error, "route of an unknown kind left out of the configuration";
+    ChangePublished = "HS2009", Info, "change of the configuration published to the other instances";
+    ChangeNotPublished = "HS2010", Warn, "change of the configuration not published";
+    ChangeNotApplied = "HS2011", Info, "change of the configuration is not one of the version held";
+    ChangeUnreadable = "HS2012", Warn, "change of the configuration cannot be read";
+    ConfigBehind = "HS2013", Info, "newer configuration is read whole, no change came in time";
     GrantObtained = "HS3001", Info, "allowance granted";
     GrantRefused = "HS3002", Warn, "allowance refused";
     GrantSealed = "HS3003", Warn, "grant sealed by this witness";
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -1,9 +1,7 @@
 //! Threads that follow topics of the metadata store.
 
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
@@ -11,29 +9,21 @@
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::model::InstanceEntry;
-use hibiscus_traffic::updates::ConfigArrival;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::ServerName;
 use hibiscus_types::codec;
-use platform::config;
 use platform::records;
 use platform::records::KeyedRecord;
 use platform::servers;
-use platform::store::ReplyTransfer;
 use platform::store::StoreClient;
 use platform::store::StoreError;
 
+use crate::reach::FAILURE_PAUSE;
+use crate::reach::ReachLog;
+
 /// Topic of the instances' announcements.
 const INSTANCES_TOPIC: &str = "keyed.instances";
-/// Time for which a read waits for a record. A connection that fell silent
-/// shows after it, and a change must be known within 2 s of being made.
-const READ_WAIT: Duration = Duration::from_millis(1_500);
-/// Time for which a read waits while the store is away: its return is seen by
-/// the next call, not by one that waits on a connection of before.
-const AWAY_WAIT: Duration = Duration::from_millis(100);
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between reads of the servers' entries, which are written all the
 /// time: a leaving server is known well within the 2 s that it may take.
 const SERVERS_PAUSE: Duration = Duration::from_millis(250);
@@ -51,9 +41,6 @@
         Duration::ZERO
     }
 
-    /// Notes how the records came that are taken over next.
-    fn note_arrival(&mut self, _arrival: PageArrival) {}
-
     /// Takes over the newest record of each key.
     fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
         for record in records {
@@ -68,69 +55,14 @@
     fn reached(&mut self, _reached: bool, _updates: &UpdateSender) {}
 }
 
-/// How a page of records came.
-#[derive(Clone, Copy, Debug, Default)]
-struct PageArrival {
-    transfer: ReplyTransfer,
-    /// Records of the topic after the page, when it was sent.
-    behind: u64,
-}
-
 /// Sends news to the traffic thread, waiting for room. It fails only when
 /// that thread has ended, and the process with it.
-fn tell(updates: &UpdateSender, update: TrafficUpdate) {
+pub(crate) fn tell(updates: &UpdateSender, update: TrafficUpdate) {
     if updates.blocking_send(update).is_err() {
         event!(EventCode::UpdateTooLate, "");
     }
 }
 
-/// Logs the loss and the return of a topic.
-#[derive(Default)]
-struct ReachLog {
-    /// When the first of the present failures was.
-    lost: Option<Instant>,
-    /// Failures since then.
-    failures: u32,
-    /// Bytes of replies that were cut since then.
-    cut_bytes: usize,
-}
-
-impl ReachLog {
-    /// Time for which the next read waits.
-    fn wait(&self) -> Duration {
-        if self.lost.is_some() {
-            AWAY_WAIT
-        } else {
-            READ_WAIT
-        }
-    }
-
-    fn failed(&mut self, topic: &str, error: &StoreError) {
-        if let StoreError::Cut { transfer, .. } = error {
-            self.cut_bytes += transfer.bytes;
-            event!(EventCode::ReplyCut, "topic={topic} cause={error}");
-        }
-        if self.lost.is_none() {
-            event!(EventCode::TopicLost, "topic={topic} cause={error}");
-        }
-        self.lost.get_or_insert_with(Instant::now);
-        self.failures += 1;
-    }
-
-    fn succeeded(&mut self, topic: &str) {
-        if let Some(since) = self.lost {
-            event!(
-                EventCode::TopicRegained,
-                "topic={topic} lost_ms={} failures={} cut_bytes={}",
-                since.elapsed().as_millis(),
-                self.failures,
-                self.cut_bytes
-            );
-        }
-        *self = Self::default();
-    }
-}
-
 /// Follows a keyed topic: the newest records first, then what is appended;
 /// after a gap, the newest records again.
 fn follow_keyed<R: TopicReader>(store: &StoreClient, updates: &UpdateSender, mut reader: R) {
@@ -141,21 +73,15 @@
         let step = match next {
             None => store.newest(topic).map(|newest| {
                 reader.reached(true, updates);
-                reader.note_arrival(PageArrival {
-                    transfer: newest.transfer,
-                    behind: 0,
-                });
-                reader.reset(newest.records, updates);
+                let records = newest.records.into_iter();
+                let records = records.map(|kept| kept.record).collect();
+                reader.reset(records, updates);
                 newest.next
             }),
             Some(from) => store.read(topic, from, reach.wait()).map(|read| {
                 reader.reached(true, updates);
                 let records = &read.page.records;
                 let count = u64::try_from(records.len()).unwrap_or(u64::MAX);
-                reader.note_arrival(PageArrival {
-                    transfer: read.transfer,
-                    behind: read.page.end.saturating_sub(from + count),
-                });
                 for record in records {
                     match records::decode_keyed(record) {
                         Some(record) => reader.take(record, updates),
@@ -184,56 +110,6 @@
     }
 }
 
-/// Reads the configuration.
-#[derive(Default)]
-struct ConfigReader {
-    arrival: PageArrival,
-}
-
-impl TopicReader for ConfigReader {
-    fn topic(&self) -> &'static str {
-        config::TOPIC
-    }
-
-    fn note_arrival(&mut self, arrival: PageArrival) {
-        self.arrival = arrival;
-    }
-
-    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
-        let Some(value) = record.value.filter(|_value| record.key == config::KEY) else {
-            return;
-        };
-        let received = Instant::now();
-        match config::decode(&value) {
-            Ok(config) => {
-                if !config.left_out.is_empty() {
-                    let (version, routes) = (config.version, config.left_out.join(","));
-                    event!(EventCode::RouteLeftOut, "version={version} routes={routes}");
-                }
-                let arrival = ConfigArrival {
-                    bytes: self.arrival.transfer.bytes,
-                    read: self.arrival.transfer.time,
-                    behind: self.arrival.behind,
-                    decode: received.elapsed(),
-                    told: Instant::now(),
-                };
-                let config = Arc::new(config);
-                tell(updates, TrafficUpdate::Config { config, arrival });
-            }
-            Err(error) => event!(
-                EventCode::ConfigUnreadable,
-                "bytes={} cause={error}",
-                value.len()
-            ),
-        }
-    }
-}
-
-/// Follows the configuration.
-pub(crate) fn follow_config(store: &StoreClient, updates: &UpdateSender) {
-    follow_keyed(store, updates, ConfigReader::default());
-}
-
 /// Reads the servers' entries.
 struct ServersReader;
 
@@ -395,7 +271,8 @@
 ) -> platform::store::Result<()> {
     let newest = store.newest(SNAPSHOT_TOPIC)?;
     let mut snapshots = Vec::new();
-    for record in newest.records {
+    for kept in newest.records {
+        let record = kept.record;
         let value = record.value.unwrap_or_default();
         match codec::decode::<AccountSnapshot>(&value) {
             Ok(snapshot) => snapshots.push(snapshot),
--- a/crates/hibiscus-front/src/main.rs
+++ b/crates/hibiscus-front/src/main.rs
@@ -1,13 +1,15 @@
 //! The router daemon on the users' platform.
 //!
 //! The traffic thread serves callers and decides; the other threads only move
-//! records between it and the metadata store: [`follow`] reads topics,
-//! [`append`] writes, [`signals`] waits for signals. [`serve`] builds the
+//! records between it and the metadata store: [`follow`] reads topics and
+//! [`config`] the operators' configuration, [`append`] writes, [`signals`] waits for signals. [`serve`] builds the
 //! traffic thread.
 
 mod append;
 mod cli;
+mod config;
 mod follow;
+mod reach;
 mod serve;
 mod signals;
 
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -54,6 +55,8 @@
 use tokio::task::LocalSet;
 
 use crate::append;
+use crate::config;
+use crate::config::ConfigBoard;
 use crate::follow;
 use crate::signals;
 
@@ -162,9 +165,14 @@
         let sender = sender.clone();
         move || signals::run(&mut signals, &sender)
     })?;
+    let board = config::board(sender.clone());
     spawn("config", {
-        let (store, sender) = (store.clone(), sender.clone());
-        move || follow::follow_config(&store, &sender)
+        let (store, board) = (store.clone(), Arc::clone(&board));
+        move || config::follow_operators(&store, &board)
+    })?;
+    spawn("changes", {
+        let (store, board) = (store.clone(), Arc::clone(&board));
+        move || config::follow_changes(&store, &board)
     })?;
     spawn("servers", {
         let (store, sender) = (store.clone(), sender.clone());
@@ -202,7 +210,13 @@
     let tasks = LocalSet::new();
     tasks.block_on(
         &runtime,
-        serve(&settings, state, receiver, metrics, (store, own, keys)),
+        serve(
+            &settings,
+            state,
+            receiver,
+            metrics,
+            (store, own, keys, board),
+        ),
     )?;
     drop(tasks);
     drop(runtime);
@@ -241,7 +255,7 @@
     state: Rc<FrontState>,
     mut updates: UpdateReceiver,
     metrics: PrometheusHandle,
-    (store, own, keys): (StoreClient, InstanceEntry, PinnedKeys),
+    (store, own, keys, board): (StoreClient, InstanceEntry, PinnedKeys, Arc<ConfigBoard>),
 ) -> Result<()> {
     let callers = bind(settings.callers).await?;
     let readiness = bind(settings.readiness).await?;
@@ -284,6 +298,7 @@
                 state.note_lateness(due.elapsed());
                 state.expire_servers();
                 state.directory.borrow_mut().tick();
+                board.set_place(state.relay_place());
                 state.members.notify_one();
                 state.end_slow_heads();
                 state.share_server_connections();
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -16,6 +16,8 @@
 //!   the operators' metrics; [`machine`] tells what the process uses.
 //! - [`shares`] divides the machine's memory among them; [`relief`] says what to
 //!   give up as it runs out.
+//! - [`relays`] says which instances read the operators' configuration as it
+//!   comes, and [`change`] what they pass on to the others.
 //! - [`updates`] is the ring by which the other duties' threads tell news;
 //!   everything is decided on this thread, so nothing here is locked.
 //!
@@ -25,6 +27,7 @@
 pub mod answer;
 pub mod budgets;
 pub mod callers;
+pub mod change;
 pub mod clock;
 pub mod connect;
 pub mod dialect;
@@ -43,6 +46,7 @@
 pub mod probe;
 pub mod recovery;
 pub mod relay;
+pub mod relays;
 pub mod relief;
 pub mod retries;
 pub mod roster;
--- a/crates/hibiscus-traffic/src/measures.rs
+++ b/crates/hibiscus-traffic/src/measures.rs
@@ -25,6 +25,8 @@
 pub const REQUESTS: &str = "hibiscus_requests_total";
 /// Answers of this instance by reason.
 pub const OWN_ANSWERS: &str = "hibiscus_own_answers_total";
+/// Configuration versions that came into force, by source.
+pub const CONFIG_VERSIONS: &str = "hibiscus_config_versions_total";
 /// Sends beyond the first of a request.
 pub const RETRIES: &str = "hibiscus_retries_total";
 
--- a/crates/hibiscus-traffic/src/model.rs
+++ b/crates/hibiscus-traffic/src/model.rs
@@ -17,7 +17,7 @@
 use serde::Serialize;
 
 /// What may be repeated of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestKind {
     /// May run more than once.
     Idempotent,
@@ -42,7 +42,7 @@
 }
 
 /// A service and its share of a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -51,7 +51,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Its name.
     pub name: String,
@@ -76,7 +76,7 @@
 }
 
 /// Engines of one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineShape {
     /// Requests that an engine serves at once.
     pub slots: u32,
@@ -87,7 +87,7 @@
 }
 
 /// One team.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TeamRule {
     /// Its name.
     pub name: TeamName,
@@ -100,7 +100,7 @@
 }
 
 /// Limits on callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Longest head of a request, in bytes.
     pub header_bytes: usize,
@@ -113,7 +113,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetConfig {
     /// Grows with each change.
     pub version: u64,
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -15,6 +15,7 @@
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
 use hibiscus_types::DataCentre;
+use metrics::counter;
 use tokio::sync::Notify;
 
 use crate::budgets::BudgetDesk;
@@ -28,11 +29,13 @@
 use crate::holders::HolderRefusals;
 use crate::machine::MachineLimits;
 use crate::machine::MachineUse;
+use crate::measures::CONFIG_VERSIONS;
 use crate::measures::TrafficLevels;
 use crate::measures::TrafficMeasures;
 use crate::model::FleetConfig;
 use crate::model::InstanceEntry;
 use crate::pressure::PressureWatch;
+use crate::relays;
 use crate::relief::MemoryPressure;
 use crate::relief::PressureGauge;
 use crate::retries::RetryCounter;
@@ -304,6 +307,7 @@
             return false;
         }
         let taken = Instant::now();
+        counter!(CONFIG_VERSIONS, "source" => arrival.source.word()).increment(1);
         self.budgets.set_totals(&config);
         let table = Rc::new(RouteTable::new(Arc::clone(&config)));
         *self.table.borrow_mut() = Some(table);
@@ -311,10 +315,11 @@
         self.review_budgets();
         event!(
             EventCode::ConfigInForce,
-            "version={} routes={} teams={} bytes={} read_ms={} behind={} decode_ms={} queued_ms={} index_ms={}",
+            "version={} routes={} teams={} source={} bytes={} read_ms={} behind={} decode_ms={} queued_ms={} index_ms={}",
             config.version,
             config.routes.len(),
             config.teams.len(),
+            arrival.source.word(),
             arrival.bytes,
             arrival.read.as_millis(),
             arrival.behind,
@@ -378,6 +383,13 @@
         }
     }
 
+    /// How many instances come before this one as a reader of the operators'
+    /// topic.
+    pub fn relay_place(&self) -> usize {
+        let directory = self.directory.borrow();
+        relays::place_of(&directory.own().name, directory.answering())
+    }
+
     /// Whether this instance asks others for tokens of `budget` instead of
     /// drawing them.
     pub fn asks_for(&self, budget: &BudgetName) -> bool {
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -16,16 +16,37 @@
 /// waits.
 pub const RING_CAPACITY: usize = 256;
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// The operators' topic, whole.
+    Operators,
+    /// A change that another instance published.
+    Change,
+}
+
+impl ConfigSource {
+    /// The word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Operators => "operators",
+            Self::Change => "change",
+        }
+    }
+}
+
 /// How a configuration came to the request path.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigArrival {
+    /// Where it came from.
+    pub source: ConfigSource,
     /// Bytes that were read for it.
     pub bytes: usize,
     /// Time that reading them took, from the head of the reply on.
     pub read: Duration,
-    /// Records of the operators' topic after it, when it was read.
+    /// Records of the same topic after it, when it was read.
     pub behind: u64,
-    /// Time that decoding took.
+    /// Time that decoding or applying it took.
     pub decode: Duration,
     /// When it was told to the request path.
     pub told: Instant,
--- /dev/null
+++ b/crates/hibiscus-traffic/tests/change.rs
@@ -0,0 +1,186 @@
+//! What instances pass on of a new version of the configuration.
+
+mod fixtures;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscus_traffic::change::ChangeAssembler;
+use hibiscus_traffic::change::ChangeError;
+use hibiscus_traffic::change::ConfigChange;
+use hibiscus_traffic::model::FleetConfig;
+use hibiscus_traffic::model::RequestKind;
+use hibiscus_traffic::model::RouteRule;
+use hibiscus_traffic::model::WeightedService;
+use hibiscus_traffic::relays;
+use hibiscus_traffic::relays::RELAYS;
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::test_runner::TestCaseError;
+
+use crate::fixtures::config;
+use crate::fixtures::instance;
+
+/// Bytes a second that an instance has for control.
+const CONTROL_BYTES: usize = 4_096;
+
+/// The route `number`, which goes to the service `service`.
+fn route(number: usize, service: u8) -> Arc<RouteRule> {
+    Arc::new(RouteRule {
+        name: format!("r-{number:07}"),
+        host: format!("host{}.example", number % 7),
+        path_prefix: format!("/path{number:07}/"),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_millis(800),
+        target_latency: Duration::from_millis(300),
+        priority: 2,
+        services: vec![WeightedService {
+            service: format!("service-{service}").as_str().into(),
+            weight: 1,
+        }],
+        attempts: 2,
+        anonymous: false,
+    })
+}
+
+/// The configuration `version` with routes of these numbers and services.
+fn with_routes(version: u64, routes: &[(usize, u8)]) -> FleetConfig {
+    FleetConfig {
+        version,
+        routes: routes
+            .iter()
+            .map(|(number, service)| route(*number, *service))
+            .collect(),
+        ..config(3, version)
+    }
+}
+
+/// `count` routes to one service.
+fn many(count: usize) -> Vec<(usize, u8)> {
+    (0..count).map(|number| (number, 0)).collect()
+}
+
+/// What the records of `change` give when they are read in order.
+fn read_back(change: &ConfigChange) -> Option<ConfigChange> {
+    let mut assembler = ChangeAssembler::default();
+    let records = change.to_records().expect("records");
+    let mut read = None;
+    for record in &records {
+        assert!(read.is_none(), "the change was whole before its last part");
+        read = assembler.take(record).expect("a part");
+    }
+    read
+}
+
+proptest::proptest! {
+    #[test]
+    fn a_change_makes_the_later_configuration_out_of_the_earlier_one(
+        before in vec((0_usize..12, any::<u8>()), 0..12),
+        after in vec((0_usize..12, any::<u8>()), 0..12),
+    ) {
+        let before = with_routes(1, &before);
+        let after = with_routes(2, &after);
+        let change = ConfigChange::between((5, &before), (9, &after));
+        let read = read_back(&change).ok_or(TestCaseError::fail("no change"))?;
+        assert_eq!((read.base, read.next), (5, 9));
+        let made = read.apply(&before).map_err(|error| TestCaseError::fail(error.to_string()))?;
+        assert_eq!(made, after);
+    }
+}
+
+/// Guards against changes that cost the links of the fleet as much as the
+/// whole configuration (issue 20).
+#[test]
+fn a_change_of_one_route_of_many_is_small() {
+    let before = many(2_850);
+    let mut after = before.clone();
+    after[1_400].1 = 1;
+    after.remove(70);
+    let (before, after) = (with_routes(1, &before), with_routes(2, &after));
+    let change = ConfigChange::between((1, &before), (2, &after));
+    let bytes: usize = change
+        .to_records()
+        .expect("records")
+        .iter()
+        .map(Vec::len)
+        .sum();
+    assert!(bytes <= CONTROL_BYTES, "{bytes} bytes");
+}
+
+#[test]
+fn a_change_that_is_larger_than_a_record_comes_in_parts() {
+    let (before, after) = (with_routes(1, &[]), with_routes(2, &many(8_000)));
+    let change = ConfigChange::between((1, &before), (2, &after));
+    let records = change.to_records().expect("records");
+    assert!(records.len() > 1);
+    assert!(records.iter().all(|record| record.len() <= 262_144));
+    let read = read_back(&change).expect("the change");
+    assert_eq!(read.apply(&before).expect("a configuration"), after);
+}
+
+#[test]
+fn a_change_whose_first_part_was_not_read_is_passed_over() {
+    let (before, after) = (with_routes(1, &[]), with_routes(2, &many(8_000)));
+    let large = ConfigChange::between((1, &before), (2, &after));
+    let small = ConfigChange::between((2, &after), (3, &with_routes(3, &many(7_999))));
+    let mut assembler = ChangeAssembler::default();
+    for record in &large.to_records().expect("records")[1..] {
+        assert_eq!(assembler.take(record).expect("a part"), None);
+    }
+    let records = small.to_records().expect("records");
+    assert_eq!(assembler.take(&records[0]).expect("a part"), Some(small));
+}
+
+#[test]
+fn a_change_that_no_call_takes_is_not_published() {
+    let (before, after) = (with_routes(1, &[]), with_routes(2, &many(40_000)));
+    let change = ConfigChange::between((1, &before), (2, &after));
+    let records = change.to_records();
+    assert!(matches!(records, Err(ChangeError::TooLarge { .. })));
+}
+
+#[test]
+fn a_change_of_another_configuration_is_refused() {
+    let before = with_routes(1, &many(20));
+    let change = ConfigChange::between((1, &before), (2, &with_routes(2, &many(20))));
+    let other = with_routes(1, &many(3));
+    assert!(matches!(change.apply(&other), Err(ChangeError::NotOfThis)));
+}
+
+#[test]
+fn a_record_that_is_no_change_is_an_error() {
+    let mut assembler = ChangeAssembler::default();
+    assert!(assembler.take(&[]).is_err());
+    assert!(assembler.take(&[255; 40]).is_err());
+}
+
+#[test]
+fn the_relays_are_the_largest_instances_of_different_data_centres() {
+    let mut fleet: Vec<_> = (0..62).map(instance).collect();
+    for (number, entry) in fleet.iter_mut().enumerate() {
+        entry.capacity = if number < 8 { 500 } else { 120 };
+    }
+    let mut relays = Vec::new();
+    for entry in &fleet {
+        let place = relays::place_of(&entry.name, fleet.iter());
+        if place < RELAYS {
+            relays.push((place, entry));
+        }
+    }
+    relays.sort_by_key(|(place, _entry)| *place);
+    let places: Vec<usize> = relays.iter().map(|(place, _entry)| *place).collect();
+    assert_eq!(places, [0, 1, 2]);
+    assert!(relays.iter().all(|(_place, entry)| entry.capacity == 500));
+    let mut centres: Vec<_> = relays
+        .iter()
+        .map(|(_place, entry)| &entry.data_centre)
+        .collect();
+    centres.dedup();
+    assert_eq!(centres.len(), RELAYS);
+}
+
+#[test]
+fn an_instance_that_knows_no_other_is_the_first_relay() {
+    let own = instance(7);
+    assert_eq!(relays::place_of(&own.name, [&own].into_iter()), 0);
+}
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -30,6 +30,7 @@
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::updates::ConfigArrival;
+use hibiscus_traffic::updates::ConfigSource;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::TokenCount;
@@ -69,6 +70,7 @@
     TrafficUpdate::Config {
         config: Arc::new(config),
         arrival: ConfigArrival {
+            source: ConfigSource::Operators,
             bytes: 0,
             read: Duration::ZERO,
             behind: 0,
--- a/crates/hibiscus-types/src/codec.rs
+++ b/crates/hibiscus-types/src/codec.rs
@@ -4,6 +4,7 @@
 //! a newer version must stop deciding on that stream, so the version is read
 //! before the rest is decoded.
 
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -39,6 +40,11 @@
 
 /// Decodes a value written by [`encode`] of this release or an older one.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    decode_borrowed(bytes)
+}
+
+/// As [`decode`], for a value that borrows from `bytes`.
+pub fn decode_borrowed<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
     let (found, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(CodecError::Malformed)?;
     if found > FORMAT_VERSION {
         return Err(CodecError::NewerFormat { found });
--- a/tests/testsuite/front/changes.rs
+++ b/tests/testsuite/front/changes.rs
@@ -54,10 +54,12 @@
     status(&answer) == "200"
 }
 
-/// Versions that came into force at `front`.
-fn versions_in_force(front: &FrontProcess) -> usize {
+/// Versions that came into force at `front`, in their order.
+fn versions_in_force(front: &FrontProcess) -> Vec<u64> {
     let log = std::fs::read_to_string(front.log_file()).unwrap_or_default();
-    log.lines().filter(|line| line.contains("HS2001 ")).count()
+    let lines = log.lines().filter(|line| line.contains("HS2001 "));
+    let words = lines.filter_map(|line| line.split("version=").nth(1)?.split(' ').next());
+    words.filter_map(|word| word.parse().ok()).collect()
 }
 
 /// Guards against a transfer that is cut and begun again for ever, since its
@@ -99,42 +101,121 @@
         ..StoreFaults::default()
     });
     thread::sleep(READ_ENDED);
-    let before = versions_in_force(&platform.front);
     for version in 2..14 {
         publish(&platform.store, version, 600);
     }
     platform.store.set_faults(StoreFaults::default());
     wait_for("version 13", || serves(&platform.front, 13));
-    let taken = versions_in_force(&platform.front) - before;
+    wait_for("the log", || {
+        versions_in_force(&platform.front).last() == Some(&13)
+    });
+    let taken = versions_in_force(&platform.front).len() - 1;
     assert!(taken <= 2, "{taken} versions were taken, 12 were published");
 }
 
-/// Instances of a fleet, more than may read the operators' topic whole.
-const INSTANCES: usize = 10;
+/// Topic of the changes that instances publish.
+const CHANGES_TOPIC: &str = "config-changes";
+
+/// Daemons before a store and a server, which know each other and hold version
+/// 1 with many routes.
+struct Fleet {
+    store: StoreStandin,
+    _plain: BackendStandin,
+    fronts: Vec<FrontProcess>,
+}
+
+impl Fleet {
+    fn start(instances: usize) -> Self {
+        let store = StoreStandin::start();
+        let plain = BackendStandin::start(BackendBehaviour::Answer);
+        publish(&store, 1, MANY_ROUTES);
+        write_server(&store, "i-plain", "plain", &plain, "ready");
+        let start = |number| {
+            let name = format!("front-{number}");
+            FrontProcess::start(&name, FrontPorts::find(), store.address())
+        };
+        let fronts: Vec<FrontProcess> = (0..instances).map(start).collect();
+        for front in &fronts {
+            front.wait_ready();
+        }
+        thread::sleep(SETTLED);
+        Self {
+            store,
+            _plain: plain,
+            fronts,
+        }
+    }
+
+    /// Publishes `version` and waits until all instances serve its route.
+    fn publish(&self, version: u64) {
+        publish(&self.store, version, MANY_ROUTES);
+        for front in &self.fronts {
+            wait_for("the version", || serves(front, version));
+        }
+    }
+
+    /// Instances whose log has lines with `text`.
+    fn count_logs(&self, text: &str) -> usize {
+        let logs = self.fronts.iter().map(|front| front.log_file());
+        let logs = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+        logs.filter(|log| log.contains(text)).count()
+    }
+}
 
 /// Guards against a fleet whose instances each read each version whole, so
 /// that the store's rate and their links are used up by one change (issue 20).
 #[test]
 fn a_change_is_read_whole_by_a_few_instances_of_a_fleet() {
-    let store = StoreStandin::start();
-    let plain = BackendStandin::start(BackendBehaviour::Answer);
-    publish(&store, 1, MANY_ROUTES);
-    write_server(&store, "i-plain", "plain", &plain, "ready");
-    let start = |number| {
-        let name = format!("front-{number}");
-        FrontProcess::start(&name, FrontPorts::find(), store.address())
-    };
-    let fronts: Vec<FrontProcess> = (0..INSTANCES).map(start).collect();
-    for front in &fronts {
-        front.wait_ready();
-    }
-    thread::sleep(SETTLED);
-    let before = store.handed_out("keyed.op");
+    let fleet = Fleet::start(10);
+    let before = fleet.store.handed_out("keyed.op");
     let size = config(2, PREPAID, &more_routes(2, MANY_ROUTES)).len();
-    publish(&store, 2, MANY_ROUTES);
-    for front in &fronts {
-        wait_for("version 2", || serves(front, 2));
-    }
-    let read = (store.handed_out("keyed.op") - before) / size;
+    fleet.publish(2);
+    let read = (fleet.store.handed_out("keyed.op") - before) / size;
     assert!(read <= 5, "the version was read {read} times");
 }
+
+/// Guards against a version that depends on the instances which read it first.
+#[test]
+fn a_version_comes_into_force_though_no_change_can_be_published() {
+    let fleet = Fleet::start(5);
+    fleet.store.set_faults(StoreFaults {
+        refuse_appends: true,
+        ..StoreFaults::default()
+    });
+    fleet.publish(2);
+    assert!(fleet.store.records(CHANGES_TOPIC).is_empty());
+    assert!(fleet.count_logs("HS2013 ") >= 1);
+    fleet.store.set_faults(StoreFaults::default());
+    fleet.publish(3);
+}
+
+/// Guards against a configuration that goes back when a change comes late, and
+/// against records that are no change.
+#[test]
+fn late_copies_of_changes_and_records_that_are_none_change_nothing() {
+    let fleet = Fleet::start(5);
+    fleet.publish(2);
+    let change = fleet.store.records(CHANGES_TOPIC);
+    assert!(!change.is_empty());
+    fleet.publish(3);
+    fleet.store.append(CHANGES_TOPIC, change);
+    let garbage = vec![Vec::new(), vec![255; 40], b"no change".to_vec()];
+    fleet.store.append(CHANGES_TOPIC, garbage);
+    wait_for("the records", || fleet.count_logs("HS2012 ") == 5);
+    for front in &fleet.fronts {
+        assert!(serves(front, 3));
+        assert_eq!(versions_in_force(front), [1, 2, 3]);
+    }
+    fleet.publish(4);
+}
+
+/// Guards against an instance that follows changes only and misses those which
+/// the store has dropped.
+#[test]
+fn changes_that_the_store_has_dropped_are_made_up_for() {
+    let fleet = Fleet::start(5);
+    fleet.publish(2);
+    fleet.store.forget_history(CHANGES_TOPIC);
+    fleet.store.forget_history("keyed.op");
+    fleet.publish(3);
+}
