Give calls of the first design's clients up by silence too

Now a call is given up after that time without a byte. Two tests with answers that come in 16 parts over 5 s failed before ("timeout: global"). Calls to engines and reports of servers keep their bounds: their answers are small or have a silence of their own.

--- a/crates/hibiscus-clients/src/list.rs
+++ b/crates/hibiscus-clients/src/list.rs
@@ -159,7 +159,7 @@
 
 impl ListClient {
     /// A client of the list at `base`; a call is given up after `timeout`
-    /// beyond its wait.
+    /// without a byte, beyond its wait.
     pub fn new(base: &str, timeout: Duration) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
@@ -196,7 +196,7 @@
             .agent
             .get(&url)
             .config()
-            .timeout_global(Some(self.timeout + wait))
+            .timeout_per_read(Some(self.timeout + wait))
             .build()
             .call()
             .map_err(unreachable)?;
--- a/crates/hibiscus-clients/src/log.rs
+++ b/crates/hibiscus-clients/src/log.rs
@@ -121,7 +121,8 @@
 
 impl HttpLog {
     /// A client of the service at `base`, such as `http://127.0.0.1:9000`.
-    /// An append without an answer is given up after `append_timeout`.
+    /// A call is given up after `append_timeout` without a byte, a read after its
+    /// wait and some grace besides.
     pub fn new(base: &str, append_timeout: Duration) -> Self {
         Self {
             base: base.trim_end_matches('/').to_owned(),
@@ -152,7 +153,7 @@
             .agent
             .get(&url)
             .config()
-            .timeout_global(Some(self.append_timeout + wait + POLL_GRACE))
+            .timeout_per_read(Some(self.append_timeout + wait + POLL_GRACE))
             .build()
             .call()
             .map_err(unreachable)?;
--- a/crates/hibiscus-timeline/src/source.rs
+++ b/crates/hibiscus-timeline/src/source.rs
@@ -123,7 +123,8 @@
         source: Box::new(source),
     };
     let agent: Agent = Agent::config_builder()
-        .timeout_global(Some(READ_TIMEOUT))
+        .timeout_connect(Some(READ_TIMEOUT))
+        .timeout_per_read(Some(READ_TIMEOUT))
         .proxy(None)
         .build()
         .into();
