Keep appended records and batches within what the store takes

Account records are now split into records of the size that the settings name, and records into calls of that size.

--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -8,6 +8,7 @@
 use hibiscus_events::event;
 use hibiscus_ledger::account;
 use hibiscus_ledger::account::AccountRecord;
+use hibiscus_ledger::account::batch;
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::budgets::AccountBatch;
@@ -15,6 +16,7 @@
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::codec;
 use platform::records;
+use platform::records::StoreLimits;
 use platform::store::StoreClient;
 
 /// Batches that wait for the thread.
@@ -27,16 +29,17 @@
 /// Longest pause after failed appends.
 const LAST_PAUSE: Duration = Duration::from_millis(400);
 
-/// Snapshots in one call: a call takes 2 MiB, a snapshot of many holders some
-/// 20 KB.
-const SNAPSHOTS_A_CALL: usize = 64;
-
 /// Appends what comes over `batches` until its sender is dropped. Each append
 /// is repeated until the store acknowledges it: copies change nothing.
 ///
 /// The next append begins only after the one before was acknowledged, so the
 /// store shows them in order.
-pub(crate) fn run(store: &StoreClient, updates: &UpdateSender, batches: &Receiver<AccountBatch>) {
+pub(crate) fn run(
+    store: &StoreClient,
+    limits: StoreLimits,
+    updates: &UpdateSender,
+    batches: &Receiver<AccountBatch>,
+) {
     while let Ok(mut batch) = batches.recv() {
         thread::sleep(GATHER_TIME);
         while let Ok(more) = batches.try_recv() {
@@ -44,8 +47,8 @@
             batch.records.extend(more.records);
             batch.snapshots.extend(more.snapshots);
         }
-        let end = append_records(store, &batch.records);
-        append_snapshots(store, &batch.snapshots);
+        let end = append_records(store, limits, &batch.records);
+        append_snapshots(store, limits, &batch.snapshots);
         let appended = TrafficUpdate::AccountsAppended {
             number: batch.number,
             end,
@@ -56,23 +59,35 @@
     }
 }
 
-/// Appends `records` as one record of the stream, however often it takes;
-/// returns the offset after it.
-fn append_records(store: &StoreClient, records: &[AccountRecord]) -> Option<u64> {
+/// Appends `records` to the stream, however often it takes; returns the offset
+/// after them.
+fn append_records(
+    store: &StoreClient,
+    limits: StoreLimits,
+    records: &[AccountRecord],
+) -> Option<u64> {
     if records.is_empty() {
         return None;
     }
-    let record = match codec::encode(&records) {
-        Ok(record) => record,
+    let encoded = match batch::encode(records, limits.record_bytes) {
+        Ok(encoded) => encoded,
         Err(error) => {
             event!(EventCode::AccountNotEncoded, "cause={error}");
             return None;
         }
     };
+    let calls = limits.batches(encoded);
+    let ends = calls.iter().map(|call| append_call(store, call));
+    ends.last()
+}
+
+/// Appends the records of one call, however often it takes; returns the offset
+/// after them.
+fn append_call(store: &StoreClient, records: &[Vec<u8>]) -> u64 {
     let mut pause = FIRST_PAUSE;
     loop {
-        match store.append(account::STREAM, std::slice::from_ref(&record)) {
-            Ok(receipt) => return Some(receipt.end_offset),
+        match store.append(account::STREAM, records) {
+            Ok(receipt) => return receipt.end_offset,
             Err(error) => event!(EventCode::AppendFailed, "cause={error}"),
         }
         thread::sleep(pause);
@@ -82,20 +97,20 @@
 
 /// Appends `snapshots`, each call once: the next ones come in time, and the
 /// account records must not wait for these.
-fn append_snapshots(store: &StoreClient, snapshots: &[AccountSnapshot]) {
-    for some in snapshots.chunks(SNAPSHOTS_A_CALL) {
-        let mut batch = Vec::new();
-        for snapshot in some {
-            match codec::encode(snapshot) {
-                Ok(value) => batch.push(records::encode_keyed(snapshot.budget.as_str(), &value)),
-                Err(error) => event!(EventCode::AccountNotEncoded, "cause={error}"),
-            }
+fn append_snapshots(store: &StoreClient, limits: StoreLimits, snapshots: &[AccountSnapshot]) {
+    let mut encoded = Vec::with_capacity(snapshots.len());
+    for snapshot in snapshots {
+        match codec::encode(snapshot) {
+            Ok(value) => encoded.push(records::encode_keyed(snapshot.budget.as_str(), &value)),
+            Err(error) => event!(EventCode::AccountNotEncoded, "cause={error}"),
         }
-        if let Err(error) = store.append(SNAPSHOT_TOPIC, &batch) {
+    }
+    for call in limits.batches(encoded) {
+        if let Err(error) = store.append(SNAPSHOT_TOPIC, &call) {
             event!(
                 EventCode::SnapshotNotWritten,
                 "snapshots={} cause={error}",
-                batch.len()
+                call.len()
             );
         }
     }
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -187,8 +187,8 @@
         move || follow::follow_instances(&store, &sender, &own)
     })?;
     spawn("append", {
-        let (store, sender) = (store.clone(), sender.clone());
-        move || append::run(&store, &sender, &batches)
+        let (store, sender, limits) = (store.clone(), sender.clone(), settings.store_limits);
+        move || append::run(&store, limits, &sender, &batches)
     })?;
     let mut desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
     desk.set_reader(reader.thread().clone());
--- a/crates/hibiscus-ledger/src/account.rs
+++ b/crates/hibiscus-ledger/src/account.rs
@@ -20,6 +20,7 @@
 //! [`purse::BudgetPurse`] what one holder may still spend.
 
 pub mod agreement;
+pub mod batch;
 pub mod demand;
 pub mod pace;
 pub mod policy;
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -5,6 +5,7 @@
 use hibiscus_ledger::account::AccountFold;
 use hibiscus_ledger::account::AccountRecord;
 use hibiscus_ledger::account::HolderReport;
+use hibiscus_ledger::account::batch;
 use hibiscus_ledger::account::demand::DemandCounter;
 use hibiscus_ledger::account::pace::MachineTime;
 use hibiscus_ledger::account::pace::SpendPace;
@@ -476,3 +477,29 @@
     let decision = policy::decide(&DrawView { wanted, ..view });
     assert_eq!(decision.draw, tokens(10_000));
 }
+
+/// Guards against account records that gather while the store is away and
+/// become a record that it refuses for ever (issue 20).
+#[test]
+fn a_large_batch_of_account_records_is_split_and_folds_to_the_same() {
+    const LIMIT: usize = 1_000;
+    let mut records = Vec::new();
+    for number in 0..200 {
+        records.push(AccountRecord::Draw {
+            budget: format!("budget-{}", number % 7).as_str().into(),
+            holder: IncarnationId::from_u128(9),
+            machine: "front-9".into(),
+            serial: number,
+            tokens: TokenCount::new(number),
+        });
+    }
+    let encoded = batch::encode(&records, LIMIT).expect("records");
+    assert!(encoded.len() > 1);
+    let mut decoded: Vec<AccountRecord> = Vec::new();
+    for record in &encoded {
+        assert!(record.len() <= LIMIT, "{} bytes", record.len());
+        let records: Vec<AccountRecord> = codec::decode(record).expect("a record");
+        decoded.extend(records);
+    }
+    assert_eq!(decoded, records);
+}
