Append the calls of a batch in a plain loop

The linter rejects last() on an iterator that works as it goes, and rightly: a reader would not expect the appends there. No behaviour changes.

--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -76,9 +76,11 @@
             return None;
         }
     };
-    let calls = limits.batches(encoded);
-    let ends = calls.iter().map(|call| append_call(store, call));
-    ends.last()
+    let mut end = None;
+    for call in limits.batches(encoded) {
+        end = Some(append_call(store, &call));
+    }
+    end
 }
 
 /// Appends the records of one call, however often it takes; returns the offset
