Bound by bytes what a process that joins is told of silent instances

Same class, found by reading all bounds of messages: the link between instances takes 64 KiB, and the answer to a process that joins held up to 1,024 verdicts ("under 100 KB"). The link refuses such an answer without a word, so the process would send callers to instances that are silent until its own watchers or the exchanges tell it.

--- a/crates/hibiscus-membership/src/silence.rs
+++ b/crates/hibiscus-membership/src/silence.rs
@@ -32,8 +32,11 @@
 const NEWS_REPEATS: u8 = 2;
 /// Held verdicts that an exchange repeats.
 const REPAIR_LIMIT: usize = 16;
-/// Verdicts told to a process that starts: under 100 KB.
-const JOIN_LIMIT: usize = 1_024;
+/// Bytes of the verdicts told to a process that starts: the link between
+/// instances takes messages of 64 KiB.
+const JOIN_BYTES: usize = 48 * 1024;
+/// Bytes of an encoded verdict beyond its two names, at most.
+const VERDICT_BYTES: usize = 64;
 /// Answers of other instances to the question for all that is known.
 const JOIN_ANSWERS: u8 = 2;
 /// Verdicts kept of one instance: its watchers, and some that were.
@@ -458,14 +461,27 @@
         }
     }
 
-    /// The verdicts by which instances are silent.
+    /// The verdicts by which instances are silent, then those that contradict,
+    /// as many as a message holds.
     fn all_silent(&self) -> Vec<SilenceVerdict> {
-        let held = self.members.values().flat_map(|member| {
-            let verdicts = member.verdicts.values();
-            verdicts.map(|held| &held.verdict)
-        });
-        let silent = held.filter(|verdict| verdict.finding != WatchFinding::Withdrawn);
-        silent.take(JOIN_LIMIT).cloned().collect()
+        let members = self.members.values();
+        let held = members.flat_map(|member| member.verdicts.values());
+        let found = |finding| {
+            let verdicts = held.clone().map(|held| &held.verdict);
+            verdicts.filter(move |verdict| verdict.finding == finding)
+        };
+        let silent = found(WatchFinding::Silent);
+        let mut verdicts = Vec::new();
+        let mut bytes = 0;
+        for verdict in silent.chain(found(WatchFinding::Answers)) {
+            let names = verdict.subject.as_str().len() + verdict.reporter.as_str().len();
+            bytes += VERDICT_BYTES + names;
+            if bytes > JOIN_BYTES {
+                break;
+            }
+            verdicts.push(verdict.clone());
+        }
+        verdicts
     }
 
     /// The next held verdicts in turn.
--- a/crates/hibiscus-membership/tests/silence.rs
+++ b/crates/hibiscus-membership/tests/silence.rs
@@ -12,6 +12,7 @@
 use hibiscus_membership::silence::WatchFinding;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
+use hibiscus_types::codec;
 
 /// Time between two rounds, in milliseconds.
 const ROUND_MS: u64 = 200;
@@ -23,6 +24,8 @@
 const KNOWN_ROUNDS: usize = 10;
 /// Steps of passing news on in a round.
 const HOPS: usize = 2;
+/// Largest message that the link between instances takes, in bytes.
+const MESSAGE_BYTES: usize = 64 * 1024;
 
 fn name(number: usize) -> InstanceName {
     format!("front-{number}").as_str().into()
@@ -475,6 +478,47 @@
     assert!(fleet.machines[4].board.is_silent(&name(3)));
 }
 
+/// Guards against an answer that the link between instances refuses for its
+/// size, so that a process which joins a large fleet never learns who is silent
+/// (found with issue 20).
+#[test]
+fn the_answer_to_a_process_that_joins_fits_a_message() {
+    const MEMBERS: usize = 400;
+    let long = |number: usize| {
+        InstanceName::from(format!("front-tx-central-availability-{number:04}").as_str())
+    };
+    let process = IncarnationId::from_u128(u128::MAX);
+    let mut board = SilenceBoard::new(long(0), process);
+    for other in 1..MEMBERS {
+        board.announce(&long(other), process, false, Duration::ZERO);
+    }
+    for subject in 1..MEMBERS {
+        for reporter in 1..=4 {
+            let verdict = SilenceVerdict {
+                subject: long(subject),
+                incarnation: process,
+                reporter: long(1 + (subject + reporter * 7) % (MEMBERS - 1)),
+                process,
+                version: u64::MAX,
+                finding: WatchFinding::Silent,
+            };
+            let message = SilenceMessage {
+                joining: false,
+                verdicts: vec![verdict],
+            };
+            board.take(message, Duration::ZERO);
+        }
+    }
+    let question = SilenceMessage {
+        joining: true,
+        verdicts: Vec::new(),
+    };
+    let answer = board.take(question, Duration::ZERO);
+    assert!(answer.verdicts.len() > 100);
+    let bytes = codec::encode(&answer).expect("a message").len();
+    assert!(bytes < MESSAGE_BYTES, "{bytes} bytes");
+}
+
 /// Guards against late copies of what a replaced process said, and of what
 /// was said of one.
 #[test]
