Keep what watchers tell each other in a module of its own

Verdicts and messages are shared with the link and the directory, the board is not; nothing but imports changes.

--- a/crates/hibiscus-membership/src/lib.rs
+++ b/crates/hibiscus-membership/src/lib.rs
@@ -7,7 +7,8 @@
 //! chooses with whom an instance exchanges them and [`gossip`] what they tell
 //! each other, [`ranking`] orders instances for a shard or a caller, and
 //! [`address`] makes the answers that callers get. [`rings`] and [`silence`]
-//! say who answers in a fleet whose instances watch a few others each.
+//! say who answers in a fleet whose instances watch a few others each, and tell
+//! each other so ([`verdict`]).
 
 pub mod address;
 pub mod gossip;
@@ -15,4 +16,5 @@
 pub mod ranking;
 pub mod rings;
 pub mod silence;
+pub mod verdict;
 pub mod view;
--- a/crates/hibiscus-membership/src/silence.rs
+++ b/crates/hibiscus-membership/src/silence.rs
@@ -20,11 +20,12 @@
 
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::rings::FULL_WATCH_LIMIT;
 use crate::rings::WatchRings;
+use crate::verdict::SilenceMessage;
+use crate::verdict::SilenceVerdict;
+use crate::verdict::WatchFinding;
 
 /// Verdicts in one message: less than 4 KB.
 pub const VERDICT_LIMIT: usize = 32;
@@ -48,43 +49,6 @@
 /// watchers keep their findings to themselves.
 const START_TIME: Duration = Duration::from_secs(2);
 
-/// What a watcher found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WatchFinding {
-    /// The process serves.
-    Answers,
-    /// The process does not answer, or does not serve.
-    Silent,
-    /// The watcher watches it no more.
-    Withdrawn,
-}
-
-/// What a watcher says of a process.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SilenceVerdict {
-    /// The instance.
-    pub subject: InstanceName,
-    /// Its process.
-    pub incarnation: IncarnationId,
-    /// The watcher.
-    pub reporter: InstanceName,
-    /// The watcher's process.
-    pub process: IncarnationId,
-    /// The watcher's counter: of two verdicts the higher one holds.
-    pub version: u64,
-    /// What it found.
-    pub finding: WatchFinding,
-}
-
-/// Verdicts that one instance passes on to another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SilenceMessage {
-    /// Whether the sender asks for all that is known.
-    pub joining: bool,
-    /// The verdicts.
-    pub verdicts: Vec<SilenceVerdict>,
-}
-
 /// A verdict and when it came.
 #[derive(Clone, Debug)]
 struct HeldVerdict {
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -12,7 +12,7 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_membership::silence::SilenceBoard;
-use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_membership::verdict::SilenceMessage;
 use hibiscus_peer::CertificatePin;
 use hibiscus_types::DataCentre;
 use hibiscus_types::IncarnationId;
--- a/crates/hibiscus-traffic/src/members.rs
+++ b/crates/hibiscus-traffic/src/members.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_membership::verdict::SilenceMessage;
 use hibiscus_types::IncarnationId;
 use tokio::time::Instant;
 
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -15,7 +15,7 @@
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
-use hibiscus_membership::silence::SilenceMessage;
+use hibiscus_membership::verdict::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
 use hibiscus_types::BudgetName;
