Do not take tokens that were given back and are on their way for spent

Cause: a holder whose demand falls near the end of a budget gives idle tokens back. Until the report is appended and read again, some 300 ms, they are in nobody's sums: neither available here nor free in the fold. A request in that time was told that the budget is spent. The log of a failing run: used=88025 available=0 free=0 prepaid=100000, with granted draws of 100,000 in all.

Tokens that were given back and are not yet free by the records that were read count as reachable now, so such a request waits for them.

--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -103,7 +103,8 @@
         let here = held.map_or(TokenCount::ZERO, |held| {
             held.purse.available() + held.purse.given()
         });
-        let reachable = here + account.free();
+        let returning = held.map_or(TokenCount::ZERO, |held| self.returning(account, held));
+        let reachable = here + account.free() + returning;
         if tokens <= reachable {
             return None;
         }
@@ -118,6 +119,14 @@
         }
     }
 
+    /// Tokens that were given back and that the stream, as far as it was read,
+    /// does not show as free yet.
+    fn returning(&self, account: &BudgetAccount, held: &HeldBudget) -> TokenCount {
+        let known = account.holders.get(&self.holder);
+        let known = known.map_or(TokenCount::ZERO, |known| known.returned);
+        held.purse.returned().saturating_sub(known)
+    }
+
     /// Gives up to `tokens` of `budget` to another instance, half of what is
     /// held here at the most.
     pub fn give(&mut self, budget: &BudgetName, tokens: TokenCount) -> TokenCount {
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -209,6 +209,31 @@
     assert_eq!(refusal, Some(TokenRefusal::Spent));
 }
 
+/// Guards against a refusal for good while tokens that this holder gave back
+/// are on their way to the store and to be read again (found with issue 20).
+#[test]
+fn tokens_that_this_holder_gave_back_are_not_taken_for_spent() {
+    let mut case = DeskCase::start();
+    case.review(Duration::ZERO);
+    let budget = budget(0);
+    let relieved = BudgetRole {
+        duty: HolderDuty::Relieved,
+        ..role(false)
+    };
+    let now = Duration::from_millis(800);
+    case.desk.review(|_budget| relieved, now);
+    let batch = case.batches.try_recv().expect("a report");
+    let all = TokenCount::new(PREPAID);
+    assert_eq!(case.desk.refusal(&budget, all, now), None);
+    let beyond = TokenCount::new(PREPAID + 1);
+    let refusal = case.desk.refusal(&budget, beyond, now);
+    assert_eq!(refusal, Some(TokenRefusal::Spent));
+    let record = codec::encode(&batch.records).expect("records are encoded");
+    case.desk.acknowledge(batch.number, None, now);
+    case.desk.apply(case.offset, &record, now);
+    assert_eq!(case.desk.refusal(&budget, all, now), None);
+}
+
 /// Guards against a draw that the store grants to a process that has closed
 /// its accounts (issue 17).
 #[test]
