--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -142,6 +142,13 @@
     )
 }
 
+/// Instances of `fronts` whose log has lines with `text`.
+fn count_logs(fronts: &[FrontProcess], text: &str) -> usize {
+    let logs = fronts.iter().map(|front| front.log_file());
+    let logs = logs.filter_map(|log| std::fs::read_to_string(log).ok());
+    logs.filter(|log| log.contains(text)).count()
+}
+
 fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("none")
 }
--- a/tests/testsuite/front/changes.rs
+++ b/tests/testsuite/front/changes.rs
@@ -14,6 +14,7 @@
 use crate::front::PREPAID;
 use crate::front::Platform;
 use crate::front::config;
+use crate::front::count_logs;
 use crate::front::request;
 use crate::front::status;
 use crate::front::wait_for;
@@ -153,13 +154,6 @@
             wait_for("the version", || serves(front, version));
         }
     }
-
-    /// Instances whose log has lines with `text`.
-    fn count_logs(&self, text: &str) -> usize {
-        let logs = self.fronts.iter().map(|front| front.log_file());
-        let logs = logs.filter_map(|log| std::fs::read_to_string(log).ok());
-        logs.filter(|log| log.contains(text)).count()
-    }
 }
 
 /// Guards against a fleet whose instances each read each version whole, so
@@ -184,7 +178,7 @@
     });
     fleet.publish(2);
     assert!(fleet.store.records(CHANGES_TOPIC).is_empty());
-    assert!(fleet.count_logs("HS2013 ") >= 1);
+    assert!(count_logs(&fleet.fronts, "HS2013 ") >= 1);
     fleet.store.set_faults(StoreFaults::default());
     fleet.publish(3);
 }
@@ -201,7 +195,7 @@
     fleet.store.append(CHANGES_TOPIC, change);
     let garbage = vec![Vec::new(), vec![255; 40], b"no change".to_vec()];
     fleet.store.append(CHANGES_TOPIC, garbage);
-    wait_for("the records", || fleet.count_logs("HS2012 ") == 5);
+    wait_for("the records", || count_logs(&fleet.fronts, "HS2012 ") == 5);
     for front in &fleet.fronts {
         assert!(serves(front, 3));
         assert_eq!(versions_in_force(front), [1, 2, 3]);
--- a/tests/testsuite/front/fleet.rs
+++ b/tests/testsuite/front/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::front::PREPAID;
 use crate::front::config;
+use crate::front::count_logs;
 use crate::front::request;
 use crate::front::status;
 use crate::front::wait_for;
@@ -58,13 +59,6 @@
         let answer = self.fronts[number].call(&request("/stream/x", id, &more));
         status(&answer) == "200"
     }
-
-    /// Instances whose log has lines with `text`.
-    fn count_logs(&self, text: &str) -> usize {
-        let logs = self.fronts.iter().map(|front| front.log_file());
-        let logs = logs.filter_map(|log| std::fs::read_to_string(log).ok());
-        logs.filter(|log| log.contains(text)).count()
-    }
 }
 
 /// Guards against budgets that each instance of a large fleet holds in part,
@@ -76,8 +70,8 @@
         let id = format!("id-{number}");
         wait_for("an answer", || fleet.is_served(number, &id, 2_500));
     }
-    assert!(fleet.count_logs("HS3102 ") <= 8);
-    assert!(fleet.count_logs("HS3121 ") >= 1);
+    assert!(count_logs(&fleet.fronts, "HS3102 ") <= 8);
+    assert!(count_logs(&fleet.fronts, "HS3121 ") >= 1);
 }
 
 /// Guards against tokens that are spent twice, or lost, when they change hands.
