--- a/tests/testsuite/front/changes.rs
+++ b/tests/testsuite/front/changes.rs
@@ -178,7 +178,7 @@
     });
     fleet.publish(2);
     assert!(fleet.store.records(CHANGES_TOPIC).is_empty());
-    assert!(count_logs(&fleet.fronts, "HS2013 ") >= 1);
+    wait_for("the log", || count_logs(&fleet.fronts, "HS2013 ") >= 1);
     fleet.store.set_faults(StoreFaults::default());
     fleet.publish(3);
 }
