Take the versions before an unreadable one, and pause at a start with one

An instance that found the newest configuration unreadable had moved its position past it before it looked at the versions between, so a readable version before it was passed over: callers would get 404 for a route that had been acknowledged (CONFIG). One that started with an unreadable configuration had no position at all and read it again without a pause: 12,804 times in 4 s in the test.

The position counts records that were read without a readable configuration also before anything is held, and moves only after the versions between were read.

--- a/crates/hibiscus-front/src/config/board.rs
+++ b/crates/hibiscus-front/src/config/board.rs
@@ -42,6 +42,16 @@
     changes_end: Option<u64>,
 }
 
+impl BoardState {
+    /// Offset from which on the operators' topic has to be read; `None` before
+    /// anything was read of it.
+    fn position(&self) -> Option<u64> {
+        let held = self.held.as_ref().map(|held| held.next);
+        let read = held.unwrap_or_default().max(self.unreadable);
+        (read > 0).then_some(read)
+    }
+}
+
 /// What the threads that follow the configuration share.
 pub(crate) struct ConfigBoard {
     state: Mutex<BoardState>,
@@ -82,17 +92,17 @@
         self.lock().held.clone()
     }
 
-    /// Offset from which on the operators' topic has to be read.
+    /// Offset from which on the operators' topic has to be read; `None` before
+    /// anything was read of it.
     pub(super) fn position(&self) -> Option<u64> {
-        let state = self.lock();
-        let held = state.held.as_ref()?;
-        Some(held.next.max(state.unreadable))
+        self.lock().position()
     }
 
     /// Notes that the records before the offset `end` which are not held have
     /// no readable configuration.
     pub(super) fn note_unreadable(&self, end: u64) {
-        self.lock().unreadable = end;
+        let mut state = self.lock();
+        state.unreadable = state.unreadable.max(end);
     }
 
     /// Holds `config`, which follows from all records before `next`, unless a
@@ -174,8 +184,7 @@
     /// they are.
     pub(super) fn wait_held(&self, end: u64, limit: Duration) -> bool {
         self.wait(limit, |state| {
-            let held = state.held.as_ref();
-            held.is_some_and(|held| held.next.max(state.unreadable) >= end)
+            state.position().is_some_and(|position| position >= end)
         })
     }
 
--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -83,6 +83,7 @@
         match self.store.read(config::TOPIC, position, wait) {
             Ok(read) => {
                 self.take(&read, position);
+                self.board.note_unreadable(position + count(&read));
                 Ok(())
             }
             Err(StoreError::Expired { first }) => {
@@ -129,41 +130,39 @@
             thread::sleep(FAILURE_PAUSE);
             return Ok(());
         };
-        let read = match self.store.read(config::TOPIC, last, Duration::ZERO) {
-            Ok(read) => read,
-            Err(StoreError::Expired { .. }) => return self.read_kept(),
+        let position = self.board.position();
+        let found = match self.store.read(config::TOPIC, last, Duration::ZERO) {
+            Ok(read) => self.take(&read, last),
+            Err(StoreError::Expired { .. }) => false,
             Err(error) => return Err(error),
         };
-        if self.take(&read, last) {
-            return Ok(());
-        }
-        match self.board.position().filter(|position| *position < last) {
-            Some(position) => self.read_between(position, end),
-            None => self.read_kept(),
+        if !found && !self.read_kept()? {
+            // One before the newest may still be newer than the one held.
+            self.read_between(position.unwrap_or_default(), last)?;
         }
+        self.board.note_unreadable(end);
+        Ok(())
     }
 
-    /// Reads all records from `position` to `end`, the last of which holds no
-    /// readable configuration.
+    /// Takes the records from `position` to `end`, as far as they are kept.
     fn read_between(&mut self, mut position: u64, end: u64) -> Result<()> {
         while position < end {
-            let read = match self.store.read(config::TOPIC, position, Duration::ZERO) {
-                Ok(read) => read,
-                Err(StoreError::Expired { .. }) => return self.read_kept(),
+            match self.store.read(config::TOPIC, position, Duration::ZERO) {
+                Ok(read) if read.page.records.is_empty() => break,
+                Ok(read) => {
+                    self.take(&read, position);
+                    position += count(&read);
+                }
+                Err(StoreError::Expired { first }) => position = first.max(position + 1),
                 Err(error) => return Err(error),
-            };
-            if read.page.records.is_empty() {
-                break;
             }
-            self.take(&read, position);
-            position += count(&read);
         }
         Ok(())
     }
 
     /// Reads the newest version when its record has been deleted, or another
-    /// key's record follows it.
-    fn read_kept(&mut self) -> Result<()> {
+    /// key's record follows it; whether it can be read.
+    fn read_kept(&mut self) -> Result<bool> {
         let newest = self.store.newest(config::TOPIC)?;
         for kept in newest.records {
             let record = kept.record;
@@ -171,11 +170,12 @@
                 continue;
             }
             let value = record.value.unwrap_or_default();
-            self.hold(&value, kept.offset + 1, newest.transfer, 0);
+            if self.hold(&value, kept.offset + 1, newest.transfer, 0) {
+                self.board.note_unreadable(newest.next);
+                return Ok(true);
+            }
         }
-        self.current = true;
-        self.skip_to(newest.next);
-        Ok(())
+        Ok(false)
     }
 
     /// Takes the newest version of a page that begins at `first`; whether it
@@ -196,25 +196,13 @@
                 continue;
             };
             if self.hold(&value, end, read.transfer, behind) {
-                self.skip_to(next);
+                self.board.note_unreadable(next);
                 return true;
             }
         }
-        self.skip_to(next);
         false
     }
 
-    /// Reads on from `next`: what lies before holds nothing that is newer.
-    fn skip_to(&self, next: u64) {
-        if self
-            .board
-            .position()
-            .is_some_and(|position| position < next)
-        {
-            self.board.note_unreadable(next);
-        }
-    }
-
     /// Decodes a configuration that follows from all records before `next`,
     /// holds it and publishes what changed; whether it can be read.
     fn hold(&self, value: &[u8], next: u64, transfer: ReplyTransfer, behind: u64) -> bool {
--- a/tests/testsuite/front/changes.rs
+++ b/tests/testsuite/front/changes.rs
@@ -213,3 +213,44 @@
     fleet.store.forget_history("keyed.op");
     fleet.publish(3);
 }
+
+/// A configuration that this release cannot read.
+const UNREADABLE: &[u8] = br#"{"version":9,"routes":"none"}"#;
+
+/// Guards against an instance that is behind and passes over the versions
+/// before one that it cannot read (issue 20).
+#[test]
+fn a_version_before_an_unreadable_one_comes_into_force() {
+    let platform = Platform::start();
+    platform.store.set_faults(StoreFaults {
+        refuse: Some(503),
+        ..StoreFaults::default()
+    });
+    thread::sleep(READ_ENDED);
+    publish(&platform.store, 2, 1);
+    platform.store.write("keyed.op", "config", UNREADABLE);
+    platform.store.set_faults(StoreFaults::default());
+    wait_for("version 2", || serves(&platform.front, 2));
+    publish(&platform.store, 10, 1);
+    wait_for("version 10", || serves(&platform.front, 10));
+}
+
+/// Guards against an instance that starts with a configuration that it cannot
+/// read and asks for it again without a pause (issue 20).
+#[test]
+fn an_unreadable_configuration_is_read_a_few_times_by_an_instance_that_starts() {
+    let store = StoreStandin::start();
+    let plain = BackendStandin::start(BackendBehaviour::Answer);
+    write_server(&store, "i-plain", "plain", &plain, "ready");
+    store.write("keyed.op", "config", UNREADABLE);
+    let front = FrontProcess::start("front-1", FrontPorts::find(), store.address());
+    wait_for("the log", || {
+        let log = std::fs::read_to_string(front.log_file()).unwrap_or_default();
+        log.contains("HS2002 ")
+    });
+    thread::sleep(SETTLED);
+    let reads = store.handed_out("keyed.op") / UNREADABLE.len();
+    assert!(reads <= 20, "the configuration was read {reads} times");
+    publish(&store, 10, 1);
+    wait_for("version 10", || serves(&front, 10));
+}
