Log whether a server ended under a request, and how many retries are left

A failed request's log said 'the server broke the connection' and no more: not whether the server ended or reset one answer, not what two attempts have in common, and not how near the fleet's bound on retries is.

A server that breaks a request off before its answer has begun is looked at once: if none of its kept connections is open and its port refuses, it has ended (HS5104, and HS4211 for each request with a print of path, caller and body), else it has not (HS5105). Bodies are hashed only for requests under which a server ended. HS1121 shows retries_left. Nothing is decided by it.

The stand-in of a server can end (all connections and the port close, it is back after 1.5 s) or send bytes without end, for the tests that follow.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -116,8 +116,11 @@
     CallerLeft = "HS4208", Info, "caller left before its answer was whole";
     RequestDropped = "HS4209", Info, "request ended without an answer";
     RequestCut = "HS4210", Warn, "connection closed with a request on it";
+    RequestAtEnd = "HS4211", Warn, "server ended under the request";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
     EntryUnreadable = "HS5103", Info, "entry names no server";
+    ServerEnded = "HS5104", Warn, "server ended with requests on it";
+    ServerNotEnded = "HS5105", Info, "server broke connections and has not ended";
 }
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -18,6 +18,7 @@
 use hibiscus_traffic::budgets::BudgetDesk;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::directory::InstanceDirectory;
+use hibiscus_traffic::endings;
 use hibiscus_traffic::machine;
 use hibiscus_traffic::machine::MachineLimits;
 use hibiscus_traffic::measures;
@@ -267,6 +268,7 @@
     tokio::task::spawn_local(peers::answer_calls(Rc::clone(&state), calls));
     tokio::task::spawn_local(recovery::close_unproven(Rc::clone(&state)));
     tokio::task::spawn_local(members::keep(Rc::clone(&state), answers::READINESS_PATH));
+    tokio::task::spawn_local(endings::keep(Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_calls(
         readiness,
--- /dev/null
+++ b/crates/hibiscus-request/src/print.rs
@@ -0,0 +1,72 @@
+//! What is the same about a request that comes again under another number.
+
+use std::fmt;
+
+use hibiscus_types::hash::stable_hash;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Bytes of the digest that are kept.
+const DIGEST_BYTES: usize = 16;
+
+/// Names all requests with the same path, caller and body.
+///
+/// The sketch leaves the body's bytes out, so that most requests are told
+/// apart without reading them. The digest is one that nobody can make collide:
+/// it holds the team, so no team can send what passes for another's request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestPrint {
+    sketch: RequestSketch,
+    digest: [u8; DIGEST_BYTES],
+}
+
+/// The part of a [`RequestPrint`] that costs nothing to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestSketch(u64);
+
+impl RequestSketch {
+    /// The sketch of a body of `length` bytes that `team` sends to `path`.
+    pub fn of(team: &str, path: &str, length: usize) -> Self {
+        Self(stable_hash(&[
+            team.as_bytes(),
+            path.as_bytes(),
+            &length.to_be_bytes(),
+        ]))
+    }
+}
+
+impl RequestPrint {
+    /// The print of `body` that `team` sends to `path`.
+    pub fn of(team: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [team.as_bytes(), path.as_bytes(), body] {
+            hasher.update(part.len().to_be_bytes());
+            hasher.update(part);
+        }
+        let hash = hasher.finalize();
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&hash[..DIGEST_BYTES]);
+        Self {
+            sketch: RequestSketch::of(team, path, body.len()),
+            digest,
+        }
+    }
+
+    /// The part without the body's bytes.
+    pub fn sketch(&self) -> RequestSketch {
+        self.sketch
+    }
+}
+
+/// The digest in hexadecimal.
+impl fmt::Display for RequestPrint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.digest {
+            write!(formatter, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/hibiscus-traffic/src/connect.rs
+++ b/crates/hibiscus-traffic/src/connect.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +39,32 @@
     Silent,
 }
 
+/// What a new connection shows of the server at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortState {
+    /// Something listens there.
+    Open,
+    /// Nothing listens there, and the machine says so.
+    Closed,
+    /// The machine does not answer.
+    Silent,
+}
+
+/// Looks whether something listens at `address`.
+pub async fn look_at_port(address: SocketAddr) -> PortState {
+    let connect = TcpStream::connect(address);
+    match tokio::time::timeout(CONNECT_LIMIT, connect).await {
+        Ok(Ok(_stream)) => PortState::Open,
+        Ok(Err(error)) => match error.kind() {
+            ErrorKind::ConnectionRefused => PortState::Closed,
+            // A full server resets connections that it has accepted.
+            ErrorKind::ConnectionReset => PortState::Open,
+            _ => PortState::Silent,
+        },
+        Err(_elapsed) => PortState::Silent,
+    }
+}
+
 /// One connection. Dropping it closes the socket at once, which tells the
 /// server to stop.
 #[derive(Debug)]
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -15,6 +15,8 @@
 use crate::budgets::BudgetHandle;
 use crate::callers::CallerRequest;
 use crate::connect::ServerLink;
+use crate::endings::EndingWatch;
+use crate::endings::UnbegunRequest;
 use crate::measures::RequestOutcome;
 use crate::measures::TrafficMeasures;
 use crate::model::RequestKind;
@@ -193,6 +195,10 @@
     pub tokens_per_event: u64,
     /// Counts the request until its answer has passed.
     pub progress: RequestProgress,
+    /// The request until its first event, with its body.
+    pub unbegun: Option<UnbegunRequest>,
+    /// Where to tell that the server broke it off.
+    pub endings: Rc<EndingWatch>,
 }
 
 impl FlightWatch {
@@ -201,6 +207,7 @@
         if events == 0 {
             return;
         }
+        self.unbegun = None;
         let now = Instant::now();
         match self.heard.replace(now) {
             None => self.measures.first_event(self.kind, now - self.arrived),
@@ -265,6 +272,9 @@
             Some(fault) => {
                 if fault == RelayFault::Broken {
                     server.note_failed();
+                    if let Some(unbegun) = self.unbegun.take() {
+                        self.endings.note_broken(server, unbegun);
+                    }
                 }
                 event!(
                     EventCode::AnswerBroken,
--- a/crates/hibiscus-traffic/src/idle.rs
+++ b/crates/hibiscus-traffic/src/idle.rs
@@ -66,6 +66,12 @@
         self.links.borrow().contains_key(&ticket)
     }
 
+    /// Whether the connection is still kept and of use.
+    pub fn is_usable(&self, ticket: IdleTicket) -> bool {
+        let links = self.links.borrow();
+        links.get(&ticket).is_some_and(IdleLink::is_usable)
+    }
+
     /// Drops the connections that are of no use any more.
     pub fn drop_unusable(&self) {
         let mut links = self.links.borrow_mut();
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`servers`] holds the backend servers that [`roster`] knows, with their
 //!   kept connections ([`connect`], [`idle`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
+//! - [`endings`] finds out whether a server that broke a request's connection
+//!   has ended.
 //! - [`supply`] gets a request's tokens from [`budgets`], or from the instances
 //!   that [`holders`] names; [`retries`] holds what may be sent twice,
 //!   [`directory`] which instances callers are told of; [`members`] has them
@@ -32,6 +34,7 @@
 pub mod connect;
 pub mod dialect;
 pub mod directory;
+pub mod endings;
 pub mod flight;
 pub mod holders;
 pub mod idle;
--- a/crates/hibiscus-traffic/src/life/admission.rs
+++ b/crates/hibiscus-traffic/src/life/admission.rs
@@ -9,7 +9,6 @@
 use hibiscus_types::ServiceName;
 use http::HeaderMap;
 use http::Method;
-use http::Uri;
 use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,6 +17,7 @@
 use crate::callers::BodyBytes;
 use crate::dialect::CallerSigns;
 use crate::dialect::RequestDialect;
+use crate::endings::RequestIdentity;
 use crate::life::KnownRequest;
 use crate::life::Result;
 use crate::model::RouteRule;
@@ -36,11 +36,9 @@
     pub(super) team: Option<Arc<TeamRule>>,
     pub(super) service: ServiceName,
     pub(super) method: Method,
-    pub(super) target: Uri,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
-    /// Counts the body's bytes for as long as it is kept.
-    _body_bytes: BodyBytes,
+    /// Path, caller and body.
+    pub(super) identity: Rc<RequestIdentity>,
     /// When it arrived.
     pub(super) arrived: Instant,
     /// When its caller or route has waited long enough.
@@ -75,12 +73,13 @@
     let limit = table.config().limits.body_bytes;
     let reading = read_body(body, limit, state.callers.begin_body());
     let read = tokio::time::timeout_at(until.into(), reading).await;
-    let (body, body_bytes) = read.map_err(|_elapsed| OwnReason::TimeSpent)??;
+    let body = read.map_err(|_elapsed| OwnReason::TimeSpent)??;
     known.body_read = true;
     let mut headers = head.headers;
     send::strip_connection_headers(&mut headers);
     state.dialect.strip_own(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
+    let caller = team.as_ref().map(|team| team.name.clone());
     Ok(AdmittedRequest {
         signs,
         table,
@@ -88,10 +87,8 @@
         team,
         service,
         method: head.method,
-        target: head.uri,
         headers,
-        body,
-        _body_bytes: body_bytes,
+        identity: Rc::new(RequestIdentity::new(caller, head.uri, body)),
         arrived,
         until,
     })
--- a/crates/hibiscus-traffic/src/life/forwarding.rs
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -19,6 +19,8 @@
 use crate::dialect::CallerSigns;
 use crate::dialect::RequestDialect;
 use crate::dialect::ServerSigns;
+use crate::endings::EndingWatch;
+use crate::endings::UnbegunRequest;
 use crate::flight::FlightWatch;
 use crate::flight::RequestCharge;
 use crate::flight::RequestProgress;
@@ -30,9 +32,11 @@
 use crate::relay::AnswerBody;
 use crate::relay::StreamRelay;
 use crate::send;
+use crate::send::FailureCause;
 use crate::send::OutgoingRequest;
 use crate::send::SendOutcome;
 use crate::send::ServerAnswer;
+use crate::servers::ServerHandle;
 use crate::state::TrafficState;
 
 /// Servers tried for one request while none has run it.
@@ -84,7 +88,7 @@
         &mut self,
         admitted: &AdmittedRequest,
         server: &ServerName,
-        cause: &str,
+        cause: FailureCause,
     ) -> NextStep {
         event!(
             EventCode::ServerFailed,
@@ -188,9 +192,9 @@
     state.dialect.set_server_signs(&signs, &mut headers);
     let outgoing = OutgoingRequest {
         method: &admitted.method,
-        target: &admitted.target,
+        target: admitted.identity.target(),
         headers: &headers,
-        body: &admitted.body,
+        body: &admitted.identity.body,
         id: &admitted.signs.id,
         until: admitted.until,
         leaves_silent: may_run_again(admitted, trail.runs + 1),
@@ -204,27 +208,64 @@
         "request={} server={name}",
         admitted.signs.id
     );
+    let unbegun = UnbegunRequest {
+        id: admitted.signs.id.clone(),
+        identity: Rc::clone(&admitted.identity),
+        sent: Instant::now(),
+    };
     let outcome = send::send(&state.dialect, flight, &outgoing).await;
-    follow(admitted, charge, trail, &name, outcome).await
+    let attempt = SentAttempt {
+        server: chosen.server,
+        unbegun,
+        endings: Rc::clone(&state.endings),
+    };
+    follow(admitted, charge, trail, attempt, outcome).await
+}
+
+/// A request that was sent to a server, and where to tell that it broke.
+struct SentAttempt {
+    server: Rc<ServerHandle>,
+    unbegun: UnbegunRequest,
+    endings: Rc<EndingWatch>,
 }
 
-/// Decides what follows the outcome of an attempt at the server `name`.
+impl SentAttempt {
+    /// The server gave no answer that is of use.
+    fn fail(
+        self,
+        admitted: &AdmittedRequest,
+        trail: &mut ForwardTrail,
+        cause: FailureCause,
+    ) -> NextStep {
+        let next = trail.note_failed(admitted, &self.server.entry.name, cause);
+        if cause.is_broken() {
+            self.endings.note_broken(&self.server, self.unbegun);
+        }
+        next
+    }
+}
+
+/// Decides what follows the outcome of an attempt.
 async fn follow(
     admitted: &AdmittedRequest,
     charge: Option<&Rc<RequestCharge>>,
     trail: &mut ForwardTrail,
-    name: &ServerName,
+    attempt: SentAttempt,
     outcome: SendOutcome,
 ) -> NextStep {
+    let server = Rc::clone(&attempt.server);
+    let name = &server.entry.name;
     match outcome {
-        SendOutcome::Answered(answer) => match take_answer(admitted, *answer, charge).await {
-            Ok(ForwardedAnswer::Whole(answer)) if answer.status().is_server_error() => {
-                trail.failure = Some(answer);
-                trail.note_failed(admitted, name, "the server answered with a failure")
+        SendOutcome::Answered(answer) => {
+            match take_answer(admitted, *answer, charge, &attempt).await {
+                Ok(ForwardedAnswer::Whole(answer)) if answer.status().is_server_error() => {
+                    trail.failure = Some(answer);
+                    trail.note_failed(admitted, name, FailureCause::ServerError)
+                }
+                Ok(answer) => NextStep::Answer(Box::new(answer)),
+                Err(cause) => attempt.fail(admitted, trail, cause),
             }
-            Ok(answer) => NextStep::Answer(Box::new(answer)),
-            Err(cause) => trail.note_failed(admitted, name, cause),
-        },
+        }
         SendOutcome::NotSent(fault) => {
             event!(
                 EventCode::ServerNotReached,
@@ -243,7 +284,7 @@
             trail.note_not_run(OwnReason::ServersFull, charge);
             NextStep::Retry
         }
-        SendOutcome::Unknown(cause) => trail.note_failed(admitted, name, cause),
+        SendOutcome::Unknown(cause) => attempt.fail(admitted, trail, cause),
         SendOutcome::TimedOut => {
             trail.reason = OwnReason::TimedOut;
             NextStep::End
@@ -266,6 +307,8 @@
         body: Incoming,
         flight: ServerFlight,
         charge: Option<Rc<RequestCharge>>,
+        unbegun: UnbegunRequest,
+        endings: Rc<EndingWatch>,
     },
 }
 
@@ -278,7 +321,7 @@
         measures: Rc<TrafficMeasures>,
     ) -> Response<AnswerBody> {
         let kind = admitted.route.kind;
-        let (head, body, flight, charge) = match self {
+        let (head, body, flight, charge, unbegun, endings) = match self {
             Self::Whole(answer) => {
                 let taken = admitted.arrived.elapsed();
                 measures.first_event(kind, taken);
@@ -290,7 +333,9 @@
                 body,
                 flight,
                 charge,
-            } => (head, body, flight, charge),
+                unbegun,
+                endings,
+            } => (head, body, flight, charge, unbegun, endings),
         };
         let engine = admitted.table.engine(&admitted.service);
         let watch = FlightWatch {
@@ -303,6 +348,8 @@
             charge,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             progress,
+            unbegun: Some(unbegun),
+            endings,
         };
         let deadline = tokio::time::sleep_until(admitted.until.into());
         let relay = StreamRelay::new(body, admitted.signs.resume_after, deadline, watch);
@@ -316,7 +363,8 @@
     admitted: &AdmittedRequest,
     answer: ServerAnswer,
     charge: Option<&Rc<RequestCharge>>,
-) -> std::result::Result<ForwardedAnswer, &'static str> {
+    attempt: &SentAttempt,
+) -> std::result::Result<ForwardedAnswer, FailureCause> {
     let (mut head, body) = answer.answer.into_parts();
     send::strip_connection_headers(&mut head.headers);
     let mut flight = answer.flight;
@@ -326,6 +374,8 @@
             body,
             flight,
             charge: charge.map(Rc::clone),
+            unbegun: attempt.unbegun.clone(),
+            endings: Rc::clone(&attempt.endings),
         });
     }
     let wait = admitted.until.saturating_duration_since(Instant::now());
@@ -333,7 +383,7 @@
     let gathered = tokio::time::timeout(wait, gathered).await;
     let Ok(Ok(gathered)) = gathered else {
         flight.server().note_failed();
-        return Err("the answer broke off");
+        return Err(FailureCause::AnswerBroken);
     };
     flight.note_read();
     flight.server().note_healthy();
--- a/crates/hibiscus-traffic/src/pressure.rs
+++ b/crates/hibiscus-traffic/src/pressure.rs
@@ -91,7 +91,7 @@
         let link = |outcome| tally.asked(QuestionSubject::Link, outcome);
         event!(
             EventCode::LevelsShown,
-            "resident_bytes={} processor_ms={} late_ms={} caller_connections={} requests={} idle_links={} instances={} accounts={} account_lag={} records={} reviews={} draws={}/{}/{} readiness={}/{}/{} link={}/{}/{} asked={}/{}",
+            "resident_bytes={} processor_ms={} late_ms={} caller_connections={} requests={} idle_links={} instances={} accounts={} account_lag={} records={} reviews={} draws={}/{}/{} readiness={}/{}/{} link={}/{}/{} asked={}/{} retries_left={:.1}",
             levels.used.resident_bytes,
             levels.used.processor.as_millis(),
             self.latest.take().as_millis(),
@@ -113,7 +113,8 @@
             link(QuestionOutcome::Refused),
             link(QuestionOutcome::Unanswered),
             tally.readiness_asked.get(),
-            tally.link_asked.get()
+            tally.link_asked.get(),
+            levels.retries_left
         );
     }
 }
--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one server and reads the head of its answer.
 
+use std::fmt;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +44,46 @@
     pub flight: ServerFlight,
 }
 
+/// Why a request that was sent got no answer that is of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureCause {
+    /// The connection ended before the head of the answer.
+    Broken,
+    /// The connection ended, or time ran out, within the answer.
+    AnswerBroken,
+    /// The server sent nothing to anybody for long.
+    Silent,
+    /// The answer names another request.
+    OtherRequest,
+    /// The answer is a success without a signature.
+    Unsigned,
+    /// The answer promises that the request did not run, without proof.
+    Unproven,
+    /// The answer is the server's own failure.
+    ServerError,
+}
+
+impl FailureCause {
+    /// Whether the server may have ended.
+    pub fn is_broken(self) -> bool {
+        matches!(self, Self::Broken | Self::AnswerBroken)
+    }
+}
+
+impl fmt::Display for FailureCause {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Broken => "the server broke the connection",
+            Self::AnswerBroken => "the answer broke off",
+            Self::Silent => "the server is silent",
+            Self::OtherRequest => "the answer is for another request",
+            Self::Unsigned => "the answer is not signed",
+            Self::Unproven => "the server refused without proof",
+            Self::ServerError => "the server answered with a failure",
+        })
+    }
+}
+
 /// How sending ended.
 #[derive(Debug)]
 pub enum SendOutcome {
@@ -53,7 +94,7 @@
     /// The server proved that it did not run the request.
     NotRun(StatusCode),
     /// The request was sent; whether it ran is not known.
-    Unknown(&'static str),
+    Unknown(FailureCause),
     /// The time ran out after the request was sent.
     TimedOut,
 }
@@ -122,7 +163,7 @@
             }
             Ok(Err(Exchange::Unknown)) => {
                 server.note_failed();
-                return Err(SendOutcome::Unknown("the server broke the connection"));
+                return Err(SendOutcome::Unknown(FailureCause::Broken));
             }
             Err(_elapsed) if step == left => {
                 server.note_failed();
@@ -130,7 +171,7 @@
             }
             Err(_elapsed) if server.is_silent() => {
                 server.note_failed();
-                return Err(SendOutcome::Unknown("the server is silent"));
+                return Err(SendOutcome::Unknown(FailureCause::Silent));
             }
             Err(_elapsed) => {}
         }
@@ -152,7 +193,7 @@
     let other = signs.id.as_ref().is_some_and(|answered| answered != id);
     if other {
         server.note_nothing();
-        return SendOutcome::Unknown("the answer is for another request");
+        return SendOutcome::Unknown(FailureCause::OtherRequest);
     }
     if signs.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         server.note_nothing();
@@ -160,12 +201,12 @@
     }
     if status.is_success() && (!signs.signed || (signs.id.is_none() && !id.is_empty())) {
         server.note_failed();
-        return SendOutcome::Unknown("the answer is not signed");
+        return SendOutcome::Unknown(FailureCause::Unsigned);
     }
     if promises_not_run(status) {
         // Only the server's own proof makes such a status true.
         server.note_failed();
-        return SendOutcome::Unknown("the server refused without proof");
+        return SendOutcome::Unknown(FailureCause::Unproven);
     }
     if let Some(limit) = idle_limit(answer.headers())
         && let Some(link) = flight.link()
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -109,6 +109,12 @@
         None
     }
 
+    /// Whether one of its idle connections is open.
+    pub fn has_open_link(&self) -> bool {
+        let idle = self.idle.borrow();
+        idle.iter().any(|ticket| self.idle_links.is_usable(*ticket))
+    }
+
     /// Keeps a connection for later requests.
     pub fn park(&self, mut link: ServerLink) {
         if !self.is_serving() {
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -24,6 +24,7 @@
 use crate::callers::CallerRegistry;
 use crate::dialect::RequestDialect;
 use crate::directory::InstanceDirectory;
+use crate::endings::EndingWatch;
 use crate::holders;
 use crate::holders::HOLDERS;
 use crate::holders::HolderRefusals;
@@ -105,6 +106,8 @@
     pub tally: Rc<WorkTally>,
     /// Counters and histograms.
     pub measures: Rc<TrafficMeasures>,
+    /// Finds out which servers ended.
+    pub endings: Rc<EndingWatch>,
     /// The servers.
     pub servers: RefCell<ServerPool>,
     roster: RefCell<ServerRoster>,
@@ -144,6 +147,7 @@
             members: Notify::new(),
             measures: Rc::default(),
             pins: PinSet::default(),
+            endings: Rc::default(),
             servers: RefCell::new(ServerPool::new(parts.bounds.idle_links)),
             roster: RefCell::default(),
             table: RefCell::default(),
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod changes;
+mod ending;
 mod fleet;
 mod forwarding;
 mod lifetime;
