--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod changes;
 mod ending;
+mod endless;
 mod fleet;
 mod forwarding;
 mod lifetime;
--- /dev/null
+++ b/tests/testsuite/front/endless.rs
@@ -0,0 +1,186 @@
+//! Servers that send bytes without end in place of an answer.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use platform_standins::BackendBehaviour;
+use platform_standins::EndlessBytes;
+
+use crate::front::Platform;
+use crate::front::request;
+use crate::front::status;
+
+/// Bytes that a server may send of what is no answer: what is in the buffers
+/// of two connections on loopback, many times what an answer's head takes.
+const ENDLESS_LIMIT: u64 = 24 * 1024 * 1024;
+/// Bytes after which a caller reads no further.
+const READ_LIMIT: usize = 512 * 1024 * 1024;
+/// Time after which a caller reads no further; its deadline is 2.5 s.
+const READ_TIME: Duration = Duration::from_secs(10);
+
+/// What a caller got.
+struct ReadAnswer {
+    /// Its first bytes.
+    head: String,
+    bytes: usize,
+    /// Whether the instance ended it.
+    ended: bool,
+    /// Its last bytes.
+    tail: Vec<u8>,
+}
+
+/// Sends `request` and reads the answer, of which little is kept.
+fn read_answer(address: SocketAddr, request: &str) -> ReadAnswer {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    let limit = Some(READ_TIME);
+    stream.set_read_timeout(limit).expect("a time-out");
+    stream
+        .write_all(request.as_bytes())
+        .expect("bytes are sent");
+    let mut answer = ReadAnswer {
+        head: String::new(),
+        bytes: 0,
+        ended: false,
+        tail: Vec::new(),
+    };
+    let begun = std::time::Instant::now();
+    let mut buffer = vec![0; 256 * 1024];
+    while answer.bytes < READ_LIMIT && begun.elapsed() < READ_TIME {
+        let Ok(read) = stream.read(&mut buffer) else {
+            // A time-out, or a connection that was reset.
+            answer.ended = begun.elapsed() < READ_TIME;
+            break;
+        };
+        if read == 0 {
+            answer.ended = true;
+            break;
+        }
+        if answer.head.is_empty() {
+            answer.head = String::from_utf8_lossy(&buffer[..read.min(64)]).into_owned();
+        }
+        answer.bytes += read;
+        answer.tail = buffer[read.saturating_sub(8)..read].to_vec();
+    }
+    answer
+}
+
+/// Guards against interim answers without end that load the instance until
+/// the deadline, and that sound requests of another service wait for
+/// (issue 23).
+#[test]
+fn interim_answers_without_end_are_given_up_and_hold_nobody_else_up() {
+    let platform = Platform::start();
+    platform
+        .plain
+        .set_behaviour(BackendBehaviour::Endless(EndlessBytes::Interim));
+    let callers = platform.front.ports.callers;
+    thread::scope(|scope| {
+        let mut bad = Vec::new();
+        for number in 0..8 {
+            let request = request("/once/x", &format!("id-bad-{number}"), "");
+            bad.push(scope.spawn(move || read_answer(callers, &request)));
+        }
+        for number in 0..10 {
+            let short = request(
+                "/stream/x",
+                &format!("id-{number}"),
+                "Token-Counts: 10,15\r\n",
+            )
+            .replace("Deadline-Ms: 2500", "Deadline-Ms: 1000");
+            let sound = platform.front.call(&short);
+            assert_eq!(status(&sound), "200", "{sound}");
+            assert!(sound.ends_with("0\r\n\r\n"), "{sound}");
+        }
+        for bad in bad {
+            let answer = bad.join().expect("a caller ends");
+            assert_eq!(status(&answer.head), "502", "{}", answer.head);
+        }
+    });
+    let sent = platform.plain.endless_bytes();
+    assert!(sent <= ENDLESS_LIMIT, "the server sent {sent} bytes");
+}
+
+/// Guards against a head or a body without end on a route that is no stream.
+#[test]
+fn an_answer_without_end_on_a_route_that_is_no_stream_is_given_up() {
+    for bytes in [
+        EndlessBytes::HeaderLine,
+        EndlessBytes::Headers,
+        EndlessBytes::Body,
+        EndlessBytes::Chunks,
+        EndlessBytes::Comments,
+    ] {
+        let platform = Platform::start();
+        platform
+            .plain
+            .set_behaviour(BackendBehaviour::Endless(bytes));
+        let request = request("/once/x", "id-1", "");
+        let answer = read_answer(platform.front.ports.callers, &request);
+        assert_eq!(status(&answer.head), "502", "{bytes:?}: {}", answer.head);
+        let sent = platform.plain.endless_bytes();
+        assert!(
+            sent <= ENDLESS_LIMIT,
+            "{bytes:?}: the server sent {sent} bytes"
+        );
+    }
+}
+
+/// Guards against a stream of bytes without an event that passes to the caller
+/// without end (issue 23).
+#[test]
+fn a_stream_of_bytes_without_an_event_is_broken_off() {
+    for bytes in [
+        EndlessBytes::HeaderLine,
+        EndlessBytes::Headers,
+        EndlessBytes::Body,
+        EndlessBytes::Chunks,
+        EndlessBytes::Comments,
+        EndlessBytes::Drops,
+    ] {
+        let platform = Platform::start();
+        platform
+            .engine
+            .set_behaviour(BackendBehaviour::Endless(bytes));
+        let request = request("/stream/x", "id-1", "Token-Counts: 10,15\r\n");
+        let answer = read_answer(platform.front.ports.callers, &request);
+        assert!(answer.ended, "{bytes:?}: {} bytes and no end", answer.bytes);
+        assert!(!answer.tail.ends_with(b"0\r\n\r\n"), "{bytes:?}: whole");
+        let sent = platform.engine.endless_bytes();
+        assert!(
+            sent <= ENDLESS_LIMIT,
+            "{bytes:?}: the server sent {sent} bytes"
+        );
+    }
+}
+
+/// Guards against a stream that always has bytes and so never meets its
+/// deadline (issue 23).
+#[test]
+fn a_stream_of_events_without_end_is_broken_off_at_its_deadline() {
+    let platform = Platform::start();
+    platform
+        .engine
+        .set_behaviour(BackendBehaviour::Endless(EndlessBytes::Events));
+    let callers = platform.front.ports.callers;
+    thread::scope(|scope| {
+        let mut streams = Vec::new();
+        for number in 0..8 {
+            let request = request(
+                "/stream/x",
+                &format!("id-{number}"),
+                "Token-Counts: 10,15\r\n",
+            );
+            let request = request.replace("Deadline-Ms: 2500", "Deadline-Ms: 1000");
+            streams.push(scope.spawn(move || read_answer(callers, &request)));
+        }
+        for stream in streams {
+            let answer = stream.join().expect("a caller ends");
+            assert!(answer.ended, "{} bytes and no end", answer.bytes);
+            assert!(!answer.tail.ends_with(b"0\r\n\r\n"), "whole");
+        }
+    });
+}
