Refuse a request under which servers ended one after the other

Callers saw 502 for each attempt, and everybody whose requests were at the servers lost them: a request that ends the servers that run it reached 32 servers (30 when it may run once), for as long as its caller repeated it.

Cause: no instance remembered what became of a request beyond one attempt.

Each end that HS5104 shows is now evidence against the requests that had not begun to be answered there, by a print of path, caller and body. Ends at the same moment are one round; a further round needs a sender that knew of the one before. A request with rounds goes to one server a time; after two rounds, or three if other servers ended meanwhile, it is refused with 400 (ends_servers), which callers do not repeat, and released after an hour, doubled by each further end. An answer clears it. News go over the link from neighbour to neighbour, and into the topic keyed.suspects, which outlives all processes. Without evidence nothing is hashed.

Ruled out: a bound on a caller's attempts (each is a new request at any instance); condemning by the number of servers alone (a popular lookup is at many servers that end together); a record in the store only (nothing is known while it is away).

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -117,6 +117,14 @@
     RequestDropped = "HS4209", Info, "request ended without an answer";
     RequestCut = "HS4210", Warn, "connection closed with a request on it";
     RequestAtEnd = "HS4211", Warn, "server ended under the request";
+    RequestSuspect = "HS4212", Info, "request under which servers ended is sent to one server";
+    RequestCondemned = "HS4213", Warn, "request refused, servers ended under it one after the other";
+    SuspectCleared = "HS4214", Info, "request under which servers ended was answered";
+    SuspectLearned = "HS4215", Debug, "others say that a server ended under a request";
+    SuspectsExpired = "HS4216", Info, "requests under which servers ended are forgotten";
+    SuspectsNotStored = "HS4217", Warn, "news of requests under which servers ended not appended, will be repeated";
+    SuspectUnreadable = "HS4218", Warn, "record of a request under which servers ended cannot be read";
+    SuspectsNotTold = "HS4219", Info, "instance did not answer news of requests under which servers ended";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -32,7 +32,7 @@
 const ACCOUNTS_PAUSE: Duration = Duration::from_millis(300);
 
 /// What a thread does with the records of a keyed topic.
-trait TopicReader {
+pub(crate) trait TopicReader {
     /// The topic.
     fn topic(&self) -> &'static str;
 
@@ -65,7 +65,11 @@
 
 /// Follows a keyed topic: the newest records first, then what is appended;
 /// after a gap, the newest records again.
-fn follow_keyed<R: TopicReader>(store: &StoreClient, updates: &UpdateSender, mut reader: R) {
+pub(crate) fn follow_keyed<R: TopicReader>(
+    store: &StoreClient,
+    updates: &UpdateSender,
+    mut reader: R,
+) {
     let topic = reader.topic();
     let mut reach = ReachLog::default();
     let mut next: Option<u64> = None;
--- a/crates/hibiscus-front/src/main.rs
+++ b/crates/hibiscus-front/src/main.rs
@@ -12,6 +12,7 @@
 mod reach;
 mod serve;
 mod signals;
+mod suspects;
 
 use std::process::ExitCode;
 
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -35,6 +35,7 @@
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::supply;
+use hibiscus_traffic::suspects::SuspectDesk;
 use hibiscus_traffic::updates;
 use hibiscus_traffic::updates::UpdateReceiver;
 use hibiscus_types::IncarnationId;
@@ -60,6 +61,7 @@
 use crate::config::ConfigBoard;
 use crate::follow;
 use crate::signals;
+use crate::suspects;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -162,6 +164,7 @@
     let store = StoreClient::new(settings.store);
     let (sender, receiver) = updates::ring();
     let (outbox, batches) = mpsc::sync_channel(append::RING_CAPACITY);
+    let (news, suspect_batches) = mpsc::sync_channel(suspects::RING_CAPACITY);
     spawn("signals", {
         let sender = sender.clone();
         move || signals::run(&mut signals, &sender)
@@ -187,6 +190,14 @@
         let (store, sender, own) = (store.clone(), sender.clone(), own.clone());
         move || follow::follow_instances(&store, &sender, &own)
     })?;
+    spawn("suspects", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || suspects::follow_suspects(&store, &sender)
+    })?;
+    spawn("suspects-append", {
+        let (store, limits) = (store.clone(), settings.store_limits);
+        move || suspects::append_suspects(&store, limits, &suspect_batches)
+    })?;
     spawn("append", {
         let (store, sender, limits) = (store.clone(), sender.clone(), settings.store_limits);
         move || append::run(&store, limits, &sender, &batches)
@@ -204,6 +215,7 @@
         budgets: desk,
         retries,
         directory: InstanceDirectory::new(own.clone()),
+        suspects: SuspectDesk::new(own.name.clone(), news),
         bounds: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
@@ -269,6 +281,7 @@
     tokio::task::spawn_local(recovery::close_unproven(Rc::clone(&state)));
     tokio::task::spawn_local(members::keep(Rc::clone(&state), answers::READINESS_PATH));
     tokio::task::spawn_local(endings::keep(Rc::clone(&state)));
+    tokio::task::spawn_local(hibiscus_traffic::suspects::keep(Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_calls(
         readiness,
@@ -326,6 +339,7 @@
     loop {
         tokio::time::sleep(LEVELS_PAUSE).await;
         state.show_levels();
+        state.suspects.tick(state.keeps_suspects(), state.now());
         if let Some(link) = state.link.borrow().as_ref() {
             show_link(&link.counts());
         }
--- /dev/null
+++ b/crates/hibiscus-front/src/suspects.rs
@@ -0,0 +1,141 @@
+//! The fleet's topic of requests under which servers ended.
+//!
+//! It is keyed by request and server, so the store keeps what is in force and
+//! a process that starts reads no history.
+
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::Duration;
+
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_request::suspects::EndEvidence;
+use hibiscus_request::suspects::EndKey;
+use hibiscus_request::suspects::SuspectNews;
+use hibiscus_traffic::suspects::SuspectUpdate;
+use hibiscus_traffic::updates::TrafficUpdate;
+use hibiscus_traffic::updates::UpdateSender;
+use hibiscus_types::codec;
+use platform::records;
+use platform::records::KeyedRecord;
+use platform::records::StoreLimits;
+use platform::store::StoreClient;
+
+use crate::follow;
+use crate::follow::TopicReader;
+
+/// The topic.
+const TOPIC: &str = "keyed.suspects";
+/// Batches that wait for the thread that appends.
+pub(crate) const RING_CAPACITY: usize = 64;
+/// Time for which news are gathered into one append.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Pause after a failed append.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Records kept while the store is away; the oldest go first.
+const KEPT_LIMIT: usize = 4_096;
+
+/// Reads the topic.
+struct SuspectsReader;
+
+impl TopicReader for SuspectsReader {
+    fn topic(&self) -> &'static str {
+        TOPIC
+    }
+
+    fn reset(&mut self, records: Vec<KeyedRecord>, updates: &UpdateSender) {
+        let mut ends = Vec::with_capacity(records.len());
+        for record in records {
+            if let Some(SuspectNews::Ended(evidence)) = decode(&record) {
+                ends.push(evidence);
+            }
+        }
+        let update = SuspectUpdate::Whole(ends);
+        follow::tell(updates, TrafficUpdate::Suspects(update));
+    }
+
+    fn take(&mut self, record: KeyedRecord, updates: &UpdateSender) {
+        if let Some(news) = decode(&record) {
+            let update = SuspectUpdate::Appended(news);
+            follow::tell(updates, TrafficUpdate::Suspects(update));
+        }
+    }
+}
+
+/// Decodes a record; `None` when another writer left it.
+fn decode(record: &KeyedRecord) -> Option<SuspectNews> {
+    let key = EndKey::parse(&record.key);
+    let news = match &record.value {
+        None => key.map(SuspectNews::Dropped),
+        Some(value) => codec::decode::<EndEvidence>(value)
+            .ok()
+            .filter(|evidence| Some(evidence.key()) == key)
+            .map(SuspectNews::Ended),
+    };
+    if news.is_none() {
+        event!(EventCode::SuspectUnreadable, "key={}", record.key);
+    }
+    news
+}
+
+/// Follows the topic.
+pub(crate) fn follow_suspects(store: &StoreClient, updates: &UpdateSender) {
+    follow::follow_keyed(store, updates, SuspectsReader);
+}
+
+/// Appends what comes over `batches` until its sender is dropped, however
+/// often it takes. Copies change nothing.
+pub(crate) fn append_suspects(
+    store: &StoreClient,
+    limits: StoreLimits,
+    batches: &Receiver<Vec<SuspectNews>>,
+) {
+    let mut kept: Vec<Vec<u8>> = Vec::new();
+    while let Ok(news) = batches.recv() {
+        kept.extend(news.iter().filter_map(encode));
+        thread::sleep(GATHER_TIME);
+        loop {
+            while let Ok(more) = batches.try_recv() {
+                kept.extend(more.iter().filter_map(encode));
+            }
+            let surplus = kept.len().saturating_sub(KEPT_LIMIT);
+            kept.drain(..surplus);
+            if append(store, limits, &mut kept) {
+                break;
+            }
+            thread::sleep(FAILURE_PAUSE);
+        }
+    }
+}
+
+/// Appends `kept` and removes what the store has; false when a call failed.
+fn append(store: &StoreClient, limits: StoreLimits, kept: &mut Vec<Vec<u8>>) -> bool {
+    for call in limits.batches(kept.clone()) {
+        if let Err(error) = store.append(TOPIC, &call) {
+            event!(
+                EventCode::SuspectsNotStored,
+                "records={} cause={error}",
+                kept.len()
+            );
+            return false;
+        }
+        kept.drain(..call.len());
+    }
+    true
+}
+
+/// The record of `news`.
+fn encode(news: &SuspectNews) -> Option<Vec<u8>> {
+    let key = news.key().to_string();
+    let value = match news {
+        SuspectNews::Dropped(_) => Vec::new(),
+        SuspectNews::Ended(evidence) => match codec::encode(evidence) {
+            Ok(value) => value,
+            Err(error) => {
+                event!(EventCode::SuspectsNotStored, "records=1 cause={error}");
+                return None;
+            }
+        },
+    };
+    Some(records::encode_keyed(&key, &value))
+}
--- a/crates/hibiscus-request/src/print.rs
+++ b/crates/hibiscus-request/src/print.rs
@@ -11,6 +11,9 @@
 /// Bytes of the digest that are kept.
 const DIGEST_BYTES: usize = 16;
 
+/// Digits of a sketch in hexadecimal.
+const SKETCH_DIGITS: usize = 16;
+
 /// Names all requests with the same path, caller and body.
 ///
 /// The sketch leaves the body's bytes out, so that most requests are told
@@ -55,12 +58,32 @@
         }
     }
 
+    /// The print whose sketch and digest `text` holds, one after the other.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (sketch, digest) = text.split_at_checked(SKETCH_DIGITS)?;
+        if digest.len() != 2 * DIGEST_BYTES {
+            return None;
+        }
+        let digest = u128::from_str_radix(digest, 16).ok()?;
+        Some(Self {
+            sketch: RequestSketch(u64::from_str_radix(sketch, 16).ok()?),
+            digest: digest.to_be_bytes(),
+        })
+    }
+
     /// The part without the body's bytes.
     pub fn sketch(&self) -> RequestSketch {
         self.sketch
     }
 }
 
+/// The sketch in hexadecimal.
+impl fmt::Display for RequestSketch {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
 /// The digest in hexadecimal.
 impl fmt::Display for RequestPrint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/hibiscus-traffic/src/answer.rs
+++ b/crates/hibiscus-traffic/src/answer.rs
@@ -38,6 +38,9 @@
     Overloaded,
     /// This instance is stopping.
     Stopping,
+    /// Servers ended under the request one after the other. It was not sent
+    /// this time, and the caller must not repeat it.
+    EndsServers,
     /// The request was sent and its outcome is not known.
     Unknown,
     /// The request was sent and its time ran out.
@@ -49,7 +52,7 @@
     /// server, or after a server's own proof, map to 503.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BadRequest | Self::EndsServers => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
@@ -81,6 +84,7 @@
             Self::TimeSpent => "time_spent",
             Self::Overloaded => "overloaded",
             Self::Stopping => "stopping",
+            Self::EndsServers => "ends_servers",
             Self::Unknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
--- a/crates/hibiscus-traffic/src/endings.rs
+++ b/crates/hibiscus-traffic/src/endings.rs
@@ -106,6 +106,8 @@
     pub identity: Rc<RequestIdentity>,
     /// When it was sent.
     pub sent: Instant,
+    /// Rounds of ends under it that were known then.
+    pub known: u8,
 }
 
 /// One process of a server.
@@ -218,15 +220,6 @@
         entry.started,
         requests.len()
     );
-    for request in requests {
-        event!(
-            EventCode::RequestAtEnd,
-            "request={} server={} print={} bytes={} sent_ms={}",
-            request.id,
-            entry.name,
-            request.identity.print(),
-            request.identity.body.len(),
-            request.sent.elapsed().as_millis()
-        );
-    }
+    let now = state.now();
+    state.suspects.note_end(&server, &requests, now);
 }
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -8,6 +8,7 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account::purse::TokenHold;
+use hibiscus_request::print::RequestPrint;
 use hibiscus_routing::placement::PartTokens;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
@@ -24,6 +25,7 @@
 use crate::servers::ChosenServer;
 use crate::servers::ServerHandle;
 use crate::state::CountGuard;
+use crate::suspects::SuspectDesk;
 use crate::tally::CloseReason;
 
 /// A request's reservation. It is settled once, when the last owner is
@@ -199,6 +201,10 @@
     pub unbegun: Option<UnbegunRequest>,
     /// Where to tell that the server broke it off.
     pub endings: Rc<EndingWatch>,
+    /// Where to tell that it was answered.
+    pub suspects: Rc<SuspectDesk>,
+    /// The request, if servers ended under it before.
+    pub suspect: Option<RequestPrint>,
 }
 
 impl FlightWatch {
@@ -267,6 +273,9 @@
                     self.arrived.elapsed().as_millis()
                 );
                 server.note_healthy();
+                if let Some(print) = &self.suspect {
+                    self.suspects.note_answered(&self.id, print);
+                }
                 self.flight.keep_link();
             }
             Some(fault) => {
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -9,7 +9,7 @@
 //!   kept connections ([`connect`], [`idle`]); [`relay`] passes an answer's bytes on and
 //!   checks that it is whole.
 //! - [`endings`] finds out whether a server that broke a request's connection
-//!   has ended.
+//!   has ended, and [`suspects`] what follows for those under which servers do.
 //! - [`supply`] gets a request's tokens from [`budgets`], or from the instances
 //!   that [`holders`] names; [`retries`] holds what may be sent twice,
 //!   [`directory`] which instances callers are told of; [`members`] has them
@@ -59,6 +59,7 @@
 pub mod state;
 pub mod stream;
 pub mod supply;
+pub mod suspects;
 pub mod table;
 pub mod tally;
 pub mod updates;
--- a/crates/hibiscus-traffic/src/life/forwarding.rs
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use hibiscus_request::print::RequestPrint;
 use hibiscus_routing::placement::PartTokens;
 use hibiscus_routing::placement::PlacementCase;
 use hibiscus_types::ServerName;
@@ -38,6 +39,9 @@
 use crate::send::ServerAnswer;
 use crate::servers::ServerHandle;
 use crate::state::TrafficState;
+use crate::suspects;
+use crate::suspects::SuspectDesk;
+use crate::suspects::SuspectStanding;
 
 /// Servers tried for one request while none has run it.
 const TRIES: usize = 4;
@@ -111,6 +115,20 @@
     }
 }
 
+/// What is known against the request; fails when it must not be sent.
+pub(super) fn check_standing<D: RequestDialect>(
+    state: &TrafficState<D>,
+    admitted: &AdmittedRequest,
+) -> Result<SuspectStanding> {
+    let standing = state.suspects.standing(&admitted.identity);
+    if let SuspectStanding::Condemned(_) = standing {
+        let print = admitted.identity.print();
+        suspects::log_standing(&admitted.signs.id, &print, &standing);
+        return Err(OwnReason::EndsServers);
+    }
+    Ok(standing)
+}
+
 /// Sends the request until a server answers or nothing more may be tried.
 pub(super) async fn forward<D: RequestDialect>(
     state: &Rc<TrafficState<D>>,
@@ -162,6 +180,14 @@
     charge: Option<&Rc<RequestCharge>>,
     trail: &mut ForwardTrail,
 ) -> NextStep {
+    // Other instances may have learned more since the attempt before.
+    let standing = match check_standing(state, admitted) {
+        Ok(standing) => standing,
+        Err(reason) => {
+            trail.reason = reason;
+            return NextStep::End;
+        }
+    };
     let (shared, own_tokens) = shared_parts(&admitted.signs);
     let case = PlacementCase {
         shared: &shared,
@@ -199,6 +225,13 @@
         until: admitted.until,
         leaves_silent: may_run_again(admitted, trail.runs + 1),
     };
+    let suspect = match &standing {
+        SuspectStanding::Clear => None,
+        _ => Some(admitted.identity.print()),
+    };
+    if let Some(print) = &suspect {
+        suspects::log_standing(&admitted.signs.id, print, &standing);
+    }
     let flight = ServerFlight::begin(&chosen, &shared, state.now());
     if let Some(charge) = charge {
         charge.note_sent(true);
@@ -212,24 +245,38 @@
         id: admitted.signs.id.clone(),
         identity: Rc::clone(&admitted.identity),
         sent: Instant::now(),
+        known: standing.rounds(),
     };
     let outcome = send::send(&state.dialect, flight, &outgoing).await;
     let attempt = SentAttempt {
         server: chosen.server,
         unbegun,
         endings: Rc::clone(&state.endings),
+        suspects: Rc::clone(&state.suspects),
+        suspect,
     };
     follow(admitted, charge, trail, attempt, outcome).await
 }
 
-/// A request that was sent to a server, and where to tell that it broke.
-struct SentAttempt {
+/// A request that was sent to a server, and where to tell what became of it.
+#[derive(Clone)]
+pub(super) struct SentAttempt {
     server: Rc<ServerHandle>,
     unbegun: UnbegunRequest,
     endings: Rc<EndingWatch>,
+    suspects: Rc<SuspectDesk>,
+    /// The request, if servers ended under it before.
+    suspect: Option<RequestPrint>,
 }
 
 impl SentAttempt {
+    /// The server answered the whole of it.
+    fn note_answered(&self) {
+        if let Some(print) = &self.suspect {
+            self.suspects.note_answered(&self.unbegun.id, print);
+        }
+    }
+
     /// The server gave no answer that is of use.
     fn fail(
         self,
@@ -238,8 +285,13 @@
         cause: FailureCause,
     ) -> NextStep {
         let next = trail.note_failed(admitted, &self.server.entry.name, cause);
-        if cause.is_broken() {
-            self.endings.note_broken(&self.server, self.unbegun);
+        if !cause.is_broken() {
+            return next;
+        }
+        self.endings.note_broken(&self.server, self.unbegun);
+        // The next server would end too if the request ends servers.
+        if self.suspect.is_some() {
+            return NextStep::End;
         }
         next
     }
@@ -307,8 +359,7 @@
         body: Incoming,
         flight: ServerFlight,
         charge: Option<Rc<RequestCharge>>,
-        unbegun: UnbegunRequest,
-        endings: Rc<EndingWatch>,
+        attempt: SentAttempt,
     },
 }
 
@@ -321,7 +372,7 @@
         measures: Rc<TrafficMeasures>,
     ) -> Response<AnswerBody> {
         let kind = admitted.route.kind;
-        let (head, body, flight, charge, unbegun, endings) = match self {
+        let (head, body, flight, charge, attempt) = match self {
             Self::Whole(answer) => {
                 let taken = admitted.arrived.elapsed();
                 measures.first_event(kind, taken);
@@ -333,9 +384,8 @@
                 body,
                 flight,
                 charge,
-                unbegun,
-                endings,
-            } => (head, body, flight, charge, unbegun, endings),
+                attempt,
+            } => (head, body, flight, charge, attempt),
         };
         let engine = admitted.table.engine(&admitted.service);
         let watch = FlightWatch {
@@ -348,8 +398,10 @@
             charge,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             progress,
-            unbegun: Some(unbegun),
-            endings,
+            unbegun: Some(attempt.unbegun),
+            endings: attempt.endings,
+            suspects: attempt.suspects,
+            suspect: attempt.suspect,
         };
         let deadline = tokio::time::sleep_until(admitted.until.into());
         let relay = StreamRelay::new(body, admitted.signs.resume_after, deadline, watch);
@@ -374,8 +426,7 @@
             body,
             flight,
             charge: charge.map(Rc::clone),
-            unbegun: attempt.unbegun.clone(),
-            endings: Rc::clone(&attempt.endings),
+            attempt: attempt.clone(),
         });
     }
     let wait = admitted.until.saturating_duration_since(Instant::now());
@@ -387,6 +438,7 @@
     };
     flight.note_read();
     flight.server().note_healthy();
+    attempt.note_answered();
     event!(
         EventCode::RequestEnded,
         "request={} server={} status={} total_ms={}",
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -6,7 +6,8 @@
 //! as spent before it answers, so a reply that is lost loses tokens and spends
 //! none twice. One whose machine lost its power asks for the time of day
 //! ([`crate::recovery`]), and watchers pass on who is silent
-//! ([`crate::members`]).
+//! ([`crate::members`]). Who saw servers end under a request tells that
+//! ([`crate::suspects`]).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +19,7 @@
 use hibiscus_membership::verdict::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
+use hibiscus_request::suspects::SuspectNews;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::UnixMillis;
@@ -75,6 +77,8 @@
     },
     /// Takes over which instances are silent.
     Silence(SilenceMessage),
+    /// Takes over under which requests servers ended.
+    Suspects(Vec<SuspectNews>),
 }
 
 /// The answer to a question.
@@ -92,6 +96,8 @@
     Returned,
     /// Which instances are silent.
     Silence(SilenceMessage),
+    /// The news of suspects were taken over.
+    SuspectsTaken,
 }
 
 /// Answers other instances for as long as the runtime runs.
@@ -176,6 +182,10 @@
             state.members.notify_one();
             PeerAnswer::Silence(answer)
         }
+        PeerQuestion::Suspects(news) => {
+            state.suspects.take_news(news.clone(), state.now());
+            PeerAnswer::SuspectsTaken
+        }
     }
 }
 
@@ -262,6 +272,14 @@
     }
 }
 
+/// Tells one instance under which requests servers ended; false when it does
+/// not answer.
+pub async fn tell_suspects(link: &PinnedLink, peer: SocketAddr, news: &[SuspectNews]) -> bool {
+    let question = PeerQuestion::Suspects(news.to_vec());
+    let answer = ask(link, peer, &question, TIME_LIMIT).await;
+    answer == Some(PeerAnswer::SuspectsTaken)
+}
+
 /// Asks one instance.
 pub(crate) async fn ask(
     link: &PinnedLink,
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -45,6 +45,7 @@
 use crate::servers;
 use crate::servers::ServerPool;
 use crate::shares::MemoryShares;
+use crate::suspects::SuspectDesk;
 use crate::table::RouteTable;
 use crate::tally::WorkTally;
 use crate::updates::ConfigArrival;
@@ -69,6 +70,8 @@
     pub retries: RetryCounter,
     /// The instances.
     pub directory: InstanceDirectory,
+    /// The requests under which servers ended.
+    pub suspects: SuspectDesk,
     /// What each duty may take of the machine.
     pub bounds: MemoryShares,
     /// What the machine gives the process.
@@ -108,6 +111,8 @@
     pub measures: Rc<TrafficMeasures>,
     /// Finds out which servers ended.
     pub endings: Rc<EndingWatch>,
+    /// The requests under which servers ended.
+    pub suspects: Rc<SuspectDesk>,
     /// The servers.
     pub servers: RefCell<ServerPool>,
     roster: RefCell<ServerRoster>,
@@ -148,6 +153,7 @@
             measures: Rc::default(),
             pins: PinSet::default(),
             endings: Rc::default(),
+            suspects: Rc::new(parts.suspects),
             servers: RefCell::new(ServerPool::new(parts.bounds.idle_links)),
             roster: RefCell::default(),
             table: RefCell::default(),
@@ -278,6 +284,10 @@
                 self.budgets.acknowledge(number, end);
                 self.review_waiting();
             }
+            TrafficUpdate::Suspects(update) => {
+                let keeps = self.keeps_suspects();
+                self.suspects.take_stored(update, keeps, self.now());
+            }
             TrafficUpdate::Instance(entry) => {
                 self.announce(entry);
                 self.members.notify_one();
--- /dev/null
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -0,0 +1,354 @@
+//! What the request path does with requests under which servers ended.
+//!
+//! [`SuspectDesk`] holds the book ([`hibiscus_request::suspects`]). News go two
+//! ways: over the link from neighbour to neighbour ([`keep`]), which takes
+//! milliseconds and needs no store, and into a topic of the fleet, which
+//! outlives all processes. Whoever learns something new passes it on, so a
+//! server's end costs each instance a message to each of its few contacts.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_request::print::RequestPrint;
+use hibiscus_request::suspects::EndEvidence;
+use hibiscus_request::suspects::ServerProcess;
+use hibiscus_request::suspects::SuspectBook;
+use hibiscus_request::suspects::SuspectCase;
+use hibiscus_request::suspects::SuspectNews;
+use hibiscus_types::InstanceName;
+use hibiscus_types::UnixMillis;
+use metrics::counter;
+use metrics::gauge;
+use tokio::sync::Notify;
+
+use crate::dialect::RequestDialect;
+use crate::endings::RequestIdentity;
+use crate::endings::UnbegunRequest;
+use crate::peers;
+use crate::servers::ServerHandle;
+use crate::state::TrafficState;
+
+/// Requests under which servers ended, by what became of them.
+pub const SUSPECT_REQUESTS: &str = "hibiscus_suspect_requests_total";
+/// Requests in the book.
+pub const SUSPECTS: &str = "hibiscus_suspects";
+
+/// News in one message over the link: less than 16 KB.
+const NEWS_LIMIT: usize = 100;
+/// News that wait to be passed on over the link; the topic has what is lost.
+const WAITING_LIMIT: usize = 10_000;
+/// Pause before an instance that did not answer is told once more.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+/// Time after which another instance appends what the topic does not hold: the
+/// one that saw the server end may have been killed.
+const STORE_TIME: Duration = Duration::from_secs(5);
+/// Subject by which one instance is chosen for that.
+const STORE_SUBJECT: &str = "suspects";
+
+/// What a request that is to be sent is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SuspectStanding {
+    /// Nothing is known against it.
+    Clear,
+    /// Servers ended under it: it may be sent to one server.
+    Suspect(SuspectCase),
+    /// It must not be sent.
+    Condemned(SuspectCase),
+}
+
+impl SuspectStanding {
+    /// Rounds of ends that are known.
+    pub fn rounds(&self) -> u8 {
+        match self {
+            Self::Clear => 0,
+            Self::Suspect(case) | Self::Condemned(case) => case.rounds,
+        }
+    }
+}
+
+/// What the topic of the fleet holds.
+#[derive(Debug)]
+pub enum SuspectUpdate {
+    /// All of it, read anew.
+    Whole(Vec<EndEvidence>),
+    /// A record that was appended.
+    Appended(SuspectNews),
+}
+
+/// Holds the requests under which servers ended.
+#[derive(Debug)]
+pub struct SuspectDesk {
+    own: InstanceName,
+    book: RefCell<SuspectBook>,
+    waiting: RefCell<Vec<SuspectNews>>,
+    has_news: Notify,
+    outbox: SyncSender<Vec<SuspectNews>>,
+}
+
+impl SuspectDesk {
+    /// The empty desk of the instance `own`, whose records go to `outbox`.
+    pub fn new(own: InstanceName, outbox: SyncSender<Vec<SuspectNews>>) -> Self {
+        Self {
+            own,
+            book: RefCell::default(),
+            waiting: RefCell::default(),
+            has_news: Notify::new(),
+            outbox,
+        }
+    }
+
+    /// What is known against a request. Its body is read only when others of
+    /// its team, path and length are known.
+    pub fn standing(&self, identity: &RequestIdentity) -> SuspectStanding {
+        let book = self.book.borrow();
+        if book.is_empty() || !book.may_hold(identity.sketch()) {
+            return SuspectStanding::Clear;
+        }
+        match book.case(&identity.print(), UnixMillis::now()) {
+            None => SuspectStanding::Clear,
+            Some(case) if case.released.is_some() => SuspectStanding::Condemned(case),
+            Some(case) => SuspectStanding::Suspect(case),
+        }
+    }
+
+    /// `server` ended at `now` under `requests`.
+    pub fn note_end(&self, server: &ServerHandle, requests: &[UnbegunRequest], now: Duration) {
+        let entry = &server.entry;
+        let process = ServerProcess::of(&entry.name, entry.started);
+        let mut news = Vec::with_capacity(requests.len());
+        self.book.borrow_mut().note_end(process, now);
+        for request in requests {
+            let print = request.identity.print();
+            let mut book = self.book.borrow_mut();
+            let evidence = EndEvidence {
+                print,
+                server: entry.name.clone(),
+                started: entry.started,
+                known: request.known,
+                alone: book.is_alone(&print, process, now),
+                reporter: self.own.clone(),
+                seen: UnixMillis::now(),
+            };
+            let before = book.case(&print, evidence.seen);
+            event!(
+                EventCode::RequestAtEnd,
+                "request={} server={} print={print} bytes={} sent_ms={} known_rounds={} servers_before={} alone={}",
+                request.id,
+                entry.name,
+                request.identity.body.len(),
+                request.sent.elapsed().as_millis(),
+                request.known,
+                before.map_or(0, |case| case.servers),
+                evidence.alone
+            );
+            if book.take(evidence.clone(), now) {
+                news.push(SuspectNews::Ended(evidence));
+            }
+        }
+        self.store(news.clone());
+        self.pass_on(news);
+    }
+
+    /// The request was answered, so it ends no servers.
+    pub fn note_answered(&self, id: &str, print: &RequestPrint) {
+        let keys = self.book.borrow_mut().clear(print);
+        if keys.is_empty() {
+            return;
+        }
+        counter!(SUSPECT_REQUESTS, "verdict" => "cleared").increment(1);
+        event!(
+            EventCode::SuspectCleared,
+            "request={id} print={print} servers={}",
+            keys.len()
+        );
+        let news: Vec<_> = keys.into_iter().map(SuspectNews::Dropped).collect();
+        self.store(news.clone());
+        self.pass_on(news);
+    }
+
+    /// Takes over at `now` what another instance tells.
+    pub fn take_news(&self, news: Vec<SuspectNews>, now: Duration) {
+        let mut new = Vec::new();
+        for item in news {
+            if self.take(&item, "instance", now) {
+                new.push(item);
+            }
+        }
+        self.pass_on(new);
+    }
+
+    /// Takes over at `now` what the topic holds. `keeps` says whether this
+    /// instance keeps the topic tidy.
+    pub fn take_stored(&self, update: SuspectUpdate, keeps: bool, now: Duration) {
+        match update {
+            SuspectUpdate::Whole(records) => {
+                let listed: BTreeSet<_> = records.iter().map(EndEvidence::key).collect();
+                for evidence in records {
+                    self.take_record(SuspectNews::Ended(evidence), keeps, now);
+                }
+                self.book.borrow_mut().keep_stored(&listed);
+            }
+            SuspectUpdate::Appended(news) => self.take_record(news, keeps, now),
+        }
+    }
+
+    fn take_record(&self, record: SuspectNews, keeps: bool, now: Duration) {
+        let key = record.key();
+        let _new = self.take(&record, "topic", now);
+        if let SuspectNews::Dropped(_) = record {
+            return;
+        }
+        let mut book = self.book.borrow_mut();
+        book.note_stored(&key);
+        // A late append brought back what had been dropped.
+        let is_late = book.was_dropped(&key);
+        drop(book);
+        if is_late && keeps {
+            self.store(vec![SuspectNews::Dropped(key)]);
+        }
+    }
+
+    /// Takes one piece of news over; whether it was new.
+    fn take(&self, news: &SuspectNews, source: &str, now: Duration) -> bool {
+        let mut book = self.book.borrow_mut();
+        let evidence = match news {
+            SuspectNews::Dropped(key) => return book.drop_end(key),
+            SuspectNews::Ended(evidence) => evidence,
+        };
+        if !book.take(evidence.clone(), now) {
+            return false;
+        }
+        event!(
+            EventCode::SuspectLearned,
+            "print={} server={} known_rounds={} reporter={} source={source} age_ms={}",
+            evidence.print,
+            evidence.server,
+            evidence.known,
+            evidence.reporter,
+            UnixMillis::now().since(evidence.seen).as_millis()
+        );
+        true
+    }
+
+    /// Lets time pass: forgets what is old, and appends what whoever saw it did
+    /// not, if this instance `keeps` the topic.
+    pub fn tick(&self, keeps: bool, now: Duration) {
+        let expired = self.book.borrow_mut().expire(UnixMillis::now());
+        gauge!(SUSPECTS).set(self.book.borrow().len() as f64);
+        if !expired.is_empty() {
+            event!(EventCode::SuspectsExpired, "ends={}", expired.len());
+        }
+        if !keeps {
+            return;
+        }
+        let mut news: Vec<_> = expired.into_iter().map(SuspectNews::Dropped).collect();
+        let before = now.saturating_sub(STORE_TIME);
+        let missing = self.book.borrow().not_stored(before);
+        news.extend(missing.into_iter().map(SuspectNews::Ended));
+        self.store(news);
+    }
+
+    /// Appends `news` to the topic. A full ring loses them: the tick repeats
+    /// what the topic does not hold.
+    fn store(&self, news: Vec<SuspectNews>) {
+        if news.is_empty() {
+            return;
+        }
+        let count = news.len();
+        if self.outbox.try_send(news).is_err() {
+            event!(
+                EventCode::SuspectsNotStored,
+                "records={count} cause=ring_full"
+            );
+        }
+    }
+
+    fn pass_on(&self, news: Vec<SuspectNews>) {
+        if news.is_empty() {
+            return;
+        }
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.extend(news);
+        let surplus = waiting.len().saturating_sub(WAITING_LIMIT);
+        waiting.drain(..surplus);
+        self.has_news.notify_one();
+    }
+
+    /// The next news for the contacts.
+    fn next_news(&self) -> Vec<SuspectNews> {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(NEWS_LIMIT);
+        waiting.drain(..count).collect()
+    }
+}
+
+impl<D: RequestDialect> TrafficState<D> {
+    /// Whether this instance keeps the topic of suspects tidy.
+    pub fn keeps_suspects(&self) -> bool {
+        self.directory.borrow().is_first_for(STORE_SUBJECT)
+    }
+}
+
+/// Logs that the request `id` is sent on suspicion, or refused.
+pub fn log_standing(id: &str, print: &RequestPrint, standing: &SuspectStanding) {
+    let (code, verdict, case) = match standing {
+        SuspectStanding::Clear => return,
+        SuspectStanding::Suspect(case) => (EventCode::RequestSuspect, "suspect", case),
+        SuspectStanding::Condemned(case) => (EventCode::RequestCondemned, "condemned", case),
+    };
+    counter!(SUSPECT_REQUESTS, "verdict" => verdict).increment(1);
+    let now = UnixMillis::now();
+    event!(
+        code,
+        "request={id} print={print} servers={} rounds={} newest_server={} reporter={} age_ms={} released_s={}",
+        case.servers,
+        case.rounds,
+        case.newest.server,
+        case.newest.reporter,
+        now.since(case.newest.seen).as_millis(),
+        case.released.map_or(0, |at| at.since(now).as_secs())
+    );
+}
+
+/// Passes news on over the link for as long as the runtime runs.
+pub async fn keep<D: RequestDialect>(state: Rc<TrafficState<D>>) {
+    loop {
+        let news = state.suspects.next_news();
+        if news.is_empty() {
+            state.suspects.has_news.notified().await;
+            continue;
+        }
+        let contacts = state.directory.borrow().contacts();
+        for contact in contacts {
+            tokio::task::spawn_local(tell(Rc::clone(&state), contact, news.clone()));
+        }
+    }
+}
+
+/// Tells one instance, twice if it does not answer.
+async fn tell<D: RequestDialect>(
+    state: Rc<TrafficState<D>>,
+    contact: SocketAddr,
+    news: Vec<SuspectNews>,
+) {
+    let Some(link) = state.link.borrow().clone() else {
+        return;
+    };
+    if peers::tell_suspects(&link, contact, &news).await {
+        return;
+    }
+    tokio::time::sleep(REPEAT_PAUSE).await;
+    if !peers::tell_suspects(&link, contact, &news).await {
+        event!(
+            EventCode::SuspectsNotTold,
+            "peer={contact} news={}",
+            news.len()
+        );
+    }
+}
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -11,6 +11,7 @@
 use crate::model::FleetConfig;
 use crate::model::InstanceEntry;
 use crate::model::ServerEntry;
+use crate::suspects::SuspectUpdate;
 
 /// News that wait for the traffic thread; a thread that finds the ring full
 /// waits.
@@ -100,6 +101,8 @@
     },
     /// The announcements that the store had were told.
     InstancesRead,
+    /// What the fleet's topic says of requests under which servers ended.
+    Suspects(SuspectUpdate),
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Another instance answers, or does not.
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -29,6 +29,7 @@
 use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficParts;
 use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::suspects::SuspectDesk;
 use hibiscus_traffic::updates::ConfigArrival;
 use hibiscus_traffic::updates::ConfigSource;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -83,6 +84,7 @@
 /// A request path, and the batches that go to the store.
 fn state() -> (TrafficState<SilentDialect>, Receiver<AccountBatch>) {
     let (outbox, batches) = mpsc::sync_channel(16);
+    let (suspects, _records) = mpsc::sync_channel(16);
     let own = instance(0);
     let clock = MachineClock::of_this_boot();
     let desk = BudgetDesk::new(own.incarnation, own.name.clone(), clock, outbox);
@@ -95,6 +97,7 @@
             slack: 54.0,
             window: Duration::from_secs(10),
         }),
+        suspects: SuspectDesk::new(own.name.clone(), suspects),
         directory: InstanceDirectory::new(own),
         bounds: MemoryShares::of_machine(88 << 20, 4_100),
         limits: MachineLimits::default(),
