Tell the fleet which servers have ended, and pass closed ports over

Callers were refused with 503 (no_server) while a third of the servers was free: after a crash of 70 in 100 of 140 servers each of 62 instances found out by itself which had ended, by up to four refused connections a request, after which it gave the request up.

A closed port proves that the server's process has ended, for every instance; a reset, a silence or a bad answer may be the path's and stays with who saw it. Who finds a port closed now tells it with the news of suspects; the server is avoided for 6 s, or until its entry names another start. A closed port costs a request a round trip and no longer one of its four tries, up to 12 of them. Streams that break off are a reason to look too.

Looked at and left: sharing what is found of a server that answers garbage or without end, or is silent (it may be so for some callers only); budgets and keys (one account and one configuration hold them for all).

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -124,11 +124,12 @@
     SuspectsExpired = "HS4216", Info, "requests under which servers ended are forgotten";
     SuspectsNotStored = "HS4217", Warn, "news of requests under which servers ended not appended, will be repeated";
     SuspectUnreadable = "HS4218", Warn, "record of a request under which servers ended cannot be read";
-    SuspectsNotTold = "HS4219", Info, "instance did not answer news of requests under which servers ended";
+    SuspectsNotTold = "HS4219", Info, "instance did not answer news of servers that ended";
     ServerStopped = "HS5001", Warn, "server stopped while it ran a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server gone";
     EntryUnreadable = "HS5103", Info, "entry names no server";
-    ServerEnded = "HS5104", Warn, "server ended with requests on it";
+    ServerEnded = "HS5104", Warn, "server ended, its port is closed";
     ServerNotEnded = "HS5105", Info, "server broke connections and has not ended";
+    ServerEndLearned = "HS5106", Info, "another instance found that a server ended";
 }
--- a/crates/hibiscus-request/src/suspects.rs
+++ b/crates/hibiscus-request/src/suspects.rs
@@ -48,7 +48,7 @@
 /// Dropped ends that are remembered, so that late copies change nothing.
 const DROPPED_LIMIT: usize = 4_096;
 /// Ends of servers that are remembered for [`ALONE_TIME`].
-const RECENT_LIMIT: usize = 256;
+const RECENT_LIMIT: usize = 4_096;
 
 /// Names one process of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -213,7 +213,7 @@
     /// The dropped ends, oldest first.
     dropped_order: VecDeque<EndKey>,
     /// Servers that ended, and when.
-    recent: VecDeque<(ServerProcess, Duration)>,
+    recent: HashMap<ServerProcess, Duration>,
     /// Ends that had no room any more.
     surplus: Vec<EndKey>,
 }
@@ -247,15 +247,19 @@
         })
     }
 
-    /// A server ended at `now`, whatever was on it.
-    pub fn note_end(&mut self, process: ServerProcess, now: Duration) {
-        if self.recent.iter().any(|(known, _at)| *known == process) {
-            return;
+    /// A server ended at `now`, whatever was on it; false when that was known.
+    pub fn note_end(&mut self, process: ServerProcess, now: Duration) -> bool {
+        if self.recent.contains_key(&process) {
+            return false;
         }
-        if self.recent.len() == RECENT_LIMIT {
-            self.recent.pop_front();
+        if self.recent.len() >= RECENT_LIMIT {
+            let recent = &mut self.recent;
+            recent.retain(|_process, at| now.saturating_sub(*at) <= ALONE_TIME);
         }
-        self.recent.push_back((process, now));
+        if self.recent.len() < RECENT_LIMIT {
+            self.recent.insert(process, now);
+        }
+        true
     }
 
     /// Whether no server ended without the request shortly before `now`, other
--- a/crates/hibiscus-traffic/src/connect.rs
+++ b/crates/hibiscus-traffic/src/connect.rs
@@ -35,7 +35,9 @@
 /// Why there is no connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectFault {
-    /// The server refused or reset it.
+    /// Nothing listens at the address.
+    Closed,
+    /// The server reset it.
     Refused,
     /// The server did not answer in time.
     Silent,
@@ -88,7 +90,10 @@
         let connect = TcpStream::connect(address);
         let stream = match tokio::time::timeout(CONNECT_LIMIT, connect).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(_refused)) => return Err(ConnectFault::Refused),
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(ConnectFault::Closed);
+            }
+            Ok(Err(_reset)) => return Err(ConnectFault::Refused),
             Err(_elapsed) => return Err(ConnectFault::Silent),
         };
         set_options(&stream);
--- a/crates/hibiscus-traffic/src/endings.rs
+++ b/crates/hibiscus-traffic/src/endings.rs
@@ -131,9 +131,12 @@
 }
 
 impl EndingWatch {
-    /// The server broke the connection of `request`, which it had not begun to
-    /// answer.
-    pub fn note_broken(&self, server: &Rc<ServerHandle>, request: UnbegunRequest) {
+    /// The server broke a connection off, with `request` on it if it had not
+    /// begun to be answered, or refuses new ones.
+    pub fn note_broken(&self, server: &Rc<ServerHandle>, request: Option<UnbegunRequest>) {
+        if server.is_closed() && request.is_none() {
+            return;
+        }
         let process = process_of(server);
         let found = self.open.borrow().get(&process).copied();
         if found.is_some_and(|found| found.elapsed() < OPEN_TIME) {
@@ -146,7 +149,7 @@
             is_taken: false,
         });
         if case.requests.len() < NOTED_LIMIT {
-            case.requests.push(request);
+            case.requests.extend(request);
         }
         self.noted.notify_one();
     }
@@ -220,6 +223,7 @@
         entry.started,
         requests.len()
     );
+    server.note_closed();
     let now = state.now();
     state.suspects.note_end(&server, &requests, now);
 }
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -282,10 +282,8 @@
                 if matches!(fault, RelayFault::Broken | RelayFault::Endless) {
                     server.note_failed();
                 }
-                if fault == RelayFault::Broken
-                    && let Some(unbegun) = self.unbegun.take()
-                {
-                    self.endings.note_broken(server, unbegun);
+                if fault == RelayFault::Broken {
+                    self.endings.note_broken(server, self.unbegun.take());
                 }
                 event!(
                     EventCode::AnswerBroken,
--- a/crates/hibiscus-traffic/src/life/forwarding.rs
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::OwnReason;
+use crate::connect::ConnectFault;
 use crate::dialect::CallerSigns;
 use crate::dialect::RequestDialect;
 use crate::dialect::ServerSigns;
@@ -46,6 +47,9 @@
 /// Servers tried for one request while none has run it.
 const TRIES: usize = 4;
 
+/// Servers with a closed port that are passed over for one request.
+const CLOSED_TRIES: usize = 12;
+
 /// Longest answer that is gathered before its head goes out, in bytes.
 const GATHER_LIMIT: usize = 256 * 1024;
 
@@ -55,6 +59,8 @@
 /// What was tried for one request so far.
 struct ForwardTrail {
     tried: Vec<ServerName>,
+    /// Those whose port was closed, which costs a round trip.
+    closed: usize,
     /// Servers that may have run the request.
     runs: u32,
     /// The answer when nothing better comes.
@@ -137,6 +143,7 @@
 ) -> Result<ForwardedAnswer> {
     let mut trail = ForwardTrail {
         tried: Vec::new(),
+        closed: 0,
         runs: 0,
         reason: OwnReason::NoServer,
         failure: None,
@@ -145,7 +152,7 @@
         .retries
         .borrow_mut()
         .count_request(&admitted.service, state.now());
-    while trail.tried.len() < TRIES {
+    while trail.closed < CLOSED_TRIES && trail.tried.len() - trail.closed < TRIES {
         let left = admitted.until.saturating_duration_since(Instant::now());
         if left < LEAST_TIME {
             let sent = trail.runs > 0;
@@ -288,7 +295,7 @@
         if !cause.is_broken() {
             return next;
         }
-        self.endings.note_broken(&self.server, self.unbegun);
+        self.endings.note_broken(&self.server, Some(self.unbegun));
         // The next server would end too if the request ends servers.
         if self.suspect.is_some() {
             return NextStep::End;
@@ -325,6 +332,10 @@
                 admitted.signs.id
             );
             trail.note_not_run(OwnReason::NoServer, charge);
+            if fault == ConnectFault::Closed {
+                attempt.endings.note_broken(&server, None);
+                trail.closed += 1;
+            }
             NextStep::Elsewhere
         }
         SendOutcome::NotRun(status) => {
--- a/crates/hibiscus-traffic/src/peers.rs
+++ b/crates/hibiscus-traffic/src/peers.rs
@@ -6,7 +6,7 @@
 //! as spent before it answers, so a reply that is lost loses tokens and spends
 //! none twice. One whose machine lost its power asks for the time of day
 //! ([`crate::recovery`]), and watchers pass on who is silent
-//! ([`crate::members`]). Who saw servers end under a request tells that
+//! ([`crate::members`]). Who finds that a server has ended tells that
 //! ([`crate::suspects`]).
 
 use std::net::SocketAddr;
@@ -19,7 +19,6 @@
 use hibiscus_membership::verdict::SilenceMessage;
 use hibiscus_peer::PinnedCall;
 use hibiscus_peer::PinnedLink;
-use hibiscus_request::suspects::SuspectNews;
 use hibiscus_types::BudgetName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::UnixMillis;
@@ -32,6 +31,7 @@
 use crate::dialect::RequestDialect;
 use crate::state::TrafficState;
 use crate::supply;
+use crate::suspects::EndingNews;
 use crate::tally::QuestionOutcome;
 use crate::tally::QuestionSubject;
 
@@ -77,8 +77,8 @@
     },
     /// Takes over which instances are silent.
     Silence(SilenceMessage),
-    /// Takes over under which requests servers ended.
-    Suspects(Vec<SuspectNews>),
+    /// Takes over which servers ended, and under which requests.
+    Endings(EndingNews),
 }
 
 /// The answer to a question.
@@ -96,8 +96,8 @@
     Returned,
     /// Which instances are silent.
     Silence(SilenceMessage),
-    /// The news of suspects were taken over.
-    SuspectsTaken,
+    /// The news of servers that ended were taken over.
+    EndingsTaken,
 }
 
 /// Answers other instances for as long as the runtime runs.
@@ -182,9 +182,9 @@
             state.members.notify_one();
             PeerAnswer::Silence(answer)
         }
-        PeerQuestion::Suspects(news) => {
-            state.suspects.take_news(news.clone(), state.now());
-            PeerAnswer::SuspectsTaken
+        PeerQuestion::Endings(news) => {
+            state.take_endings(news);
+            PeerAnswer::EndingsTaken
         }
     }
 }
@@ -272,12 +272,11 @@
     }
 }
 
-/// Tells one instance under which requests servers ended; false when it does
-/// not answer.
-pub async fn tell_suspects(link: &PinnedLink, peer: SocketAddr, news: &[SuspectNews]) -> bool {
-    let question = PeerQuestion::Suspects(news.to_vec());
+/// Tells one instance which servers ended; false when it does not answer.
+pub async fn tell_endings(link: &PinnedLink, peer: SocketAddr, news: &EndingNews) -> bool {
+    let question = PeerQuestion::Endings(news.clone());
     let answer = ask(link, peer, &question, TIME_LIMIT).await;
-    answer == Some(PeerAnswer::SuspectsTaken)
+    answer == Some(PeerAnswer::EndingsTaken)
 }
 
 /// Asks one instance.
--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -271,6 +271,7 @@
     let opened = ServerLink::open(server.entry.address).await;
     let outcome = match opened {
         Ok(_) => "opened",
+        Err(ConnectFault::Closed) => "closed",
         Err(ConnectFault::Refused) => "refused",
         Err(ConnectFault::Silent) => "silent",
     };
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -29,6 +29,9 @@
 /// Time without a byte from a server that has work, after which new requests
 /// avoid it: steps take some 5 ms, calls 30 ms, and prompts some 300 ms.
 const SILENCE_LIMIT: Duration = Duration::from_millis(450);
+/// Time for which a server that was found closed is avoided. Its entry lapses
+/// meanwhile, or names another start.
+const CLOSED_TIME: Duration = Duration::from_secs(6);
 /// Idle connections kept to one server at the most.
 const IDLE_LINKS: usize = 16;
 /// Part of the connections that a server accepts which all instances together
@@ -48,6 +51,8 @@
     /// Its own description.
     pub entry: ServerEntry,
     gone: Cell<bool>,
+    /// When it was found that it has ended.
+    ended: Cell<Option<Instant>>,
     load: RefCell<LoadTracker>,
     waiting: Cell<u32>,
     in_progress: Cell<u32>,
@@ -66,6 +71,7 @@
         Self {
             entry,
             gone: Cell::new(false),
+            ended: Cell::new(None),
             load: RefCell::default(),
             waiting: Cell::new(0),
             in_progress: Cell::new(0),
@@ -83,6 +89,18 @@
         !self.gone.get() && self.entry.phase == ServerPhase::Serving
     }
 
+    /// Notes that its port is closed.
+    pub fn note_closed(&self) {
+        self.ended.set(Some(Instant::now()));
+        self.drop_idle(0);
+    }
+
+    /// Whether it was found closed lately. One that starts again is another.
+    pub fn is_closed(&self) -> bool {
+        let ended = self.ended.get();
+        ended.is_some_and(|at| at.elapsed() < CLOSED_TIME)
+    }
+
     /// Notes that bytes came from it.
     pub fn note_heard(&self) {
         self.heard.set(Instant::now());
@@ -250,8 +268,14 @@
         self.by_name.is_empty()
     }
 
+    /// The process of the server `name` that began at `started`.
+    pub fn find(&self, name: &ServerName, started: u64) -> Option<&Rc<ServerHandle>> {
+        let server = self.by_name.get(name);
+        server.filter(|server| server.entry.started == started)
+    }
+
     /// Chooses a server of `service` that is not among `tried`. Servers that
-    /// failed lately are used only when there is no other.
+    /// failed or were found closed lately are used only when there is no other.
     pub fn choose(
         &self,
         service: &ServiceName,
@@ -269,7 +293,7 @@
             }
         }
         let healthy = |server: &&Rc<ServerHandle>| {
-            !server.is_silent() && server.health.borrow().is_usable(now)
+            !server.is_silent() && !server.is_closed() && server.health.borrow().is_usable(now)
         };
         if usable.iter().any(healthy) {
             usable.retain(healthy);
--- a/crates/hibiscus-traffic/src/suspects.rs
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -1,9 +1,9 @@
-//! What the request path does with requests under which servers ended.
+//! Servers that ended, and the requests under which they did.
 //!
 //! [`SuspectDesk`] holds the book ([`hibiscus_request::suspects`]). News go two
 //! ways: over the link from neighbour to neighbour ([`keep`]), which takes
-//! milliseconds and needs no store, and into a topic of the fleet, which
-//! outlives all processes. Whoever learns something new passes it on, so a
+//! milliseconds and needs no store, and those of requests into a topic of the
+//! fleet, which outlives all processes. Whoever learns something new passes it on, so a
 //! server's end costs each instance a message to each of its few contacts.
 
 use std::cell::RefCell;
@@ -22,9 +22,12 @@
 use hibiscus_request::suspects::SuspectCase;
 use hibiscus_request::suspects::SuspectNews;
 use hibiscus_types::InstanceName;
+use hibiscus_types::ServerName;
 use hibiscus_types::UnixMillis;
 use metrics::counter;
 use metrics::gauge;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 use crate::dialect::RequestDialect;
@@ -39,10 +42,13 @@
 /// Requests in the book.
 pub const SUSPECTS: &str = "hibiscus_suspects";
 
-/// News in one message over the link: less than 16 KB.
+/// News of each kind in one message over the link: less than 20 KB.
 const NEWS_LIMIT: usize = 100;
 /// News that wait to be passed on over the link; the topic has what is lost.
 const WAITING_LIMIT: usize = 10_000;
+/// Pause after a message, so that what is found at the same moment goes
+/// together.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
 /// Pause before an instance that did not answer is told once more.
 const REPEAT_PAUSE: Duration = Duration::from_millis(200);
 /// Time after which another instance appends what the topic does not hold: the
@@ -72,6 +78,36 @@
     }
 }
 
+/// A server whose port was found closed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClosedServer {
+    /// Its name.
+    pub server: ServerName,
+    /// When it had begun, in its own time.
+    pub started: u64,
+}
+
+impl ClosedServer {
+    fn process(&self) -> ServerProcess {
+        ServerProcess::of(&self.server, self.started)
+    }
+}
+
+/// What instances tell each other of servers that ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndingNews {
+    /// The servers.
+    pub servers: Vec<ClosedServer>,
+    /// The requests.
+    pub suspects: Vec<SuspectNews>,
+}
+
+impl EndingNews {
+    fn is_empty(&self) -> bool {
+        self.servers.is_empty() && self.suspects.is_empty()
+    }
+}
+
 /// What the topic of the fleet holds.
 #[derive(Debug)]
 pub enum SuspectUpdate {
@@ -86,7 +122,7 @@
 pub struct SuspectDesk {
     own: InstanceName,
     book: RefCell<SuspectBook>,
-    waiting: RefCell<Vec<SuspectNews>>,
+    waiting: RefCell<EndingNews>,
     has_news: Notify,
     outbox: SyncSender<Vec<SuspectNews>>,
 }
@@ -122,7 +158,13 @@
         let entry = &server.entry;
         let process = ServerProcess::of(&entry.name, entry.started);
         let mut news = Vec::with_capacity(requests.len());
-        self.book.borrow_mut().note_end(process, now);
+        if self.book.borrow_mut().note_end(process, now) {
+            self.waiting.borrow_mut().servers.push(ClosedServer {
+                server: entry.name.clone(),
+                started: entry.started,
+            });
+            self.has_news.notify_one();
+        }
         for request in requests {
             let print = request.identity.print();
             let mut book = self.book.borrow_mut();
@@ -172,15 +214,24 @@
         self.pass_on(news);
     }
 
-    /// Takes over at `now` what another instance tells.
-    pub fn take_news(&self, news: Vec<SuspectNews>, now: Duration) {
-        let mut new = Vec::new();
-        for item in news {
-            if self.take(&item, "instance", now) {
-                new.push(item);
+    /// Takes over at `now` what another instance tells; the servers of which
+    /// nothing was known.
+    pub fn take_news(&self, news: &EndingNews, now: Duration) -> Vec<ClosedServer> {
+        let mut servers = Vec::new();
+        for closed in &news.servers {
+            if self.book.borrow_mut().note_end(closed.process(), now) {
+                servers.push(closed.clone());
             }
         }
-        self.pass_on(new);
+        self.waiting
+            .borrow_mut()
+            .servers
+            .extend_from_slice(&servers);
+        let mut suspects = news.suspects.clone();
+        suspects.retain(|item| self.take(item, "instance", now));
+        self.waiting.borrow_mut().suspects.extend(suspects);
+        self.has_news.notify_one();
+        servers
     }
 
     /// Takes over at `now` what the topic holds. `keeps` says whether this
@@ -273,22 +324,47 @@
         if news.is_empty() {
             return;
         }
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.extend(news);
-        let surplus = waiting.len().saturating_sub(WAITING_LIMIT);
-        waiting.drain(..surplus);
+        self.waiting.borrow_mut().suspects.extend(news);
         self.has_news.notify_one();
     }
 
     /// The next news for the contacts.
-    fn next_news(&self) -> Vec<SuspectNews> {
+    fn next_news(&self) -> EndingNews {
         let mut waiting = self.waiting.borrow_mut();
-        let count = waiting.len().min(NEWS_LIMIT);
-        waiting.drain(..count).collect()
+        EndingNews {
+            servers: take_first(&mut waiting.servers),
+            suspects: take_first(&mut waiting.suspects),
+        }
     }
 }
 
+/// Takes the first news out of `waiting`; surplus ones are lost.
+fn take_first<T>(waiting: &mut Vec<T>) -> Vec<T> {
+    let surplus = waiting.len().saturating_sub(WAITING_LIMIT);
+    waiting.drain(..surplus);
+    let count = waiting.len().min(NEWS_LIMIT);
+    waiting.drain(..count).collect()
+}
+
 impl<D: RequestDialect> TrafficState<D> {
+    /// Takes over what another instance tells of servers that ended.
+    pub fn take_endings(&self, news: &EndingNews) {
+        let servers = self.suspects.take_news(news, self.now());
+        let pool = self.servers.borrow();
+        for closed in servers {
+            let Some(server) = pool.find(&closed.server, closed.started) else {
+                continue;
+            };
+            event!(
+                EventCode::ServerEndLearned,
+                "server={} started={}",
+                closed.server,
+                closed.started
+            );
+            server.note_closed();
+        }
+    }
+
     /// Whether this instance keeps the topic of suspects tidy.
     pub fn keeps_suspects(&self) -> bool {
         self.directory.borrow().is_first_for(STORE_SUBJECT)
@@ -328,6 +404,7 @@
         for contact in contacts {
             tokio::task::spawn_local(tell(Rc::clone(&state), contact, news.clone()));
         }
+        tokio::time::sleep(NEWS_PAUSE).await;
     }
 }
 
@@ -335,20 +412,21 @@
 async fn tell<D: RequestDialect>(
     state: Rc<TrafficState<D>>,
     contact: SocketAddr,
-    news: Vec<SuspectNews>,
+    news: EndingNews,
 ) {
     let Some(link) = state.link.borrow().clone() else {
         return;
     };
-    if peers::tell_suspects(&link, contact, &news).await {
+    if peers::tell_endings(&link, contact, &news).await {
         return;
     }
     tokio::time::sleep(REPEAT_PAUSE).await;
-    if !peers::tell_suspects(&link, contact, &news).await {
+    if !peers::tell_endings(&link, contact, &news).await {
         event!(
             EventCode::SuspectsNotTold,
-            "peer={contact} news={}",
-            news.len()
+            "peer={contact} servers={} suspects={}",
+            news.servers.len(),
+            news.suspects.len()
         );
     }
 }
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -17,16 +17,19 @@
 
 use crate::front::PREPAID;
 use crate::front::config;
+use crate::front::count_logs;
 use crate::front::status;
 
 /// Instances of the fleet; more than each of them watches all others of.
 const INSTANCES: usize = 10;
+/// Variable with another number of instances, for a run by hand.
+const INSTANCES_VARIABLE: &str = "HIBISCUS_TEST_INSTANCES";
 /// Servers of the service.
 const SERVERS: usize = 9;
 /// Time after which the instances know each other.
 const SETTLED: Duration = Duration::from_secs(3);
 /// The body under which servers end.
-const FATAL: &str = "fatal body";
+pub(super) const FATAL: &str = "fatal body";
 /// How often a caller sends such a request again.
 const REPEATS: usize = 30;
 /// Pause between two of them.
@@ -38,10 +41,10 @@
 const LATE_LIMIT: usize = 3;
 
 /// Daemons before a store and servers that end under one body.
-struct EndingFleet {
-    store: Arc<StoreStandin>,
-    servers: Vec<BackendStandin>,
-    fronts: Vec<FrontProcess>,
+pub(super) struct EndingFleet {
+    pub(super) store: Arc<StoreStandin>,
+    pub(super) servers: Vec<BackendStandin>,
+    pub(super) fronts: Vec<FrontProcess>,
 }
 
 /// Writes the entry of the server `name`, which began now.
@@ -54,8 +57,16 @@
     store.write("keyed.servers", name, entry.as_bytes());
 }
 
+/// Instances of the fleet of this run.
+fn instances() -> usize {
+    let text = std::env::var(INSTANCES_VARIABLE);
+    text.ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(INSTANCES)
+}
+
 impl EndingFleet {
-    fn start(instances: usize) -> Self {
+    pub(super) fn start(instances: usize) -> Self {
         let store = Arc::new(StoreStandin::start());
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let mut servers = Vec::new();
@@ -87,7 +98,7 @@
     }
 
     /// Sends `body` to `path` at the instance `number`; the status.
-    fn send(&self, number: usize, path: &str, body: &str) -> String {
+    pub(super) fn send(&self, number: usize, path: &str, body: &str) -> String {
         let front = &self.fronts[number % self.fronts.len()];
         let id = fastrand::u64(..);
         let request = format!(
@@ -99,7 +110,7 @@
 
     /// Sends the fatal request `times` to one instance after the other; the
     /// statuses.
-    fn repeat(&self, path: &str, times: usize) -> Vec<String> {
+    pub(super) fn repeat(&self, path: &str, times: usize) -> Vec<String> {
         let mut statuses = Vec::new();
         for number in 0..times {
             statuses.push(self.send(number, path, FATAL));
@@ -109,7 +120,7 @@
     }
 
     /// When servers ended, in order.
-    fn ends(&self) -> Vec<Instant> {
+    pub(super) fn ends(&self) -> Vec<Instant> {
         let ends = self.servers.iter().flat_map(BackendStandin::ends);
         let mut ends: Vec<Instant> = ends.collect();
         ends.sort();
@@ -137,7 +148,7 @@
     }
 
     /// Starts the instance `number` again on its ports.
-    fn start_again(&mut self, number: usize) {
+    pub(super) fn start_again(&mut self, number: usize) {
         let ports = self.fronts[number].ports;
         let name = format!("front-{number}");
         self.fronts[number] = FrontProcess::start(&name, ports, self.store.address());
@@ -148,7 +159,7 @@
 /// (issue 23).
 #[test]
 fn an_idempotent_request_under_which_servers_end_is_not_sent_on_and_on() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     let statuses = fleet.repeat("/often/x", REPEATS);
     fleet.check(&statuses);
 }
@@ -156,7 +167,7 @@
 /// Guards against the same for requests that may run once (issue 23).
 #[test]
 fn a_request_that_may_run_once_and_ends_servers_is_not_sent_on_and_on() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     let statuses = fleet.repeat("/once/x", REPEATS);
     fleet.check(&statuses);
 }
@@ -165,7 +176,7 @@
 /// (issue 23).
 #[test]
 fn a_request_that_ends_servers_is_not_sent_on_and_on_while_the_store_is_away() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     fleet.store.set_faults(StoreFaults {
         refuse: Some(503),
         ..StoreFaults::default()
@@ -203,7 +214,7 @@
 /// Guards against callers that hold the same request at once (issue 23).
 #[test]
 fn a_request_of_several_callers_that_ends_servers_is_not_sent_on_and_on() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     let statuses = thread::scope(|scope| {
         let callers: Vec<_> = (0..4)
             .map(|caller| {
@@ -230,7 +241,7 @@
 /// servers which end for other reasons (issue 23).
 #[test]
 fn a_popular_request_at_servers_that_end_together_is_still_served() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     let stop = Instant::now() + Duration::from_secs(9);
     let served = thread::scope(|scope| {
         let lookups: Vec<_> = (0..6)
@@ -274,7 +285,7 @@
 /// ended (issue 23).
 #[test]
 fn a_request_at_servers_that_reset_single_answers_is_still_served() {
-    let fleet = EndingFleet::start(INSTANCES);
+    let fleet = EndingFleet::start(instances());
     for server in &fleet.servers {
         server.set_behaviour(BackendBehaviour::Reset);
     }
@@ -290,3 +301,26 @@
         assert_eq!(status, "200", "request {number}");
     }
 }
+
+/// Guards against every instance finding out anew which servers have ended
+/// (issue 23).
+#[test]
+fn servers_that_one_instance_found_ended_are_avoided_by_the_others() {
+    let fleet = EndingFleet::start(instances());
+    for server in &fleet.servers[..6] {
+        server.end_for(Duration::from_secs(6));
+    }
+    for _request in 0..40 {
+        assert_eq!(fleet.send(0, "/often/x", ""), "200");
+    }
+    thread::sleep(Duration::from_millis(500));
+    for number in 1..fleet.fronts.len() {
+        for _request in 0..10 {
+            assert_eq!(fleet.send(number, "/often/x", ""), "200");
+        }
+    }
+    // Lines are gathered for 100 ms before they are written.
+    thread::sleep(Duration::from_millis(300));
+    let found = count_logs(&fleet.fronts, "HS4204 ");
+    assert_eq!(found, 1, "instances that found a server closed");
+}
