Count servers that end under a stream that has just begun

A stream under which its server ended after the first event was sent on and on like before: 30 of 30 attempts ended a server, 20 of them later than 3 s after the third. What is known of a request was given up with its body at the first event, so such an end was evidence against nobody.

After the end of a server anywhere, instances now keep the print of each stream (not its body) for 2 s from its first event on, for 60 s. Before any end nothing is hashed, as before.

Open: a request that ends its server later than 2 s after its first event.

--- a/crates/hibiscus-traffic/src/endings.rs
+++ b/crates/hibiscus-traffic/src/endings.rs
@@ -5,6 +5,7 @@
 //! request path only notes what broke ([`EndingWatch`]); [`keep`] gathers what
 //! broke at the same moment and looks at the server once.
 
+use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -38,6 +39,11 @@
 const GATHER_TIME: Duration = Duration::from_millis(10);
 /// Time for which a server that was found open is not looked at again.
 const OPEN_TIME: Duration = Duration::from_millis(300);
+/// Time after the end of a server for which more is kept of streams.
+const ALERT_TIME: Duration = Duration::from_secs(60);
+/// Time after its first event for which a stream may yet show that it ends its
+/// server.
+const YOUNG_TIME: Duration = Duration::from_secs(2);
 /// Requests noted at one server at the most. Their bodies are kept meanwhile.
 const NOTED_LIMIT: usize = 64;
 
@@ -97,19 +103,103 @@
     }
 }
 
-/// A request that was sent to a server and has not begun to be answered.
+/// What is kept of a request to know it again.
 #[derive(Clone, Debug)]
-pub struct UnbegunRequest {
+enum RequestSubject {
+    /// All of it, until its answer has begun.
+    Identity(Rc<RequestIdentity>),
+    /// Its print, and the bytes of its body.
+    Print(RequestPrint, usize),
+}
+
+/// A request at a server that may yet end under it.
+#[derive(Clone, Debug)]
+pub struct ExposedRequest {
     /// Its number, for the log.
     pub id: String,
-    /// What it is.
-    pub identity: Rc<RequestIdentity>,
+    subject: RequestSubject,
     /// When it was sent.
     pub sent: Instant,
     /// Rounds of ends under it that were known then.
     pub known: u8,
 }
 
+impl ExposedRequest {
+    /// The request `id`, which is sent now, with `known` rounds of ends.
+    pub fn new(id: &str, identity: &Rc<RequestIdentity>, known: u8) -> Self {
+        Self {
+            id: id.to_owned(),
+            subject: RequestSubject::Identity(Rc::clone(identity)),
+            sent: Instant::now(),
+            known,
+        }
+    }
+
+    /// Its print.
+    pub fn print(&self) -> RequestPrint {
+        match &self.subject {
+            RequestSubject::Identity(identity) => identity.print(),
+            RequestSubject::Print(print, _bytes) => *print,
+        }
+    }
+
+    /// Bytes of its body.
+    pub fn bytes(&self) -> usize {
+        match &self.subject {
+            RequestSubject::Identity(identity) => identity.body.len(),
+            RequestSubject::Print(_print, bytes) => *bytes,
+        }
+    }
+
+    /// Gives the body up, and keeps the print.
+    fn drop_body(&mut self) {
+        self.subject = RequestSubject::Print(self.print(), self.bytes());
+    }
+}
+
+/// The request of a stream, for as long as its server may end under it.
+#[derive(Debug)]
+pub struct StreamExposure {
+    request: Option<ExposedRequest>,
+    /// When its first event came.
+    begun: Option<Instant>,
+    watch: Rc<EndingWatch>,
+}
+
+impl StreamExposure {
+    /// The exposure of `request`, which has not begun to be answered.
+    pub fn new(request: ExposedRequest, watch: Rc<EndingWatch>) -> Self {
+        Self {
+            request: Some(request),
+            begun: None,
+            watch,
+        }
+    }
+
+    /// An event came. Its request is of interest for some time after the
+    /// first, if servers ended lately; its body is not.
+    pub fn note_event(&mut self) {
+        let Some(begun) = self.begun else {
+            self.begun = Some(Instant::now());
+            if !self.watch.is_alert() {
+                self.request = None;
+            }
+            if let Some(request) = &mut self.request {
+                request.drop_body();
+            }
+            return;
+        };
+        if self.request.is_some() && begun.elapsed() > YOUNG_TIME {
+            self.request = None;
+        }
+    }
+
+    /// `server` broke the stream off.
+    pub fn note_broken(&mut self, server: &Rc<ServerHandle>) {
+        self.watch.note_broken(server, self.request.take());
+    }
+}
+
 /// One process of a server.
 type ServerProcess = (ServerName, u64);
 
@@ -117,7 +207,7 @@
 #[derive(Debug)]
 struct EndingCase {
     server: Rc<ServerHandle>,
-    requests: Vec<UnbegunRequest>,
+    requests: Vec<ExposedRequest>,
     is_taken: bool,
 }
 
@@ -127,13 +217,15 @@
     cases: RefCell<HashMap<ServerProcess, EndingCase>>,
     /// Servers that were found open, and when.
     open: RefCell<HashMap<ServerProcess, Instant>>,
+    /// When a server ended last, as far as is known.
+    last_end: Cell<Option<Instant>>,
     noted: Notify,
 }
 
 impl EndingWatch {
-    /// The server broke a connection off, with `request` on it if it had not
-    /// begun to be answered, or refuses new ones.
-    pub fn note_broken(&self, server: &Rc<ServerHandle>, request: Option<UnbegunRequest>) {
+    /// The server broke a connection off, with `request` on it if that may have
+    /// ended the server, or refuses new ones.
+    pub fn note_broken(&self, server: &Rc<ServerHandle>, request: Option<ExposedRequest>) {
         if server.is_closed() && request.is_none() {
             return;
         }
@@ -154,6 +246,17 @@
         self.noted.notify_one();
     }
 
+    /// A server has ended.
+    pub fn note_end(&self) {
+        self.last_end.set(Some(Instant::now()));
+    }
+
+    /// Whether servers ended lately.
+    fn is_alert(&self) -> bool {
+        let last = self.last_end.get();
+        last.is_some_and(|at| at.elapsed() < ALERT_TIME)
+    }
+
     /// Servers that nobody looks at yet, which are looked at from now on.
     fn take_new(&self) -> Vec<Rc<ServerHandle>> {
         let mut servers = Vec::new();
@@ -167,7 +270,7 @@
     }
 
     /// The look at `server` is over: the requests that broke there.
-    fn close(&self, server: &ServerHandle, port: PortState) -> Vec<UnbegunRequest> {
+    fn close(&self, server: &ServerHandle, port: PortState) -> Vec<ExposedRequest> {
         let process = process_of(server);
         if port == PortState::Open {
             let mut open = self.open.borrow_mut();
@@ -224,6 +327,7 @@
         requests.len()
     );
     server.note_closed();
+    state.endings.note_end();
     let now = state.now();
     state.suspects.note_end(&server, &requests, now);
 }
--- a/crates/hibiscus-traffic/src/flight.rs
+++ b/crates/hibiscus-traffic/src/flight.rs
@@ -16,8 +16,7 @@
 use crate::budgets::BudgetHandle;
 use crate::callers::CallerRequest;
 use crate::connect::ServerLink;
-use crate::endings::EndingWatch;
-use crate::endings::UnbegunRequest;
+use crate::endings::StreamExposure;
 use crate::measures::RequestOutcome;
 use crate::measures::TrafficMeasures;
 use crate::model::RequestKind;
@@ -197,10 +196,8 @@
     pub tokens_per_event: u64,
     /// Counts the request until its answer has passed.
     pub progress: RequestProgress,
-    /// The request until its first event, with its body.
-    pub unbegun: Option<UnbegunRequest>,
-    /// Where to tell that the server broke it off.
-    pub endings: Rc<EndingWatch>,
+    /// The request, for as long as its server may end under it.
+    pub exposure: StreamExposure,
     /// Where to tell that it was answered.
     pub suspects: Rc<SuspectDesk>,
     /// The request, if servers ended under it before.
@@ -213,7 +210,7 @@
         if events == 0 {
             return;
         }
-        self.unbegun = None;
+        self.exposure.note_event();
         let now = Instant::now();
         match self.heard.replace(now) {
             None => self.measures.first_event(self.kind, now - self.arrived),
@@ -283,7 +280,7 @@
                     server.note_failed();
                 }
                 if fault == RelayFault::Broken {
-                    self.endings.note_broken(server, self.unbegun.take());
+                    self.exposure.note_broken(server);
                 }
                 event!(
                     EventCode::AnswerBroken,
--- a/crates/hibiscus-traffic/src/life/forwarding.rs
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -22,7 +22,8 @@
 use crate::dialect::RequestDialect;
 use crate::dialect::ServerSigns;
 use crate::endings::EndingWatch;
-use crate::endings::UnbegunRequest;
+use crate::endings::ExposedRequest;
+use crate::endings::StreamExposure;
 use crate::flight::FlightWatch;
 use crate::flight::RequestCharge;
 use crate::flight::RequestProgress;
@@ -248,16 +249,11 @@
         "request={} server={name}",
         admitted.signs.id
     );
-    let unbegun = UnbegunRequest {
-        id: admitted.signs.id.clone(),
-        identity: Rc::clone(&admitted.identity),
-        sent: Instant::now(),
-        known: standing.rounds(),
-    };
+    let request = ExposedRequest::new(&admitted.signs.id, &admitted.identity, standing.rounds());
     let outcome = send::send(&state.dialect, flight, &outgoing).await;
     let attempt = SentAttempt {
         server: chosen.server,
-        unbegun,
+        request,
         endings: Rc::clone(&state.endings),
         suspects: Rc::clone(&state.suspects),
         suspect,
@@ -269,7 +265,7 @@
 #[derive(Clone)]
 pub(super) struct SentAttempt {
     server: Rc<ServerHandle>,
-    unbegun: UnbegunRequest,
+    request: ExposedRequest,
     endings: Rc<EndingWatch>,
     suspects: Rc<SuspectDesk>,
     /// The request, if servers ended under it before.
@@ -280,7 +276,7 @@
     /// The server answered the whole of it.
     fn note_answered(&self) {
         if let Some(print) = &self.suspect {
-            self.suspects.note_answered(&self.unbegun.id, print);
+            self.suspects.note_answered(&self.request.id, print);
         }
     }
 
@@ -295,7 +291,7 @@
         if !cause.is_broken() {
             return next;
         }
-        self.endings.note_broken(&self.server, Some(self.unbegun));
+        self.endings.note_broken(&self.server, Some(self.request));
         // The next server would end too if the request ends servers.
         if self.suspect.is_some() {
             return NextStep::End;
@@ -365,13 +361,16 @@
     /// All of it is here.
     Whole(Response<Bytes>),
     /// A stream that has begun.
-    Stream {
-        head: http::response::Parts,
-        body: Incoming,
-        flight: ServerFlight,
-        charge: Option<Rc<RequestCharge>>,
-        attempt: SentAttempt,
-    },
+    Stream(Box<BegunStream>),
+}
+
+/// A stream whose head has come.
+pub(super) struct BegunStream {
+    head: http::response::Parts,
+    body: Incoming,
+    flight: ServerFlight,
+    charge: Option<Rc<RequestCharge>>,
+    attempt: SentAttempt,
 }
 
 impl ForwardedAnswer {
@@ -383,21 +382,16 @@
         measures: Rc<TrafficMeasures>,
     ) -> Response<AnswerBody> {
         let kind = admitted.route.kind;
-        let (head, body, flight, charge, attempt) = match self {
+        let stream = match self {
             Self::Whole(answer) => {
                 let taken = admitted.arrived.elapsed();
                 measures.first_event(kind, taken);
                 measures.ended(Some(kind), RequestOutcome::Passed, taken);
                 return answer.map(AnswerBody::whole);
             }
-            Self::Stream {
-                head,
-                body,
-                flight,
-                charge,
-                attempt,
-            } => (head, body, flight, charge, attempt),
+            Self::Stream(stream) => *stream,
         };
+        let attempt = stream.attempt;
         let engine = admitted.table.engine(&admitted.service);
         let watch = FlightWatch {
             id: admitted.signs.id.clone(),
@@ -405,18 +399,17 @@
             arrived: admitted.arrived,
             heard: None,
             measures,
-            flight,
-            charge,
+            flight: stream.flight,
+            charge: stream.charge,
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             progress,
-            unbegun: Some(attempt.unbegun),
-            endings: attempt.endings,
+            exposure: StreamExposure::new(attempt.request, attempt.endings),
             suspects: attempt.suspects,
             suspect: attempt.suspect,
         };
         let deadline = tokio::time::sleep_until(admitted.until.into());
-        let relay = StreamRelay::new(body, admitted.signs.resume_after, deadline, watch);
-        Response::from_parts(head, AnswerBody::Stream(Box::new(relay)))
+        let relay = StreamRelay::new(stream.body, admitted.signs.resume_after, deadline, watch);
+        Response::from_parts(stream.head, AnswerBody::Stream(Box::new(relay)))
     }
 }
 
@@ -432,13 +425,13 @@
     send::strip_connection_headers(&mut head.headers);
     let mut flight = answer.flight;
     if admitted.route.kind.is_stream() && head.status.is_success() {
-        return Ok(ForwardedAnswer::Stream {
+        return Ok(ForwardedAnswer::Stream(Box::new(BegunStream {
             head,
             body,
             flight,
             charge: charge.map(Rc::clone),
             attempt: attempt.clone(),
-        });
+        })));
     }
     let wait = admitted.until.saturating_duration_since(Instant::now());
     let gathered = Limited::new(body, GATHER_LIMIT).collect();
--- a/crates/hibiscus-traffic/src/suspects.rs
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -31,8 +31,8 @@
 use tokio::sync::Notify;
 
 use crate::dialect::RequestDialect;
+use crate::endings::ExposedRequest;
 use crate::endings::RequestIdentity;
-use crate::endings::UnbegunRequest;
 use crate::peers;
 use crate::servers::ServerHandle;
 use crate::state::TrafficState;
@@ -154,7 +154,7 @@
     }
 
     /// `server` ended at `now` under `requests`.
-    pub fn note_end(&self, server: &ServerHandle, requests: &[UnbegunRequest], now: Duration) {
+    pub fn note_end(&self, server: &ServerHandle, requests: &[ExposedRequest], now: Duration) {
         let entry = &server.entry;
         let process = ServerProcess::of(&entry.name, entry.started);
         let mut news = Vec::with_capacity(requests.len());
@@ -166,7 +166,7 @@
             self.has_news.notify_one();
         }
         for request in requests {
-            let print = request.identity.print();
+            let print = request.print();
             let mut book = self.book.borrow_mut();
             let evidence = EndEvidence {
                 print,
@@ -183,7 +183,7 @@
                 "request={} server={} print={print} bytes={} sent_ms={} known_rounds={} servers_before={} alone={}",
                 request.id,
                 entry.name,
-                request.identity.body.len(),
+                request.bytes(),
                 request.sent.elapsed().as_millis(),
                 request.known,
                 before.map_or(0, |case| case.servers),
@@ -350,6 +350,9 @@
     /// Takes over what another instance tells of servers that ended.
     pub fn take_endings(&self, news: &EndingNews) {
         let servers = self.suspects.take_news(news, self.now());
+        if !servers.is_empty() {
+            self.endings.note_end();
+        }
         let pool = self.servers.borrow();
         for closed in servers {
             let Some(server) = pool.find(&closed.server, closed.started) else {
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -1,5 +1,6 @@
 //! Requests under which servers end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -48,11 +49,11 @@
 }
 
 /// Writes the entry of the server `name`, which began now.
-fn write_start(store: &StoreStandin, name: &str, address: std::net::SocketAddr) {
+fn write_start(store: &StoreStandin, service: &str, name: &str, address: SocketAddr) {
     let began = SystemTime::now().duration_since(UNIX_EPOCH);
     let began = began.expect("the clock is set").as_millis();
     let entry = format!(
-        r#"{{"service":"plain","address":"{address}","zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{began}}}"#
+        r#"{{"service":"{service}","address":"{address}","zone":"a","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{began}}}"#
     );
     store.write("keyed.servers", name, entry.as_bytes());
 }
@@ -67,15 +68,20 @@
 
 impl EndingFleet {
     pub(super) fn start(instances: usize) -> Self {
+        Self::start_for("plain", instances)
+    }
+
+    /// Starts `instances` daemons before servers of `service`.
+    fn start_for(service: &'static str, instances: usize) -> Self {
         let store = Arc::new(StoreStandin::start());
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let name = format!("i-{number}");
             let server = BackendStandin::start_returning(BackendBehaviour::Answer, |address| {
-                write_start(&store, &name, address);
+                write_start(&store, service, &name, address);
                 let store = Arc::clone(&store);
-                Box::new(move || write_start(&store, &name, address))
+                Box::new(move || write_start(&store, service, &name, address))
             });
             server.end_at(FATAL.as_bytes());
             servers.push(server);
@@ -102,7 +108,7 @@
         let front = &self.fronts[number % self.fronts.len()];
         let id = fastrand::u64(..);
         let request = format!(
-            "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-{id:x}\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer key-a\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-{id:x}\r\nDeadline-Ms: 2500\r\nAuthorization: Bearer key-a\r\nConnection: close\r\nToken-Counts: 10,15\r\nContent-Length: {}\r\n\r\n{body}",
             body.len()
         );
         status(&front.call(&request)).to_owned()
@@ -172,6 +178,18 @@
     fleet.check(&statuses);
 }
 
+/// Guards against the same for a stream that ends its server after its first
+/// event (issue 23).
+#[test]
+fn a_stream_that_ends_servers_after_its_first_event_is_not_sent_on_and_on() {
+    let fleet = EndingFleet::start_for("engine", instances());
+    for server in &fleet.servers {
+        server.end_after_event_at(FATAL.as_bytes());
+    }
+    let statuses = fleet.repeat("/stream/x", REPEATS);
+    fleet.check(&statuses);
+}
+
 /// Guards against the same while nothing can be written to the store
 /// (issue 23).
 #[test]
