Try servers that are known to be closed for want of others only

The nine tests of front::ending pass; servers that nobody knew to be closed are passed over as before.

--- a/crates/hibiscus-traffic/src/life/forwarding.rs
+++ b/crates/hibiscus-traffic/src/life/forwarding.rs
@@ -237,7 +237,9 @@
         SuspectStanding::Clear => None,
         _ => Some(admitted.identity.print()),
     };
-    if let Some(print) = &suspect {
+    if let Some(print) = &suspect
+        && trail.tried.len() == 1
+    {
         suspects::log_standing(&admitted.signs.id, print, &standing);
     }
     let flight = ServerFlight::begin(&chosen, &shared, state.now());
@@ -329,8 +331,9 @@
             );
             trail.note_not_run(OwnReason::NoServer, charge);
             if fault == ConnectFault::Closed {
+                // One known to be closed is tried for want of others only.
+                trail.closed += usize::from(!server.is_closed());
                 attempt.endings.note_broken(&server, None);
-                trail.closed += 1;
             }
             NextStep::Elsewhere
         }
