Add a seeded soak of the daemon over faults from outside

Nothing ran hibiscus-front over random faults in series. It checks what callers got against what the servers saw: a call that may run once ran once at most, a 503 is true, an answer is the caller's own; then, in a calm time, that the fatal request stays refused and others are served.

--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -8,6 +8,7 @@
 mod forwarding;
 mod lifetime;
 mod operations;
+mod soak;
 
 use std::thread;
 use std::time::Duration;
--- /dev/null
+++ b/tests/testsuite/front/soak.rs
@@ -0,0 +1,332 @@
+//! Random faults on real processes: what must hold at all times is checked
+//! from what callers and servers see.
+//!
+//! Two seeds run in the test; more by hand, `FIRST..END` in the variable
+//! `HIBISCUS_SOAK_SEEDS`.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::ops::Range;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use fastrand::Rng;
+use nix::sys::signal::Signal;
+use platform_standins::BackendBehaviour;
+use platform_standins::EndlessBytes;
+use platform_standins::StoreFaults;
+
+use crate::front::PREPAID;
+use crate::front::config;
+use crate::front::ending::EndingFleet;
+use crate::front::ending::FATAL;
+use crate::front::status;
+
+/// Seeds of the test; one that ever failed is added, with a line on the cause.
+const SEEDS: Range<u64> = 1..3;
+/// Variable with other seeds.
+const SEEDS_VARIABLE: &str = "HIBISCUS_SOAK_SEEDS";
+/// Instances.
+const INSTANCES: usize = 4;
+/// Time with faults.
+const FAULT_TIME: Duration = Duration::from_secs(14);
+/// Time without faults before the last checks.
+const CALM_TIME: Duration = Duration::from_secs(5);
+/// Callers that send a request of their own each time.
+const CALLERS: usize = 4;
+/// Time for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(4);
+
+/// A caller's connection, used until its instance ends it.
+struct CallerLink {
+    stream: Option<TcpStream>,
+    front: SocketAddr,
+}
+
+/// What a caller got for one request.
+struct CallerAnswer {
+    id: String,
+    path: &'static str,
+    /// Head and body as far as they came.
+    text: String,
+}
+
+impl CallerLink {
+    /// Sends a request and reads its answer.
+    fn call(&mut self, path: &'static str, id: &str, body: &str) -> CallerAnswer {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer key-a\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let text = self.exchange(&request).unwrap_or_default();
+        let text = text.trim_end_matches('\0').to_owned();
+        if !is_whole(&text) || text.to_lowercase().contains("connection: close") {
+            self.stream = None;
+        }
+        CallerAnswer {
+            id: id.to_owned(),
+            path,
+            text,
+        }
+    }
+
+    fn exchange(&mut self, request: &str) -> Option<String> {
+        if self.stream.is_none() {
+            let stream = TcpStream::connect_timeout(&self.front, ANSWER_LIMIT).ok()?;
+            stream.set_read_timeout(Some(ANSWER_LIMIT)).ok()?;
+            self.stream = Some(stream);
+        }
+        let stream = self.stream.as_mut()?;
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut answer = Vec::new();
+        let mut buffer = [0; 4_096];
+        while !is_whole(&String::from_utf8_lossy(&answer)) {
+            match stream.read(&mut buffer) {
+                Ok(count) if count > 0 => answer.extend_from_slice(&buffer[..count]),
+                _ended => break,
+            }
+        }
+        Some(String::from_utf8_lossy(&answer).into_owned())
+    }
+}
+
+/// Whether `text` holds a head and a body as long as the head says.
+fn is_whole(text: &str) -> bool {
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.lines().next()?.trim().parse().ok());
+    length.is_some_and(|length: usize| body.len() >= length)
+}
+
+/// Sends requests of its own until `stop`.
+fn own_requests(
+    fronts: &[SocketAddr],
+    number: usize,
+    seed: u64,
+    stop: &AtomicBool,
+) -> Vec<CallerAnswer> {
+    let mut rng = Rng::with_seed(seed.wrapping_mul(31) + number as u64);
+    let mut answers = Vec::new();
+    let mut link = CallerLink {
+        stream: None,
+        front: fronts[number % fronts.len()],
+    };
+    while !stop.load(Ordering::Relaxed) {
+        let path = if rng.bool() { "/once/x" } else { "/often/x" };
+        let id = format!("id-{number}-{}", answers.len());
+        let answer = link.call(path, &id, &format!("body of {id}"));
+        if link.stream.is_none() {
+            link.front = fronts[rng.usize(..fronts.len())];
+        }
+        answers.push(answer);
+        thread::sleep(Duration::from_millis(rng.u64(1..30)));
+    }
+    answers
+}
+
+/// Sends the fatal request again and again until `stop`.
+fn fatal_requests(fronts: &[SocketAddr], seed: u64, stop: &AtomicBool) {
+    let mut rng = Rng::with_seed(seed.wrapping_mul(37));
+    while !stop.load(Ordering::Relaxed) {
+        let mut link = CallerLink {
+            stream: None,
+            front: fronts[rng.usize(..fronts.len())],
+        };
+        let path = "/often/x";
+        let _answer = link.call(path, &format!("fatal-{:x}", rng.u64(..)), FATAL);
+        thread::sleep(Duration::from_millis(rng.u64(200..900)));
+    }
+}
+
+/// One fault, often while a server or the store is in trouble.
+fn make_fault(fleet: &mut EndingFleet, rng: &mut Rng, version: u64) {
+    let beside = rng.usize(..fleet.servers.len());
+    match rng.u8(..4) {
+        0 => fleet.servers[beside].set_behaviour(BackendBehaviour::Reset),
+        1 => fleet.store.set_faults(StoreFaults {
+            delay: Duration::from_millis(rng.u64(10..300)),
+            ..StoreFaults::default()
+        }),
+        2 => {
+            let text = config(version, PREPAID, "");
+            fleet.store.write("keyed.op", "config", text.as_bytes());
+        }
+        _ => {}
+    }
+    make_main_fault(fleet, rng);
+    fleet.servers[beside].set_behaviour(BackendBehaviour::Answer);
+    fleet.store.set_faults(StoreFaults::default());
+}
+
+/// One fault, some of which last.
+fn make_main_fault(fleet: &mut EndingFleet, rng: &mut Rng) {
+    let front = rng.usize(..fleet.fronts.len());
+    let server = rng.usize(..fleet.servers.len());
+    let pause = Duration::from_millis(rng.u64(100..1_200));
+    let set = |fleet: &EndingFleet, behaviour| {
+        fleet.servers[server].set_behaviour(behaviour);
+        thread::sleep(pause);
+        fleet.servers[server].set_behaviour(BackendBehaviour::Answer);
+    };
+    match rng.u8(..10) {
+        0 => {
+            fleet.fronts[front].kill();
+            thread::sleep(pause);
+            fleet.start_again(front);
+        }
+        1 => {
+            fleet.fronts[front].signal(Signal::SIGSTOP);
+            thread::sleep(pause);
+            fleet.fronts[front].signal(Signal::SIGCONT);
+        }
+        2 => {
+            fleet.fronts[front].signal(Signal::SIGTERM);
+            let ended = fleet.fronts[front].wait(Duration::from_secs(12));
+            assert!(ended.is_some(), "a planned stop does not end");
+            fleet.start_again(front);
+        }
+        3 => {
+            for server in &fleet.servers[..rng.usize(1..5)] {
+                server.end();
+            }
+        }
+        4 => set(fleet, BackendBehaviour::Reset),
+        5 => set(fleet, BackendBehaviour::Extra),
+        6 => set(fleet, BackendBehaviour::Crossed),
+        7 => set(fleet, BackendBehaviour::Endless(EndlessBytes::Interim)),
+        8 => {
+            fleet.store.set_faults(StoreFaults {
+                refuse: Some(503),
+                ..StoreFaults::default()
+            });
+            thread::sleep(pause * 2);
+            fleet.store.set_faults(StoreFaults::default());
+        }
+        _ => {
+            fleet.store.set_faults(StoreFaults {
+                delay: pause / 4,
+                ..StoreFaults::default()
+            });
+            thread::sleep(pause);
+            fleet.store.set_faults(StoreFaults::default());
+        }
+    }
+}
+
+/// Checks what each caller got against what the servers saw.
+fn check_answers(fleet: &EndingFleet, answers: &[CallerAnswer], seed: u64) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for request in fleet.servers.iter().flat_map(|server| server.requests()) {
+        let id = request.header("request-id").unwrap_or_default().to_owned();
+        *runs.entry(id).or_default() += 1;
+    }
+    let mut served = 0;
+    for answer in answers {
+        let id = &answer.id;
+        let run = runs.get(id).copied().unwrap_or_default();
+        let status = status(&answer.text);
+        if answer.path == "/once/x" {
+            assert!(run <= 1, "seed {seed}: {id} ran {run} times");
+            if status == "503" {
+                assert_eq!(run, 0, "seed {seed}: {id} ran and was refused as not run");
+            }
+        }
+        if status != "200" {
+            continue;
+        }
+        served += 1;
+        let text = answer.text.to_lowercase();
+        assert!(
+            text.contains(&format!("response-seal: seal-{id}\r\n")) && text.ends_with("done"),
+            "seed {seed}: {id} got {}",
+            answer.text
+        );
+    }
+    println!("seed {seed}: {} requests, {served} served", answers.len());
+    assert!(served > 0, "seed {seed}: nothing was served");
+}
+
+/// Faults in a row, then a calm time in which all must be well.
+fn run(seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let mut fleet = EndingFleet::start(INSTANCES);
+    let fronts: Vec<_> = fleet
+        .fronts
+        .iter()
+        .map(|front| front.ports.callers)
+        .collect();
+    let stop = AtomicBool::new(false);
+    let answers = thread::scope(|scope| {
+        let (fronts, stop) = (&fronts[..], &stop);
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|number| scope.spawn(move || own_requests(fronts, number, seed, stop)))
+            .collect();
+        scope.spawn(move || fatal_requests(fronts, seed, stop));
+        let begun = Instant::now();
+        let mut version = 1;
+        while begun.elapsed() < FAULT_TIME {
+            version += 1;
+            make_fault(&mut fleet, &mut rng, version);
+            thread::sleep(Duration::from_millis(rng.u64(50..500)));
+        }
+        stop.store(true, Ordering::Relaxed);
+        let joined = callers.into_iter().map(|caller| caller.join());
+        joined
+            .flat_map(|answers| answers.expect("a caller ends"))
+            .collect::<Vec<_>>()
+    });
+    check_answers(&fleet, &answers, seed);
+    for front in &fleet.fronts {
+        front.wait_ready();
+    }
+    thread::sleep(CALM_TIME);
+    let ended = fleet.ends().len();
+    let before: usize = fleet
+        .servers
+        .iter()
+        .map(|server| server.fatal_arrivals().len())
+        .sum();
+    let statuses = fleet.repeat("/often/x", 10);
+    let after: usize = fleet
+        .servers
+        .iter()
+        .map(|server| server.fatal_arrivals().len())
+        .sum();
+    println!(
+        "seed {seed}: {ended} ends, {before} fatal requests at servers, then {}: {statuses:?}",
+        after - before
+    );
+    assert!(
+        before < 3 || after - before <= 3,
+        "seed {seed}: {statuses:?}"
+    );
+    thread::sleep(CALM_TIME);
+    for number in 0..20 {
+        let status = fleet.send(number, "/often/x", "");
+        assert_eq!(
+            status, "200",
+            "seed {seed}: request {number} after the faults"
+        );
+    }
+}
+
+/// Guards what must hold at all times over faults in series.
+#[test]
+fn callers_and_servers_see_what_is_promised_over_random_faults() {
+    let seeds = std::env::var(SEEDS_VARIABLE).ok().and_then(|text| {
+        let (first, end) = text.split_once("..")?;
+        Some(first.parse().ok()?..end.parse().ok()?)
+    });
+    for seed in seeds.unwrap_or(SEEDS) {
+        run(seed);
+    }
+}
