Let the stand-in of the store answer as many reads as wait

front::ending with 62 instances by hand failed four times of seven: 'the daemon does not become ready'. The kept logs show HS2003 'timeout: per read' for all topics. The stand-in answers 64 calls at once, and 62 instances have six reads that wait each. With 10 instances 60 of the 64 are taken since the topic of suspects came; a stand-in has now ten calls for each daemon that it is started for, ten daemons by default.

--- a/crates/hibiscus-support/src/http.rs
+++ b/crates/hibiscus-support/src/http.rs
@@ -31,12 +31,24 @@
     ///
     /// Panics when the port cannot be opened: no test can go on without it.
     pub fn start<F>(address: &str, handler: F) -> Self
+    where
+        F: Fn(&Request) -> Response + Send + Sync + 'static,
+    {
+        Self::start_with(address, SERVER_THREADS, handler)
+    }
+
+    /// As [`Self::start`], with `threads` calls answered at once.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the port cannot be opened: no test can go on without it.
+    pub fn start_with<F>(address: &str, threads: usize, handler: F) -> Self
     where
         F: Fn(&Request) -> Response + Send + Sync + 'static,
     {
         let server = Server::new(address, handler)
             .expect("a stand-in opens its port")
-            .pool_size(SERVER_THREADS);
+            .pool_size(threads);
         let address = server.server_addr();
         let stopping = Arc::new(AtomicBool::new(false));
         let stop = Arc::clone(&stopping);
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -73,7 +73,7 @@
 
     /// Starts `instances` daemons before servers of `service`.
     fn start_for(service: &'static str, instances: usize) -> Self {
-        let store = Arc::new(StoreStandin::start());
+        let store = Arc::new(StoreStandin::start_for(instances));
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let mut servers = Vec::new();
         for number in 0..SERVERS {
