Pass on what has arrived shortly after a stream's deadline

Found by reading once more: a relay that looks at its deadline before the body breaks off a stream whose last events have arrived, for instance when the machine was paused. Before, they were delivered.

front::endless (events without end among them) and front::forwarding pass.

--- a/crates/hibiscus-traffic/src/relay.rs
+++ b/crates/hibiscus-traffic/src/relay.rs
@@ -5,17 +5,22 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 use tokio::time::Sleep;
 
 use crate::flight::FlightWatch;
 use crate::stream::EventFollower;
 
+/// Time after the deadline within which what has arrived is passed on: an
+/// answer that is ready is delivered, also when it is late.
+const READY_TIME: Duration = Duration::from_millis(250);
 /// Bytes from the end of one event to the end of the next.
 const EVENT_LIMIT: usize = 256 * 1024;
 
@@ -84,13 +89,16 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, RelayFault>>> {
-        // A body that always has bytes must meet the deadline too.
-        if self.deadline.as_mut().poll(context).is_ready() {
-            return self.fail(RelayFault::TimedOut);
-        }
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) else {
+            if self.deadline.as_mut().poll(context).is_ready() {
+                return self.fail(RelayFault::TimedOut);
+            }
             return Poll::Pending;
         };
+        // A body that always has bytes never comes to the timer.
+        if Instant::now() > self.deadline.deadline() + READY_TIME {
+            return self.fail(RelayFault::TimedOut);
+        }
         match frame {
             Some(Ok(frame)) => {
                 let Some(data) = frame.data_ref() else {
