--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -26,6 +26,9 @@
 /// Time for news to be in force.
 const NEWS_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after which instances that started together know each other.
+const SETTLED: Duration = Duration::from_secs(3);
+
 /// Give-up limit of waits.
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -145,6 +148,21 @@
     )
 }
 
+/// Daemons before `store` that serve and know each other.
+fn start_fronts(store: &StoreStandin, instances: usize) -> Vec<FrontProcess> {
+    let mut fronts = Vec::new();
+    for number in 0..instances {
+        let name = format!("front-{number}");
+        let front = FrontProcess::start(&name, FrontPorts::find(), store.address());
+        fronts.push(front);
+    }
+    for front in &fronts {
+        front.wait_ready();
+    }
+    thread::sleep(SETTLED);
+    fronts
+}
+
 /// Instances of `fronts` whose log has lines with `text`.
 fn count_logs(fronts: &[FrontProcess], text: &str) -> usize {
     let logs = fronts.iter().map(|front| front.log_file());
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -14,11 +14,11 @@
 use platform_standins::FrontProcess;
 use platform_standins::StoreFaults;
 use platform_standins::StoreStandin;
-use platform_standins::front::FrontPorts;
 
 use crate::front::PREPAID;
 use crate::front::config;
 use crate::front::count_logs;
+use crate::front::start_fronts;
 use crate::front::status;
 
 /// Instances of the fleet; more than each of them watches all others of.
@@ -27,8 +27,6 @@
 const INSTANCES_VARIABLE: &str = "HIBISCUS_TEST_INSTANCES";
 /// Servers of the service.
 const SERVERS: usize = 9;
-/// Time after which the instances know each other.
-const SETTLED: Duration = Duration::from_secs(3);
 /// The body under which servers end.
 pub(super) const FATAL: &str = "fatal body";
 /// How often a caller sends such a request again.
@@ -86,20 +84,10 @@
             server.end_at(FATAL.as_bytes());
             servers.push(server);
         }
-        let mut fronts = Vec::new();
-        for number in 0..instances {
-            let name = format!("front-{number}");
-            let front = FrontProcess::start(&name, FrontPorts::find(), store.address());
-            fronts.push(front);
-        }
-        for front in &fronts {
-            front.wait_ready();
-        }
-        thread::sleep(SETTLED);
         Self {
+            fronts: start_fronts(&store, instances),
             store,
             servers,
-            fronts,
         }
     }
 
--- a/tests/testsuite/front/fleet.rs
+++ b/tests/testsuite/front/fleet.rs
@@ -1,26 +1,21 @@
 //! Several daemons before one store.
 
-use std::thread;
-use std::time::Duration;
-
 use platform_standins::BackendBehaviour;
 use platform_standins::BackendStandin;
 use platform_standins::FrontProcess;
 use platform_standins::StoreStandin;
-use platform_standins::front::FrontPorts;
 
 use crate::front::PREPAID;
 use crate::front::config;
 use crate::front::count_logs;
 use crate::front::request;
+use crate::front::start_fronts;
 use crate::front::status;
 use crate::front::wait_for;
 use crate::front::write_server;
 
 /// More instances than hold a budget.
 const INSTANCES: usize = 10;
-/// Time after which the instances know each other.
-const SETTLED: Duration = Duration::from_secs(3);
 
 /// Daemons before a store and one engine.
 struct Fleet {
@@ -35,20 +30,10 @@
         let engine = BackendStandin::start(BackendBehaviour::Events { count: 5 });
         store.write("keyed.op", "config", config(1, prepaid, "").as_bytes());
         write_server(&store, "i-engine", "engine", &engine, "ready");
-        let mut fronts = Vec::new();
-        for number in 0..INSTANCES {
-            let name = format!("front-{number}");
-            let front = FrontProcess::start(&name, FrontPorts::find(), store.address());
-            fronts.push(front);
-        }
-        for front in &fronts {
-            front.wait_ready();
-        }
-        thread::sleep(SETTLED);
         Self {
+            fronts: start_fronts(&store, INSTANCES),
             store,
             _engine: engine,
-            fronts,
         }
     }
 
