--- a/crates/hibiscus-traffic/src/suspects.rs
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -3,8 +3,9 @@
 //! [`SuspectDesk`] holds the book ([`hibiscus_request::suspects`]). News go two
 //! ways: over the link from neighbour to neighbour ([`keep`]), which takes
 //! milliseconds and needs no store, and those of requests into a topic of the
-//! fleet, which outlives all processes. Whoever learns something new passes it on, so a
-//! server's end costs each instance a message to each of its few contacts.
+//! fleet, which outlives all processes. Whoever learns something new passes it
+//! on, so a server's end costs each instance a message to each of its few
+//! contacts.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -306,7 +307,7 @@
     }
 
     /// Appends `news` to the topic. A full ring loses them: the tick repeats
-    /// what the topic does not hold.
+    /// ends that the topic does not hold, and the next answer drops others.
     fn store(&self, news: Vec<SuspectNews>) {
         if news.is_empty() {
             return;
