Start the test fleets as systems that start for the first time

The logs, which a failing test keeps now, show it: nine instances drew tokens, and eight hold the budget. front-1 drew first, 'serial=1 asked=10000 offset=0', before it knew any other: it had read an empty topic of announcements, and a process that is not the first of its system and reads of no other is alone, by design. It was one of the two that do not hold the budget.

The stand-in's settings never said that the system starts for the first time, though these ten instances do. No check changes. A daemon that starts seconds before the others of a running fleet draws for itself as before.

--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -153,7 +153,7 @@
     let mut fronts = Vec::new();
     for number in 0..instances {
         let name = format!("front-{number}");
-        let front = FrontProcess::start(&name, FrontPorts::find(), store.address());
+        let front = FrontProcess::start_first(&name, FrontPorts::find(), store.address());
         fronts.push(front);
     }
     for front in &fronts {
