Log the prompt parts and the progress of requests at a server that crashed

The log could not tell whether requests at crashed servers have a part in common, nor whether their answers had begun. HS4211 now has the shared parts and the time since the head and the first event of the response. No logic changes.

--- a/crates/hibiscus-traffic/src/crash_detector.rs
+++ b/crates/hibiscus-traffic/src/crash_detector.rs
@@ -19,6 +19,7 @@
 use hibiscus_events::event;
 use hibiscus_request::fingerprint::CoarseFingerprint;
 use hibiscus_request::fingerprint::RequestFingerprint;
+use hibiscus_routing::placement::PartTokens;
 use hibiscus_types::TeamName;
 use http::Uri;
 use metrics::counter;
@@ -123,16 +124,31 @@
     pub sent: Instant,
     /// Rounds of crashes of the request that were known when it was sent.
     pub known_rounds: u8,
+    /// Identifiers of the parts of the prompt that other requests may share.
+    pub parts: Rc<[u64]>,
+    /// Time at which the head of the response arrived.
+    pub head_at: Option<Instant>,
+    /// Time at which the first event of the response arrived.
+    pub begun_at: Option<Instant>,
 }
 
 impl CrashCandidate {
-    /// A candidate for the request `id`, which is being sent.
-    pub fn new(id: &str, identity: &Rc<RequestIdentity>, known_rounds: u8) -> Self {
+    /// A candidate for the request `id` with the shared `parts`, which is being
+    /// sent.
+    pub fn new(
+        id: &str,
+        identity: &Rc<RequestIdentity>,
+        known_rounds: u8,
+        parts: &[PartTokens],
+    ) -> Self {
         Self {
             id: id.to_owned(),
             subject: RequestSubject::Identity(Rc::clone(identity)),
             sent: Instant::now(),
             known_rounds,
+            parts: parts.iter().map(|(part, _tokens)| *part).collect(),
+            head_at: None,
+            begun_at: None,
         }
     }
 
@@ -168,8 +184,9 @@
 }
 
 impl StreamCandidate {
-    /// A candidate for `request`, whose response has not started.
-    pub fn new(request: CrashCandidate, detector: Rc<CrashDetector>) -> Self {
+    /// A candidate for `request`, of whose response the head has arrived.
+    pub fn new(mut request: CrashCandidate, detector: Rc<CrashDetector>) -> Self {
+        request.head_at = Some(Instant::now());
         Self {
             request: Some(request),
             begun: None,
@@ -187,6 +204,7 @@
             }
             if let Some(request) = &mut self.request {
                 request.drop_body();
+                request.begun_at = self.begun;
             }
             return;
         };
--- a/crates/hibiscus-traffic/src/handler/forwarding.rs
+++ b/crates/hibiscus-traffic/src/handler/forwarding.rs
@@ -301,6 +301,7 @@
         &admitted.caller_headers.id,
         &admitted.identity,
         suspect_status.rounds(),
+        &shared,
     );
     let has_other = || {
         let instances = state.directory.borrow().possibly_live_count();
--- a/crates/hibiscus-traffic/src/suspects.rs
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
@@ -167,14 +168,17 @@
             let before = crashes.summary(&fingerprint, report.seen);
             event!(
                 EventCode::RequestAtEnd,
-                "request={} server={} print={fingerprint} bytes={} sent_ms={} known_rounds={} servers_before={} alone={}",
+                "request={} server={} print={fingerprint} bytes={} sent_ms={} known_rounds={} servers_before={} alone={} parts={} head_ms={} begun_ms={}",
                 request.id,
                 entry.name,
                 request.bytes(),
                 request.sent.elapsed().as_millis(),
                 request.known_rounds,
                 before.map_or(0, |summary| summary.servers),
-                report.isolated
+                report.isolated,
+                format_parts(&request.parts),
+                format_age(request.head_at),
+                format_age(request.begun_at)
             );
             if crashes.merge(report.clone(), now) {
                 records.push(SuspectRecord::Crashed(report));
@@ -331,6 +335,26 @@
     }
 }
 
+/// Formats the identifiers of parts in hexadecimal, separated by commas.
+fn format_parts(parts: &[u64]) -> String {
+    let mut text = String::new();
+    for part in parts {
+        if !text.is_empty() {
+            text.push(',');
+        }
+        text.push_str(&format!("{part:x}"));
+    }
+    text
+}
+
+/// Formats the milliseconds since `at`; `none` if it has not happened.
+fn format_age(at: Option<Instant>) -> String {
+    at.map_or_else(
+        || "none".to_owned(),
+        |at| at.elapsed().as_millis().to_string(),
+    )
+}
+
 /// Takes the first items out of `queued`; items beyond the limit are dropped.
 fn dequeue<T>(queued: &mut Vec<T>) -> Vec<T> {
     let surplus = queued.len().saturating_sub(QUEUED_ITEM_LIMIT);
