--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod changes;
+mod deadly_parts;
 mod draining;
 mod ending;
 mod endless;
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -70,7 +70,7 @@
     }
 
     /// Starts `instances` daemons with servers of `service`.
-    fn start_for(service: &'static str, instances: usize) -> Self {
+    pub(super) fn start_for(service: &'static str, instances: usize) -> Self {
         let store = Arc::new(StoreStandin::start_for(instances));
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let mut servers = Vec::new();
