Decode the software version of servers and the stream that is taken up, and log both

The log could not tell that a request takes a stream up, which one, nor which software version began it and goes on. HS4227 says it at the instance that sends it on, HS5101 has the version and the start of a server. The changes between instances get a topic of their own, since releases before this one can't decode the entries; they read the servers' topic itself then. Nothing decides by it yet.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -135,6 +135,7 @@
     PartReleased = "HS4224", Info, "part of prompts is not suspected any more, its record was removed from the topic";
     PartsExpired = "HS4225", Info, "crashes with parts of prompts have expired";
     PartsNotTold = "HS4226", Info, "instance did not respond to reports of prompts at servers that crashed";
+    StreamTakenUp = "HS4227", Info, "stream is taken up again at a server";
     ServerStopped = "HS5001", Warn, "server crashed while it processed a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server was removed from the registry";
--- a/crates/hibiscus-traffic/src/handler/forwarding.rs
+++ b/crates/hibiscus-traffic/src/handler/forwarding.rs
@@ -291,6 +291,15 @@
         "request={} server={name}",
         admitted.caller_headers.id
     );
+    if let Some(last_event) = admitted.caller_headers.resume_after {
+        event!(
+            EventCode::StreamTakenUp,
+            "request={} resumes={} after={last_event} server={name} software={}",
+            admitted.caller_headers.id,
+            admitted.caller_headers.resumes.as_deref().unwrap_or("none"),
+            chosen.server.entry.software
+        );
+    }
     let request = CrashCandidate::new(
         &admitted.caller_headers.id,
         &admitted.identity,
--- a/crates/hibiscus-traffic/src/model.rs
+++ b/crates/hibiscus-traffic/src/model.rs
@@ -11,6 +11,7 @@
 use hibiscus_types::InstanceName;
 use hibiscus_types::ServerName;
 use hibiscus_types::ServiceName;
+use hibiscus_types::SoftwareVersion;
 use hibiscus_types::TeamName;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
@@ -163,6 +164,8 @@
     /// Start time of the server's process. An entry with another start time
     /// belongs to another process.
     pub started: u64,
+    /// Version of the server's software.
+    pub software: SoftwareVersion,
 }
 
 impl ServerEntry {
--- a/crates/hibiscus-traffic/src/server_changes.rs
+++ b/crates/hibiscus-traffic/src/server_changes.rs
@@ -18,7 +18,7 @@
 use crate::model::ServerEntry;
 
 /// Topic of the change sets.
-pub const SERVER_CHANGES_TOPIC: &str = "server-changes";
+pub const SERVER_CHANGES_TOPIC: &str = "server-changes-2"; // earlier releases cannot decode its entries
 /// Time after which a relay publishes an empty change set.
 pub const CHANGE_SET_INTERVAL: Duration = Duration::from_secs(1);
 /// Additional time that each further relay waits for the relays before it.
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -420,6 +420,7 @@
                 && held.entry.started == entry.started
                 && held.entry.service == entry.service
                 && held.entry.phase == entry.phase
+                && held.entry.software == entry.software
         });
         if same {
             return;
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -508,11 +508,13 @@
             match &change {
                 RegistryChange::Present(entry) => event!(
                     EventCode::ServerKnown,
-                    "server={} service={} address={} phase={:?}",
+                    "server={} service={} address={} phase={:?} started={} software={}",
                     entry.name,
                     entry.service,
                     entry.address,
-                    entry.phase
+                    entry.phase,
+                    entry.started,
+                    entry.software
                 ),
                 RegistryChange::Gone(name) => event!(EventCode::ServerGone, "server={name}"),
             }
--- a/crates/hibiscus-traffic/src/wire_format.rs
+++ b/crates/hibiscus-traffic/src/wire_format.rs
@@ -27,6 +27,9 @@
     pub parts: Vec<PromptPart>,
     /// Number of the last event that the caller has.
     pub resume_after: Option<u64>,
+    /// Request id of the attempt that brought the first event of the stream, when the
+    /// request takes it up again.
+    pub resumes: Option<String>,
 }
 
 /// A header field of a request that cannot be parsed.
--- a/crates/hibiscus-traffic/tests/roster.rs
+++ b/crates/hibiscus-traffic/tests/roster.rs
@@ -18,6 +18,7 @@
         phase,
         slots: 8,
         started: 1,
+        software: "v1".into(),
     }
 }
 
--- a/crates/hibiscus-traffic/tests/server_choice.rs
+++ b/crates/hibiscus-traffic/tests/server_choice.rs
@@ -32,6 +32,7 @@
         phase: ServerPhase::Serving,
         slots: 8,
         started: 5,
+        software: "v1".into(),
     }
 }
 
--- a/crates/hibiscus-traffic/tests/server_news.rs
+++ b/crates/hibiscus-traffic/tests/server_news.rs
@@ -28,6 +28,7 @@
         phase,
         slots: 48,
         started,
+        software: "v1".into(),
     }
 }
 
--- a/crates/hibiscus-types/src/id.rs
+++ b/crates/hibiscus-types/src/id.rs
@@ -71,6 +71,11 @@
     /// A service: the backend servers that answer the same calls.
     ServiceName
 }
+name_type! {
+    /// Version of the software of a backend server, not of the weights of a model.
+    /// Versions have no order.
+    SoftwareVersion
+}
 
 /// One run of a router process. A restarted process is a new incarnation.
 #[derive(
--- a/crates/hibiscus-types/src/lib.rs
+++ b/crates/hibiscus-types/src/lib.rs
@@ -22,6 +22,7 @@
 pub use id::RequestKey;
 pub use id::ServerName;
 pub use id::ServiceName;
+pub use id::SoftwareVersion;
 pub use id::TeamName;
 pub use id::TokenCount;
 pub use outcome::RefusalReason;
