--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -9,6 +9,7 @@
 mod entries;
 mod fleet;
 mod forwarding;
+mod joined_streams;
 mod lifetime;
 mod limits;
 mod operations;
