--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -136,6 +136,9 @@
     PartsExpired = "HS4225", Info, "crashes with parts of prompts have expired";
     PartsNotTold = "HS4226", Info, "instance did not respond to reports of prompts at servers that crashed";
     StreamTakenUp = "HS4227", Info, "stream is taken up again at a server";
+    TakeUpRefused = "HS4228", Info, "request that takes a stream up was refused, the version that began the stream is not known";
+    StreamNotesLost = "HS4229", Warn, "records of software versions and streams could not be queued or appended";
+    StreamRecordUnreadable = "HS4230", Warn, "record of software versions or streams cannot be decoded";
     ServerStopped = "HS5001", Warn, "server crashed while it processed a request";
     ServerKnown = "HS5101", Info, "server known";
     ServerGone = "HS5102", Info, "server was removed from the registry";
@@ -153,4 +156,7 @@
     ServerUnlimited = "HS5115", Info, "server names no request limit any more";
     LimitLevels = "HS5116", Info, "requests to a server with a limit were counted";
     PermitsNotAnswered = "HS5117", Info, "instance did not respond to a permit request";
+    ServiceMixed = "HS5118", Info, "servers of several software versions may have begun streams";
+    ServiceUniform = "HS5119", Info, "servers of one software version may have begun streams";
+    ServerOtherProcess = "HS5120", Info, "another process of a server responds than the one that wrote its entry";
 }
--- a/crates/hibiscus-front/src/main.rs
+++ b/crates/hibiscus-front/src/main.rs
@@ -3,8 +3,8 @@
 //! The traffic thread serves callers and makes all decisions. The other threads
 //! only move records between it and the metadata store: [`follow`] and
 //! [`servers`] read topics, [`config`] reads the operators' configuration,
-//! [`append`] writes account records, and [`suspects`] reads and writes crash
-//! reports. [`signals`] waits for signals. [`serve`] starts all threads.
+//! [`append`] writes account records, [`suspects`] reads and writes crash reports, and
+//! [`streams`] the software versions that began streams. [`signals`] waits for signals. [`serve`] starts all threads.
 
 mod append;
 mod cli;
@@ -14,6 +14,7 @@
 mod serve;
 mod servers;
 mod signals;
+mod streams;
 mod suspects;
 mod topic_monitor;
 
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -37,6 +37,8 @@
 use hibiscus_traffic::shares::MemoryShares;
 use hibiscus_traffic::state::TrafficComponents;
 use hibiscus_traffic::state::TrafficState;
+use hibiscus_traffic::stream_versions;
+use hibiscus_traffic::stream_versions::StreamTracker;
 use hibiscus_traffic::supply;
 use hibiscus_traffic::suspects::SuspectTracker;
 use hibiscus_traffic::traffic_metrics;
@@ -67,6 +69,7 @@
 use crate::relay::RelayRole;
 use crate::servers;
 use crate::signals;
+use crate::streams;
 use crate::suspects;
 
 /// Path of the metrics endpoint.
@@ -184,6 +187,7 @@
     let store = StoreClient::new(settings.store);
     let (sender, receiver) = updates::channel();
     let (outbox, batches) = mpsc::sync_channel(append::QUEUE_CAPACITY);
+    let (stream_sender, stream_records) = mpsc::sync_channel(streams::QUEUE_CAPACITY);
     let (suspect_sender, suspect_batches) = mpsc::sync_channel(suspects::QUEUE_CAPACITY);
     spawn("signals", {
         let sender = sender.clone();
@@ -221,6 +225,18 @@
         let (store, limits) = (store.clone(), settings.store_limits);
         move || suspects::append_suspects(&store, limits, &suspect_batches)
     })?;
+    spawn("versions", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || streams::follow_versions(&store, &sender)
+    })?;
+    spawn("streams", {
+        let (store, sender) = (store.clone(), sender.clone());
+        move || streams::follow_notes(&store, &sender)
+    })?;
+    spawn("streams-append", {
+        let store = store.clone();
+        move || streams::append_streams(&store, &stream_records)
+    })?;
     spawn("append", {
         let (store, sender, limits) = (store.clone(), sender.clone(), settings.store_limits);
         move || append::run(&store, limits, &sender, &batches)
@@ -240,6 +256,7 @@
         directory: InstanceDirectory::new(own.clone()),
         suspects: SuspectTracker::new(own.name.clone(), suspect_sender.clone()),
         parts: PartTracker::new(own.name.clone(), suspect_sender),
+        streams: StreamTracker::new(stream_sender),
         memory_shares: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
@@ -322,6 +339,7 @@
     tokio::task::spawn_local(crash_detector::run(Rc::clone(&state)));
     tokio::task::spawn_local(hibiscus_traffic::suspects::run(Rc::clone(&state)));
     tokio::task::spawn_local(part_tracker::run(Rc::clone(&state)));
+    tokio::task::spawn_local(stream_versions::run(Rc::clone(&state)));
     tokio::task::spawn_local(limit_exchange::run(Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_callers(callers, Rc::clone(&state)));
     tokio::task::spawn_local(port::serve_status_requests(
@@ -361,6 +379,7 @@
                 state.share_server_connections();
                 state.review_budgets();
                 state.tick_parts();
+                state.tick_streams();
                 supply::return_idle(&state);
             }
         }
@@ -443,6 +462,7 @@
             _at = tick.tick() => {
                 state.review_budgets();
                 state.tick_parts();
+                state.tick_streams();
             }
         }
         if started.elapsed() < SHUTDOWN_SERVING_TIME {
--- a/crates/hibiscus-request/src/lib.rs
+++ b/crates/hibiscus-request/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod prompt_parts;
 pub mod quarantine;
 pub mod retry;
+pub mod stream_versions;
 pub mod suspects;
 pub mod window;
--- a/crates/hibiscus-traffic/src/connect.rs
+++ b/crates/hibiscus-traffic/src/connect.rs
@@ -81,6 +81,8 @@
     idle_timeout: Duration,
     /// When the connection became idle.
     parked: Option<Instant>,
+    /// Whether the process at the other end is the one that wrote the server's entry.
+    is_verified: bool,
 }
 
 impl ServerConnection {
@@ -114,6 +116,7 @@
             task,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             parked: None,
+            is_verified: false,
         })
     }
 
@@ -132,6 +135,17 @@
         self.idle_timeout = timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
     }
 
+    /// Whether the process at the other end is known to be the one that wrote the
+    /// server's entry.
+    pub fn is_verified(&self) -> bool {
+        self.is_verified
+    }
+
+    /// Records that the process at the other end wrote the server's entry.
+    pub fn set_verified(&mut self) {
+        self.is_verified = true;
+    }
+
     /// Records that the connection is idle from now on.
     pub fn park(&mut self) {
         self.parked = Some(Instant::now());
--- a/crates/hibiscus-traffic/src/handler.rs
+++ b/crates/hibiscus-traffic/src/handler.rs
@@ -105,7 +105,7 @@
     match outcome {
         Ok((admitted, forwarded)) => {
             let metrics = Rc::clone(&state.metrics);
-            forwarded.into_response(&admitted, progress, metrics)
+            forwarded.into_response(&admitted, progress, metrics, &state.streams)
         }
         Err(response) => response,
     }
--- a/crates/hibiscus-traffic/src/handler/admission.rs
+++ b/crates/hibiscus-traffic/src/handler/admission.rs
@@ -28,6 +28,7 @@
 use crate::send;
 use crate::state::TrafficState;
 use crate::state::start;
+use crate::stream_versions::VersionRule;
 use crate::table;
 use crate::table::RouteTable;
 use crate::wire_format::CallerHeaders;
@@ -48,6 +49,8 @@
     pub(super) identity: Rc<RequestIdentity>,
     /// What the prompt shares with others.
     pub(super) prompt: Rc<SharedPrompt>,
+    /// Software versions of the servers that may get the request.
+    pub(super) versions: VersionRule,
     pub(super) arrived: Instant,
     /// Arrival plus the shorter of the caller's deadline and the route's
     /// timeout.
@@ -93,6 +96,7 @@
     let read = tokio::time::timeout_at(deadline.into(), reading).await;
     let body = read.map_err(|_elapsed| LocalReason::ExpiredBeforeSend)??;
     info.body_read = true;
+    let versions = version_rule(state, &caller_headers, &route, &service, deadline).await?;
     let mut headers = head.headers;
     send::strip_connection_headers(&mut headers);
     state.wire_format.strip_internal_headers(&mut headers);
@@ -108,12 +112,36 @@
         method: head.method,
         headers,
         prompt,
+        versions,
         identity: Rc::new(RequestIdentity::new(caller, head.uri, body)),
         arrived,
         deadline,
     })
 }
 
+/// Returns the software versions of the servers that may get a request: for one that
+/// takes a stream up again, the version that began the stream.
+async fn version_rule<D: WireFormat>(
+    state: &TrafficState<D>,
+    caller_headers: &CallerHeaders,
+    route: &RouteRule,
+    service: &ServiceName,
+    deadline: Instant,
+) -> Result<VersionRule> {
+    if !route.kind.is_stream() {
+        return Ok(VersionRule::Any);
+    }
+    if caller_headers.resume_after.is_none() {
+        return Ok(state.streams.rule_for_new(service, state.now()));
+    }
+    let resumes = caller_headers.resumes.as_deref();
+    let rule = state.rule_for_take_up(service, resumes, deadline).await;
+    rule.map_err(|reason| {
+        state.log_take_up_refusal(&caller_headers.id, resumes, service, reason);
+        reason.into()
+    })
+}
+
 /// Returns what the prompt of a request of `team` shares with others: all parts but
 /// the last, which is the request's own.
 fn shared_prompt(caller_headers: &CallerHeaders, team: Option<&TeamName>) -> SharedPrompt {
--- a/crates/hibiscus-traffic/src/handler/forwarding.rs
+++ b/crates/hibiscus-traffic/src/handler/forwarding.rs
@@ -13,6 +13,7 @@
 use hibiscus_routing::placement::PlacementRequest;
 use hibiscus_types::ServerName;
 use http::Response;
+use metrics::counter;
 
 use crate::connect::ConnectFault;
 use crate::crash_detector::BrokenRequest;
@@ -25,16 +26,19 @@
 use crate::handler::selection;
 use crate::in_flight::InFlightRequest;
 use crate::in_flight::RequestCharge;
+use crate::model::RequestKind;
 use crate::part_tracker::PromptWatch;
 use crate::response::LocalReason;
 use crate::response::LocalRefusal;
 use crate::send;
 use crate::send::FailureCause;
 use crate::send::OutgoingRequest;
+use crate::send::ProcessCheck;
 use crate::send::SendOutcome;
 use crate::servers::ServerHandle;
 use crate::servers::choice::NoServer;
 use crate::state::TrafficState;
+use crate::stream_versions::STREAM_TAKE_UPS;
 use crate::suspects;
 use crate::suspects::SuspectStatus;
 use crate::suspects::SuspectTracker;
@@ -100,11 +104,14 @@
 
     /// Records that no other server is usable. If a tried server refused the
     /// request, the refusal keeps that reason, since it tells the caller more.
-    fn note_no_server(&mut self, none: NoServer) {
+    fn note_no_server(&mut self, none: NoServer, admitted: &AdmittedRequest) {
         if self.runs > 0 {
             return;
         }
         let (no_server, recovery) = match none {
+            NoServer::Missing if admitted.versions.is_strict() => {
+                (LocalReason::StreamUnavailable, None)
+            }
             NoServer::Missing => return,
             NoServer::Pausing(pause) => (LocalReason::ServersPausing, pause),
             NoServer::Limited(time) => (LocalReason::ServersLimited, Some(time)),
@@ -247,7 +254,13 @@
                 let servers = state.servers.borrow();
                 servers.log_held_back(&admitted.caller_headers.id, &admitted.service);
             }
-            history.note_no_server(none);
+            if none == NoServer::Missing && admitted.versions.is_strict() {
+                let reason = LocalReason::StreamUnavailable;
+                let resumes = admitted.caller_headers.resumes.as_deref();
+                let id = &admitted.caller_headers.id;
+                state.log_take_up_refusal(id, resumes, &admitted.service, reason);
+            }
+            history.note_no_server(none, admitted);
             return NextStep::End;
         }
     };
@@ -272,6 +285,7 @@
         id: &admitted.caller_headers.id,
         deadline: admitted.deadline,
         abandon_if_silent: may_run_again(admitted, history.runs + 1),
+        process_check: process_check(state, admitted),
     };
     let suspect = match &suspect_status {
         SuspectStatus::Clear => None,
@@ -292,6 +306,7 @@
         admitted.caller_headers.id
     );
     if let Some(last_event) = admitted.caller_headers.resume_after {
+        counter!(STREAM_TAKE_UPS, "outcome" => "gone_on").increment(1);
         event!(
             EventCode::StreamTakenUp,
             "request={} resumes={} after={last_event} server={name} software={}",
@@ -310,10 +325,11 @@
         let instances = state.directory.borrow().possibly_live_count();
         let mut retries = state.retries.borrow_mut();
         retries.has_retry(&admitted.service, instances, state.now())
-            && state
-                .servers
-                .borrow()
-                .has_other(&admitted.service, &history.tried)
+            && state.servers.borrow().has_other(
+                &admitted.service,
+                &history.tried,
+                &admitted.versions,
+            )
     };
     let sending = send::send(&state.wire_format, in_flight, &outgoing, has_other);
     let report = tokio::select! {
@@ -335,6 +351,7 @@
     }
     let attempt = SentAttempt {
         request,
+        is_verified: report.is_verified,
         prompt_watch: PromptWatch::new(
             Rc::clone(&state.parts),
             &admitted.caller_headers.id,
@@ -355,6 +372,8 @@
     pub(super) server: Rc<ServerHandle>,
     pub(super) request: CrashCandidate,
     pub(super) prompt_watch: PromptWatch,
+    /// Whether the process that responds is the one that wrote the server's entry.
+    pub(super) is_verified: bool,
     pub(super) crash_detector: Rc<CrashDetector>,
     pub(super) suspects: Rc<SuspectTracker>,
     /// Fingerprint of the request if servers crashed while they ran it before.
@@ -437,6 +456,19 @@
             }
             NextStep::TryElsewhere
         }
+        SendOutcome::OtherProcess => {
+            event!(
+                EventCode::ServerOtherProcess,
+                "request={} server={name} started={} software={}",
+                admitted.caller_headers.id,
+                server.entry.started,
+                server.entry.software
+            );
+            // The entry of the new process follows.
+            server.note_closed();
+            history.note_not_run(LocalReason::NoServer, charge);
+            NextStep::TryElsewhere
+        }
         SendOutcome::NotRun(status) => {
             event!(
                 EventCode::ServerRefused,
@@ -463,6 +495,26 @@
     }
 }
 
+/// Whether it matters which process of a server responds. A stream must go on at the
+/// version that began it, and while several versions serve, it must be known which one
+/// begins a stream.
+fn process_check<D: WireFormat>(
+    state: &TrafficState<D>,
+    admitted: &AdmittedRequest,
+) -> ProcessCheck {
+    if admitted.route.kind != RequestKind::ResumableStream {
+        return ProcessCheck::None;
+    }
+    if !state.streams.is_mixed(&admitted.service) {
+        return ProcessCheck::None;
+    }
+    if admitted.versions.is_strict() {
+        ProcessCheck::Required
+    } else {
+        ProcessCheck::Preferred
+    }
+}
+
 /// Whether another server may run the request after `runs` servers may have
 /// run it.
 fn may_run_again(admitted: &AdmittedRequest, runs: u32) -> bool {
--- a/crates/hibiscus-traffic/src/handler/response_intake.rs
+++ b/crates/hibiscus-traffic/src/handler/response_intake.rs
@@ -18,11 +18,14 @@
 use crate::in_flight::RequestCharge;
 use crate::in_flight::RequestProgress;
 use crate::in_flight::ResponseTracker;
+use crate::model::RequestKind;
 use crate::response_body::ResponseBody;
 use crate::response_body::StreamForwarder;
 use crate::send;
 use crate::send::FailureCause;
 use crate::send::ServerResponse;
+use crate::stream_versions::StreamStart;
+use crate::stream_versions::StreamTracker;
 use crate::traffic_metrics::RequestOutcome;
 use crate::traffic_metrics::TrafficMetrics;
 
@@ -55,6 +58,7 @@
         admitted: &AdmittedRequest,
         progress: RequestProgress,
         metrics: Rc<TrafficMetrics>,
+        streams: &Rc<StreamTracker>,
     ) -> Response<ResponseBody> {
         let kind = admitted.route.kind;
         let stream = match self {
@@ -80,6 +84,7 @@
             progress,
             crash_candidate: StreamCandidate::new(attempt.request, attempt.crash_detector),
             prompt_watch: attempt.prompt_watch,
+            stream_start: stream_start(admitted, streams, attempt.is_verified),
             suspects: attempt.suspects,
             suspect: attempt.suspect,
         };
@@ -94,6 +99,17 @@
     }
 }
 
+/// Returns what notes the version that begins a stream that may be taken up again.
+fn stream_start(
+    admitted: &AdmittedRequest,
+    streams: &Rc<StreamTracker>,
+    is_verified: bool,
+) -> Option<StreamStart> {
+    let is_new = admitted.caller_headers.resume_after.is_none();
+    (is_new && admitted.route.kind == RequestKind::ResumableStream)
+        .then(|| StreamStart::new(Rc::clone(streams), is_verified))
+}
+
 /// Whether the response is a stream, which is forwarded as it arrives.
 pub(super) fn is_stream(admitted: &AdmittedRequest, response: &ServerResponse) -> bool {
     admitted.route.kind.is_stream() && response.response.status().is_success()
--- a/crates/hibiscus-traffic/src/handler/selection.rs
+++ b/crates/hibiscus-traffic/src/handler/selection.rs
@@ -41,7 +41,7 @@
     let deadline = tokio::time::Instant::now() + PERMIT_WAIT;
     let none = loop {
         let choice = {
-            let view = placement_view(state, request);
+            let view = placement_view(state, admitted, request);
             let servers = state.servers.borrow();
             servers.choose(&admitted.service, tried, &view)
         };
@@ -72,7 +72,7 @@
     let time_left = admitted.deadline.saturating_duration_since(Instant::now());
     let wait = MAX_AHEAD.min(time_left / RESERVATION_DIVISOR);
     let reserved = {
-        let view = placement_view(state, request);
+        let view = placement_view(state, admitted, request);
         let servers = state.servers.borrow();
         servers.reserve(&admitted.service, tried, wait, &view)
     };
@@ -85,6 +85,7 @@
 
 fn placement_view<'a, D: WireFormat>(
     state: &'a TrafficState<D>,
+    admitted: &'a AdmittedRequest,
     request: &'a PlacementRequest<'a>,
 ) -> PlacementView<'a> {
     PlacementView {
@@ -92,5 +93,6 @@
         data_centre: &state.data_centre,
         others: state.directory.borrow().live_count().saturating_sub(1),
         request,
+        versions: &admitted.versions,
     }
 }
--- a/crates/hibiscus-traffic/src/in_flight.rs
+++ b/crates/hibiscus-traffic/src/in_flight.rs
@@ -25,6 +25,7 @@
 use crate::servers::ServerHandle;
 use crate::servers::choice::ChosenServer;
 use crate::state::CountGuard;
+use crate::stream_versions::StreamStart;
 use crate::suspects::SuspectTracker;
 use crate::tally::CloseReason;
 use crate::traffic_metrics::RequestOutcome;
@@ -244,6 +245,9 @@
     pub crash_candidate: StreamCandidate,
     /// Attributes a crash of the server to the parts of the prompt.
     pub prompt_watch: PromptWatch,
+    /// Notes the version that began the stream; `None` for a request that takes a stream
+    /// up again.
+    pub stream_start: Option<StreamStart>,
     /// Requests suspected of crashing servers.
     pub suspects: Rc<SuspectTracker>,
     /// Fingerprint of the request if it is suspected of crashing servers.
@@ -256,6 +260,9 @@
         if events == 0 {
             return;
         }
+        if let Some(start) = &mut self.stream_start {
+            start.note_begun(&self.id, &self.in_flight.server().entry);
+        }
         self.crash_candidate.note_event();
         self.prompt_watch.note_begun();
         let now = Instant::now();
@@ -326,6 +333,9 @@
                     self.suspects.note_response(&self.id, fingerprint);
                 }
                 self.prompt_watch.note_ended();
+                if let Some(start) = &self.stream_start {
+                    start.note_complete(&self.id);
+                }
                 self.in_flight.keep_connection();
             }
             Some(fault) => {
--- a/crates/hibiscus-traffic/src/lib.rs
+++ b/crates/hibiscus-traffic/src/lib.rs
@@ -7,7 +7,7 @@
 //!   request goes to [`handler`], which admits it, selects a server, forwards the
 //!   request and sends the response.
 //! - [`servers`] holds the backend servers in [`server_registry`] with their
-//!   connections ([`connect`], [`bounded`], [`idle`]) and whether their processes
+//!   connections ([`connect`], [`bounded`], [`idle`], [`process_state`]) and whether their processes
 //!   accept new requests ([`availability_table`], [`server_limits`]). [`response_body`] forwards the
 //!   bytes of a response and checks that it is complete.
 //! - [`limit_exchange`] tells the instances of the limits that servers name, and
@@ -15,6 +15,8 @@
 //! - [`crash_detector`] detects whether a server that broke a request's
 //!   connection has crashed; [`suspects`] handles the requests under which
 //!   servers crash, and [`part_tracker`] the parts of prompts that crash them.
+//! - [`stream_versions`] keeps streams that are taken up again at the software version
+//!   that began them.
 //! - [`supply`] obtains the tokens for a request from [`budgets`], or from the
 //!   instances that [`holders`] selects. [`retries`] limits how many requests are
 //!   sent twice.
@@ -57,6 +59,7 @@
 pub mod permits;
 pub mod port;
 pub mod probe;
+pub mod process_state;
 pub mod recovery;
 pub mod relays;
 pub mod response;
@@ -70,6 +73,7 @@
 pub mod shares;
 pub mod state;
 pub mod stream;
+pub mod stream_versions;
 pub mod supply;
 pub mod suspects;
 pub mod table;
--- a/crates/hibiscus-traffic/src/response.rs
+++ b/crates/hibiscus-traffic/src/response.rs
@@ -56,6 +56,13 @@
     /// Several servers crashed one after the other with a part of the prompt. The
     /// caller must not repeat the request.
     PartCrashesServers,
+    /// It is not known which software version began the stream that the request takes
+    /// up. The caller may begin anew.
+    StreamUnknown,
+    /// This instance can't read which software versions there are; another one may.
+    StreamUnconfirmed,
+    /// No server of the software version that began the stream can take the request.
+    StreamUnavailable,
     /// The request was sent, and its outcome is unknown.
     OutcomeUnknown,
     /// The request was sent, and its deadline passed.
@@ -82,6 +89,9 @@
             | Self::ServersFull
             | Self::ServersPausing
             | Self::ServersLimited
+            | Self::StreamUnknown
+            | Self::StreamUnconfirmed
+            | Self::StreamUnavailable
             | Self::ExpiredBeforeSend
             | Self::Overloaded
             | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
@@ -107,6 +117,9 @@
             Self::ShuttingDown => "stopping",
             Self::CrashesServers => "ends_servers",
             Self::PartCrashesServers => "part_ends_servers",
+            Self::StreamUnknown => "stream_unknown",
+            Self::StreamUnconfirmed => "stream_unconfirmed",
+            Self::StreamUnavailable => "stream_unavailable",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::TimedOut => "timed_out",
         }
@@ -115,9 +128,10 @@
     /// Default `Retry-After` of temporary refusals.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfig | Self::BudgetUnconfirmed | Self::Overloaded => {
-                Some(Duration::from_millis(500))
-            }
+            Self::NoConfig
+            | Self::BudgetUnconfirmed
+            | Self::Overloaded
+            | Self::StreamUnconfirmed => Some(Duration::from_millis(500)),
             Self::NoServer | Self::ServersFull | Self::ServersPausing | Self::ServersLimited => {
                 Some(Duration::from_millis(200))
             }
--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -22,6 +22,8 @@
 use crate::connect::ServerConnection;
 use crate::idle::IdleConnection;
 use crate::in_flight::InFlightRequest;
+use crate::process_state;
+use crate::process_state::ProcessFault;
 use crate::server_limits::LimitObservation;
 use crate::servers::ServerHandle;
 use crate::wire_format::ResponseHeaders;
@@ -105,6 +107,21 @@
     TimedOut,
     /// The server stopped accepting requests in the meantime, so nothing was sent.
     Withdrawn,
+    /// Another process of the server responds than the one that wrote its entry, or this
+    /// is not known, so the request was not sent.
+    OtherProcess,
+}
+
+/// Whether it matters which process of a server gets a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessCheck {
+    /// It does not.
+    None,
+    /// Another process than the one that wrote the entry is not used. If the server does
+    /// not tell, the request is sent.
+    Preferred,
+    /// Only the process that wrote the entry is used.
+    Required,
 }
 
 /// Outcome of sending a request, and what the response says about the server.
@@ -117,6 +134,9 @@
     /// What the response says about the server's limit; `None` if it is no
     /// evidence.
     pub limit: Option<LimitObservation>,
+    /// Whether the process that got the request is known to be the one that wrote the
+    /// server's entry.
+    pub is_verified: bool,
 }
 
 impl From<SendOutcome> for SendReport {
@@ -125,6 +145,7 @@
             outcome,
             draining: false,
             limit: None,
+            is_verified: false,
         }
     }
 }
@@ -147,6 +168,8 @@
     /// Whether to give up on a silent server, although the request may still run
     /// there while another server runs it.
     pub abandon_if_silent: bool,
+    /// Whether it matters which process of the server gets the request.
+    pub process_check: ProcessCheck,
 }
 
 /// Sends `outgoing` to the server of `in_flight`. Gives up on a silent server
@@ -161,15 +184,26 @@
     let server = Rc::clone(in_flight.server());
     let server = &server;
     let mut idle = take_idle(server).await;
-    let (sent_at, response) = loop {
+    let (sent_at, is_verified, response) = loop {
         let is_reused = idle.is_some();
-        let connection = match obtain_connection(server, idle.take()).await {
+        let mut connection = match obtain_connection(server, idle.take()).await {
             Ok(connection) => connection,
             Err(fault) => {
                 server.note_failed();
                 return SendOutcome::NotSent(fault).into();
             }
         };
+        match process_state::check(format, server, &mut connection, outgoing).await {
+            Ok(()) => {}
+            // A reused connection may have been closed long ago.
+            Err(ProcessFault::Broken) if is_reused => continue,
+            Err(ProcessFault::Broken) => {
+                server.note_failed();
+                return SendOutcome::NotSent(ConnectFault::Refused).into();
+            }
+            Err(ProcessFault::Other) => return SendOutcome::OtherProcess.into(),
+        }
+        let is_verified = connection.is_verified();
         // A response to another request may have arrived while the connection
         // opened, and the server may accept no more requests.
         if !in_flight.may_send() {
@@ -180,7 +214,7 @@
         let sent_at = Instant::now();
         server.count_limited();
         match wait_for_head(connection, server, outgoing, &has_other).await {
-            Ok(response) => break (sent_at, response),
+            Ok(response) => break (sent_at, is_verified, response),
             // A reused connection may have been closed long ago, which does not
             // mean that the server refuses new ones.
             Err(SendOutcome::NotSent(_)) if is_reused => {}
@@ -199,6 +233,7 @@
         outcome,
         draining,
         limit,
+        is_verified,
     }
 }
 
--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -386,6 +386,11 @@
         self.by_name.is_empty()
     }
 
+    /// The entry of the server `name`.
+    pub fn entry(&self, name: &ServerName) -> Option<ServerEntry> {
+        self.by_name.get(name).map(|server| server.entry.clone())
+    }
+
     /// Finds the process of the server `name` that started at `started`.
     pub fn find(&self, name: &ServerName, started: u64) -> Option<&Rc<ServerHandle>> {
         let server = self.by_name.get(name);
--- a/crates/hibiscus-traffic/src/servers/choice.rs
+++ b/crates/hibiscus-traffic/src/servers/choice.rs
@@ -15,6 +15,7 @@
 
 use crate::servers::ServerHandle;
 use crate::servers::ServerPool;
+use crate::stream_versions::VersionRule;
 
 /// The server chosen for a request.
 #[derive(Debug)]
@@ -71,6 +72,8 @@
     pub others: u32,
     /// The prompt to place.
     pub request: &'a PlacementRequest<'a>,
+    /// Software versions of the servers that may get the request.
+    pub versions: &'a VersionRule,
 }
 
 impl PlacementView<'_> {
@@ -153,7 +156,7 @@
             usable,
             limited,
             none,
-        } = self.candidates(service, tried, view.now);
+        } = self.candidates(service, tried, view);
         let wanted = if limited.is_empty() {
             None
         } else {
@@ -175,15 +178,31 @@
         }
     }
 
-    /// The servers of `service` that are not in `tried`, by how they may be used at
-    /// `now`.
+    /// The servers of `service` that `versions` allows. Preferred versions are not
+    /// preferred if they have less than half of the serving servers.
+    fn allowed(&self, service: &ServiceName, versions: &VersionRule) -> Vec<&Rc<ServerHandle>> {
+        let servers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut allowed: Vec<_> = servers.iter().collect();
+        allowed.retain(|server| versions.allows(&server.entry));
+        if let VersionRule::Preferred(_) = versions {
+            let serving = servers.iter().filter(|server| server.is_serving());
+            let preferred = allowed.iter().filter(|server| server.is_serving());
+            if preferred.count() * 2 < serving.count() {
+                return servers.iter().collect();
+            }
+        }
+        allowed
+    }
+
+    /// The servers of `service` that are not in `tried`, by how they may be used.
     fn candidates(
         &self,
         service: &ServiceName,
         tried: &[ServerName],
-        now: Instant,
+        view: &PlacementView<'_>,
     ) -> Candidates<'_> {
-        let servers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let now = view.now;
+        let servers = self.allowed(service, view.versions);
         let mut usable = Vec::with_capacity(servers.len());
         let mut avoided = Vec::new();
         let mut limited = Vec::new();
@@ -239,7 +258,7 @@
         view: &PlacementView<'_>,
     ) -> Option<ChosenServer> {
         let (now, request) = (view.now, view.request);
-        let servers = self.by_service.get(service)?.iter();
+        let servers = self.allowed(service, view.versions).into_iter();
         let servers = servers.filter(|server| {
             let is_usable = server.is_eligible(now) && server.is_healthy(now);
             server.is_serving() && is_usable && !tried.contains(&server.entry.name)
@@ -257,11 +276,16 @@
         })
     }
 
-    /// Whether a healthy server of `service` that is not in `tried` accepts
-    /// requests.
-    pub fn has_other(&self, service: &ServiceName, tried: &[ServerName]) -> bool {
+    /// Whether a healthy server of `service` that is not in `tried` and that `versions`
+    /// allows accepts requests.
+    pub fn has_other(
+        &self,
+        service: &ServiceName,
+        tried: &[ServerName],
+        versions: &VersionRule,
+    ) -> bool {
         let now = Instant::now();
-        let servers = self.by_service.get(service).into_iter().flatten();
+        let servers = self.allowed(service, versions).into_iter();
         let mut others = servers.filter(|server| !tried.contains(&server.entry.name));
         others.any(|server| {
             server.is_serving()
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -43,6 +43,8 @@
 use crate::shares::MemoryShares;
 use crate::state::holding::HeldRanks;
 use crate::state::start::StartupProgress;
+use crate::stream_versions::StreamTracker;
+use crate::stream_versions::StreamUpdate;
 use crate::suspects::SuspectTracker;
 use crate::table::RouteTable;
 use crate::tally::WorkTally;
@@ -75,6 +77,8 @@
     pub suspects: SuspectTracker,
     /// The parts of prompts that servers crashed with.
     pub parts: PartTracker,
+    /// The software versions that began streams.
+    pub streams: StreamTracker,
     /// Share of the machine's memory for each purpose.
     pub memory_shares: MemoryShares,
     /// Resource limits of the process.
@@ -123,6 +127,8 @@
     pub suspects: Rc<SuspectTracker>,
     /// The parts of prompts that servers crashed with.
     pub parts: Rc<PartTracker>,
+    /// The software versions that began streams.
+    pub streams: Rc<StreamTracker>,
     /// The servers with their connections.
     pub servers: RefCell<ServerPool>,
     /// Servers whose limits have changed, for the other instances.
@@ -177,6 +183,7 @@
             crash_detector: Rc::default(),
             suspects: Rc::new(parts.suspects),
             parts: Rc::new(parts.parts),
+            streams: Rc::new(parts.streams),
             servers: RefCell::new(ServerPool::new(own, parts.memory_shares.idle_links)),
             limit_outbox: LimitOutbox::default(),
             permit_desk: RefCell::default(),
@@ -299,6 +306,7 @@
                     .borrow_mut()
                     .replace(entries, self.now());
                 self.apply_server_changes(changes);
+                self.streams.note_entries_read(self.now());
                 self.startup.note_servers();
             }
             TrafficUpdate::Server(entry) => {
@@ -312,10 +320,18 @@
             TrafficUpdate::ServerTopicUnavailable => {
                 self.server_registry.borrow_mut().note_store_lost()
             }
-            TrafficUpdate::ServerTopicRead => self
-                .server_registry
-                .borrow_mut()
-                .note_store_read(self.now()),
+            TrafficUpdate::ServerTopicRead => {
+                self.streams.note_entries_read(self.now());
+                let mut registry = self.server_registry.borrow_mut();
+                registry.note_store_read(self.now());
+            }
+            TrafficUpdate::Streams(update) => {
+                let has_all = matches!(update, StreamUpdate::AllVersions(_));
+                self.streams.apply_update(update, self.now());
+                if has_all {
+                    self.startup.note_versions();
+                }
+            }
             TrafficUpdate::Accounts { first, records } => {
                 for (offset, record) in (first..).zip(&records) {
                     self.budgets.apply(offset, record);
@@ -484,6 +500,7 @@
         };
         levels.publish();
         self.parts.show_levels();
+        self.streams.show_levels();
         self.tally.publish();
         if self.pressure.note_levels(&levels, &self.tally) {
             self.budgets
@@ -518,7 +535,13 @@
                 ),
                 RegistryChange::Gone(name) => event!(EventCode::ServerGone, "server={name}"),
             }
-            self.servers.borrow_mut().apply(change);
+            let mut servers = self.servers.borrow_mut();
+            let (before, after) = match &change {
+                RegistryChange::Present(entry) => (servers.entry(&entry.name), Some(entry)),
+                RegistryChange::Gone(name) => (servers.entry(name), None),
+            };
+            self.streams.note_entry(before.as_ref(), after, self.now());
+            servers.apply(change);
         }
     }
 
--- a/crates/hibiscus-traffic/src/state/start.rs
+++ b/crates/hibiscus-traffic/src/state/start.rs
@@ -1,7 +1,7 @@
 //! Waiting of requests while an instance starts.
 //!
-//! The callers' port opens a moment before the configuration, the servers and the
-//! suspects are read from the store. Requests that arrive in between wait briefly
+//! The callers' port opens a moment before the configuration, the servers, their
+//! software versions and the suspects are read from the store. Requests that arrive in between wait briefly
 //! for these.
 
 use std::cell::Cell;
@@ -22,6 +22,7 @@
 pub(crate) struct StartupProgress {
     servers_read: Cell<bool>,
     suspects_read: Cell<bool>,
+    versions_read: Cell<bool>,
     changed: Notify,
 }
 
@@ -38,6 +39,13 @@
         }
     }
 
+    /// Records that the software versions were read.
+    pub(super) fn note_versions(&self) {
+        if !self.versions_read.replace(true) {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Records that the servers were read.
     pub(super) fn note_servers(&self) {
         if !self.servers_read.replace(true) {
@@ -65,7 +73,9 @@
     pub async fn wait_until_configured(&self, end: Instant) {
         loop {
             let changed = self.startup.changed.notified();
-            let is_read = self.startup.servers_read.get() && self.startup.suspects_read.get();
+            let is_read = self.startup.servers_read.get()
+                && self.startup.suspects_read.get()
+                && self.startup.versions_read.get();
             if is_read && self.table.borrow().is_some() {
                 return;
             }
--- /dev/null
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -0,0 +1,535 @@
+//! Keeps streams that are taken up again at the software version that began them.
+//!
+//! [`StreamTracker`] follows the versions of the servers and the streams that began
+//! here ([`hibiscus_request::stream_versions`]). While a service has servers of several
+//! versions, or had them a short time ago, the instance tells the others by a topic of
+//! the fleet which version began each stream that may still be taken up. [`run`] sends
+//! these notes in batches. A request that takes a stream up goes on only at the version
+//! that is known to have begun it, and is refused where this is not known. An instance
+//! that can't read the servers' entries knows nothing for certain, since other instances
+//! may have begun streams at versions that it has not read of.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+use std::time::Instant;
+
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_request::stream_versions::ServiceVersions;
+use hibiscus_request::stream_versions::StreamBatch;
+use hibiscus_request::stream_versions::StreamKey;
+use hibiscus_request::stream_versions::StreamNotes;
+use hibiscus_request::stream_versions::VERSION_MEMORY;
+use hibiscus_request::stream_versions::VersionHistory;
+use hibiscus_types::ServerName;
+use hibiscus_types::ServiceName;
+use hibiscus_types::SoftwareVersion;
+use hibiscus_types::UnixMillis;
+use metrics::counter;
+use metrics::gauge;
+use tokio::sync::Notify;
+
+use crate::model::ServerEntry;
+use crate::response::LocalReason;
+use crate::state::TrafficState;
+use crate::wire_format::WireFormat;
+
+/// Counts requests that take streams up again, by outcome.
+pub const STREAM_TAKE_UPS: &str = "hibiscus_stream_take_ups_total";
+/// Number of services of which several software versions may have begun streams.
+pub const MIXED_SERVICES: &str = "hibiscus_mixed_services";
+/// Number of streams of which the version is noted.
+pub const NOTED_STREAMS: &str = "hibiscus_noted_streams";
+
+/// Time without a successful read of the servers' entries after which other instances
+/// may know versions that this one does not: a read waits 1.5 s and fails 0.9 s later.
+const FRESHNESS_LIMIT: Duration = Duration::from_millis(2_600);
+/// Minimum time between two batches of notes.
+const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two batches for each instance, so that all together append at most 200
+/// times a second.
+const BATCH_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(5);
+/// Time for a batch to be appended and read, beyond the time between two.
+const BATCH_DELAY: Duration = Duration::from_millis(450);
+/// Time before the entry of a new process was read in which the process may have begun
+/// streams: servers write their entries about every second.
+const ENTRY_LAG: Duration = Duration::from_secs(5);
+/// Subject by which the instance that maintains the topic of the versions is chosen.
+const MAINTAINER_SUBJECT: &str = "versions";
+/// Maximum number of streams of this instance to remember.
+const OWN_STREAM_LIMIT: usize = 16_384;
+/// Maximum number of streams in one batch: less than 200 KB.
+const BATCH_LIMIT: usize = 16_384;
+
+/// Servers that may get a request, by software version.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum VersionRule {
+    /// Servers of any version.
+    #[default]
+    Any,
+    /// Servers of this version.
+    Only(SoftwareVersion),
+    /// Servers of these versions, unless they are fewer than the others.
+    Preferred(BTreeSet<SoftwareVersion>),
+}
+
+impl VersionRule {
+    /// Whether a server may get the request.
+    pub fn allows(&self, entry: &ServerEntry) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(software) => entry.software == *software,
+            Self::Preferred(versions) => versions.contains(&entry.software),
+        }
+    }
+
+    /// Whether the process that answers must be the one that wrote the entry.
+    pub fn is_strict(&self) -> bool {
+        matches!(self, Self::Only(_))
+    }
+}
+
+/// A record for the topics of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamRecord {
+    /// The versions of a service.
+    Versions(ServiceName, ServiceVersions),
+    /// Versions that began streams.
+    Notes(Vec<StreamBatch>),
+}
+
+/// What was read from the topics of the fleet.
+#[derive(Debug)]
+pub enum StreamUpdate {
+    /// The versions of all services, read from the start.
+    AllVersions(Vec<(ServiceName, ServiceVersions)>),
+    /// The versions of a service.
+    Versions(ServiceName, ServiceVersions),
+    /// Versions that began streams.
+    Notes(Vec<StreamBatch>),
+}
+
+/// A stream that began here and is not complete.
+#[derive(Clone, Debug)]
+struct OwnStream {
+    service: ServiceName,
+    software: Option<SoftwareVersion>,
+    server: ServerName,
+    begun_at: Duration,
+}
+
+/// The beginning of a stream at a server.
+#[derive(Debug)]
+pub struct StreamStart {
+    tracker: Rc<StreamTracker>,
+    /// Whether the process that responds is the one that wrote the server's entry.
+    is_verified: bool,
+    is_noted: bool,
+}
+
+impl StreamStart {
+    /// Prepares the note of a stream.
+    pub fn new(tracker: Rc<StreamTracker>, is_verified: bool) -> Self {
+        Self {
+            tracker,
+            is_verified,
+            is_noted: false,
+        }
+    }
+
+    /// Records an event of the stream of the request `id` from `server`. The first one
+    /// counts.
+    pub fn note_begun(&mut self, id: &str, server: &ServerEntry) {
+        if !self.is_noted {
+            self.is_noted = true;
+            self.tracker.note_begun(id, server, self.is_verified);
+        }
+    }
+
+    /// Records that the stream of the request `id` is complete.
+    pub fn note_complete(&self, id: &str) {
+        self.tracker.note_complete(id);
+    }
+}
+
+/// Follows the versions of servers and of the streams that they began.
+#[derive(Debug)]
+pub struct StreamTracker {
+    history: RefCell<VersionHistory>,
+    notes: RefCell<StreamNotes>,
+    own: RefCell<HashMap<StreamKey, OwnStream>>,
+    /// Streams of `own`, oldest first.
+    own_order: RefCell<VecDeque<(StreamKey, Duration)>>,
+    /// Notes for the next batch.
+    pending: RefCell<Vec<(StreamKey, ServiceName, Option<SoftwareVersion>)>>,
+    has_pending: Notify,
+    /// Notifies requests that notes of other instances arrived.
+    noted: Notify,
+    /// Services that were mixed at the last look.
+    mixed: RefCell<BTreeSet<ServiceName>>,
+    /// Time at which the servers' entries were last read.
+    entries_read_at: Cell<Option<Duration>>,
+    outbox: SyncSender<StreamRecord>,
+    started: Instant,
+}
+
+impl StreamTracker {
+    /// An empty tracker, which sends records to `outbox`.
+    pub fn new(outbox: SyncSender<StreamRecord>) -> Self {
+        Self {
+            started: Instant::now(),
+            history: RefCell::default(),
+            notes: RefCell::default(),
+            own: RefCell::default(),
+            own_order: RefCell::default(),
+            pending: RefCell::default(),
+            has_pending: Notify::new(),
+            noted: Notify::new(),
+            mixed: RefCell::default(),
+            entries_read_at: Cell::new(None),
+            outbox,
+        }
+    }
+
+    /// Records that the servers' entries were read at `now`.
+    pub fn note_entries_read(&self, now: Duration) {
+        self.entries_read_at.set(Some(now));
+    }
+
+    /// Records that the entry of a server changed at `now` from `before` to `after`.
+    pub fn note_entry(
+        &self,
+        before: Option<&ServerEntry>,
+        after: Option<&ServerEntry>,
+        now: Duration,
+    ) {
+        let mut history = self.history.borrow_mut();
+        if let Some(entry) = after {
+            history.note_server(&entry.service, &entry.software);
+        }
+        if let Some(entry) = before {
+            history.note_server_gone(&entry.service, &entry.software, now);
+        }
+        drop(history);
+        if let (Some(before), Some(after)) = (before, after)
+            && before.started != after.started
+            && before.software != after.software
+        {
+            self.doubt_streams(&after.name, now);
+        }
+        self.note_mixed(now);
+    }
+
+    /// Makes the version of streams unknown that `server` began when a new process of it
+    /// may have answered, whose entry had not been read.
+    fn doubt_streams(&self, server: &ServerName, now: Duration) {
+        let mut pending = self.pending.borrow_mut();
+        for (stream, own) in self.own.borrow_mut().iter_mut() {
+            if own.server != *server || now > own.begun_at + ENTRY_LAG {
+                continue;
+            }
+            own.software = None;
+            pending.push((*stream, own.service.clone(), None));
+        }
+        self.has_pending.notify_one();
+    }
+
+    /// Notes the streams of services that have become mixed at `now`.
+    fn note_mixed(&self, now: Duration) {
+        let mixed = self.history.borrow().mixed_services(now);
+        let mixed: BTreeSet<_> = mixed.into_iter().collect();
+        let before = self.mixed.replace(mixed.clone());
+        for service in mixed.difference(&before) {
+            let history = self.history.borrow();
+            let versions: Vec<_> = history
+                .versions(service, now)
+                .map(SoftwareVersion::to_string)
+                .collect();
+            event!(
+                EventCode::ServiceMixed,
+                "service={service} versions={}",
+                versions.join(",")
+            );
+            drop(history);
+            let mut pending = self.pending.borrow_mut();
+            for (stream, own) in self.own.borrow().iter() {
+                if own.service == *service {
+                    pending.push((*stream, service.clone(), own.software.clone()));
+                }
+            }
+            self.has_pending.notify_one();
+        }
+        for service in before.difference(&mixed) {
+            event!(EventCode::ServiceUniform, "service={service}");
+        }
+    }
+
+    /// Whether several versions of `service` may have begun streams.
+    pub fn is_mixed(&self, service: &ServiceName) -> bool {
+        self.mixed.borrow().contains(service)
+    }
+
+    /// Records that the stream of the request `id` began at `server`. `verified` is
+    /// whether its process is known to be the one that wrote the entry.
+    fn note_begun(&self, id: &str, server: &ServerEntry, verified: bool) {
+        let now = self.started.elapsed();
+        let stream = StreamKey::of(id);
+        let is_mixed = self.is_mixed(&server.service);
+        let is_known = verified || !is_mixed;
+        let software = is_known.then(|| server.software.clone());
+        let own = OwnStream {
+            service: server.service.clone(),
+            software: software.clone(),
+            server: server.name.clone(),
+            begun_at: now,
+        };
+        self.own.borrow_mut().insert(stream, own);
+        self.forget_old(stream, now);
+        if is_mixed {
+            let note = (stream, server.service.clone(), software);
+            self.pending.borrow_mut().push(note);
+            self.has_pending.notify_one();
+        }
+    }
+
+    /// Remembers the time of `stream`, and forgets streams that are too old.
+    fn forget_old(&self, stream: StreamKey, now: Duration) {
+        let mut order = self.own_order.borrow_mut();
+        let mut own = self.own.borrow_mut();
+        order.push_back((stream, now));
+        while let Some((oldest, begun_at)) = order.front().copied() {
+            let is_complete = !own.contains_key(&oldest);
+            let is_old = now > begun_at + VERSION_MEMORY || own.len() > OWN_STREAM_LIMIT;
+            if !is_complete && !is_old {
+                break;
+            }
+            order.pop_front();
+            own.remove(&oldest);
+        }
+    }
+
+    /// Records that the stream of the request `id` is complete, so that nobody takes it up.
+    fn note_complete(&self, id: &str) {
+        self.own.borrow_mut().remove(&StreamKey::of(id));
+    }
+
+    /// The servers of `service` at which new streams may begin at `now`.
+    pub fn rule_for_new(&self, service: &ServiceName, now: Duration) -> VersionRule {
+        let history = self.history.borrow();
+        let mut settled = BTreeSet::new();
+        let mut is_any = true;
+        for software in history.versions(service, now) {
+            if history.is_settled(service, software, now) {
+                settled.insert(software.clone());
+            } else {
+                is_any = false;
+            }
+        }
+        if is_any {
+            return VersionRule::Any;
+        }
+        VersionRule::Preferred(settled)
+    }
+
+    /// The version that began a stream, if it is known: of a service with one version
+    /// that is this one.
+    fn find(
+        &self,
+        service: &ServiceName,
+        stream: Option<StreamKey>,
+        now: Duration,
+    ) -> Option<Result<SoftwareVersion, LocalReason>> {
+        let known = stream.and_then(|stream| {
+            let own = self.own.borrow().get(&stream).cloned();
+            own.map(|own| own.software)
+                .or_else(|| self.notes.borrow().find(stream).cloned())
+        });
+        if let Some(software) = known {
+            return Some(software.ok_or(LocalReason::StreamUnknown));
+        }
+        let history = self.history.borrow();
+        let mut versions = history.versions(service, now);
+        let only = versions.next()?;
+        if versions.next().is_none() {
+            return Some(Ok(only.clone()));
+        }
+        None
+    }
+
+    /// Whether this instance has read what others know, at `now`.
+    fn is_fresh(&self, now: Duration) -> bool {
+        let read_at = self.entries_read_at.get();
+        let is_recent = read_at.is_some_and(|at| now < at + FRESHNESS_LIMIT);
+        is_recent && self.history.borrow().is_read()
+    }
+
+    /// Time between two batches of notes in a fleet of `instances`.
+    fn batch_interval(instances: u32) -> Duration {
+        MIN_BATCH_INTERVAL.max(BATCH_INTERVAL_PER_INSTANCE * instances)
+    }
+
+    /// Takes the notes for the next batch, grouped by service and version.
+    fn take_batches(&self, now: Duration) -> Vec<StreamBatch> {
+        let mut pending = self.pending.borrow_mut();
+        let count = pending.len().min(BATCH_LIMIT);
+        let mut grouped: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for (stream, service, software) in pending.drain(..count) {
+            grouped.entry((service, software)).or_default().push(stream);
+        }
+        drop(pending);
+        let mut batches = Vec::with_capacity(grouped.len());
+        for ((service, software), streams) in grouped {
+            batches.push(StreamBatch {
+                service,
+                software,
+                streams,
+            });
+        }
+        self.merge_notes(&batches, now);
+        batches
+    }
+
+    fn merge_notes(&self, batches: &[StreamBatch], now: Duration) {
+        let mut notes = self.notes.borrow_mut();
+        for batch in batches {
+            for stream in &batch.streams {
+                notes.insert(*stream, batch.software.clone(), now);
+            }
+        }
+        drop(notes);
+        self.noted.notify_waiters();
+    }
+
+    /// Applies what was read from the topics of the fleet at `now`.
+    pub fn apply_update(&self, update: StreamUpdate, now: Duration) {
+        let unix = UnixMillis::now();
+        match update {
+            StreamUpdate::AllVersions(services) => {
+                let mut history = self.history.borrow_mut();
+                let is_first = !history.is_read();
+                for (service, record) in services {
+                    history.apply_record(&service, record, is_first, now, unix);
+                }
+                history.note_read();
+            }
+            StreamUpdate::Versions(service, record) => {
+                let mut history = self.history.borrow_mut();
+                history.apply_record(&service, record, false, now, unix);
+            }
+            StreamUpdate::Notes(batches) => self.merge_notes(&batches, now),
+        }
+        self.note_mixed(now);
+    }
+
+    /// Appends records of versions that the topic lacks if this instance `maintains`
+    /// the topic, and forgets old versions.
+    pub fn tick(&self, maintains: bool, now: Duration) {
+        self.note_mixed(now);
+        self.history.borrow_mut().expire(now);
+        if !maintains {
+            return;
+        }
+        for (service, record) in self.history.borrow().records_due(now, UnixMillis::now()) {
+            self.send(StreamRecord::Versions(service, record));
+        }
+    }
+
+    /// Publishes levels as metrics.
+    pub fn show_levels(&self) {
+        gauge!(MIXED_SERVICES).set(self.mixed.borrow().len() as f64);
+        gauge!(NOTED_STREAMS).set(self.notes.borrow().len() as f64);
+    }
+
+    fn send(&self, record: StreamRecord) {
+        if self.outbox.try_send(record).is_err() {
+            event!(EventCode::StreamNotesLost, "cause=ring_full");
+        }
+    }
+}
+
+impl<D: WireFormat> TrafficState<D> {
+    /// The servers at which the stream of the request `resumes` may go on. Waits for the
+    /// notes of other instances until `deadline`, but not long.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the version that began the stream is not known.
+    pub async fn rule_for_take_up(
+        &self,
+        service: &ServiceName,
+        resumes: Option<&str>,
+        deadline: Instant,
+    ) -> Result<VersionRule, LocalReason> {
+        let instances = self.directory.borrow().live_count();
+        let wait = StreamTracker::batch_interval(instances) + BATCH_DELAY;
+        let end = deadline.min(Instant::now() + wait);
+        let stream = resumes.map(StreamKey::of);
+        loop {
+            let noted = self.streams.noted.notified();
+            if !self.streams.is_fresh(self.now()) {
+                return Err(LocalReason::StreamUnconfirmed);
+            }
+            if let Some(found) = self.streams.find(service, stream, self.now()) {
+                return found.map(VersionRule::Only);
+            }
+            let is_late = tokio::time::timeout_at(end.into(), noted).await.is_err();
+            if stream.is_none() || is_late {
+                return Err(LocalReason::StreamUnknown);
+            }
+        }
+    }
+
+    /// Appends what the topic of the versions lacks, and forgets old versions.
+    pub fn tick_streams(&self) {
+        let maintains = self.directory.borrow().is_first_for(MAINTAINER_SUBJECT);
+        self.streams.tick(maintains, self.now());
+    }
+
+    /// Logs and counts the refusal of a request that takes a stream up.
+    pub fn log_take_up_refusal(
+        &self,
+        id: &str,
+        resumes: Option<&str>,
+        service: &ServiceName,
+        reason: LocalReason,
+    ) {
+        counter!(STREAM_TAKE_UPS, "outcome" => reason.as_str()).increment(1);
+        let history = self.streams.history.borrow();
+        let versions: Vec<_> = history
+            .versions(service, self.now())
+            .map(SoftwareVersion::to_string)
+            .collect();
+        let read_at = self.streams.entries_read_at.get();
+        event!(
+            EventCode::TakeUpRefused,
+            "request={id} resumes={} reason={} service={service} versions={} entries_age_ms={}",
+            resumes.unwrap_or("none"),
+            reason.as_str(),
+            versions.join(","),
+            read_at.map_or(-1, |at| self.now().saturating_sub(at).as_millis() as i64)
+        );
+    }
+}
+
+/// Sends notes of streams to the other instances until the runtime stops.
+pub async fn run<D: WireFormat>(state: Rc<TrafficState<D>>) {
+    loop {
+        state.streams.has_pending.notified().await;
+        loop {
+            let batches = state.streams.take_batches(state.now());
+            if batches.is_empty() {
+                break;
+            }
+            state.streams.send(StreamRecord::Notes(batches));
+            let instances = state.directory.borrow().live_count();
+            tokio::time::sleep(StreamTracker::batch_interval(instances)).await;
+        }
+    }
+}
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -11,6 +11,7 @@
 use crate::model::FleetConfig;
 use crate::model::InstanceEntry;
 use crate::model::ServerEntry;
+use crate::stream_versions::StreamUpdate;
 use crate::suspects::SuspectUpdate;
 
 /// Updates that the channel holds; a thread that finds it full waits.
@@ -104,6 +105,8 @@
     InstancesRead,
     /// Records of the fleet's topic about requests under which servers crashed.
     Suspects(SuspectUpdate),
+    /// Records of the fleet's topics about software versions and streams.
+    Streams(StreamUpdate),
     /// An instance announced itself.
     Instance(InstanceEntry),
     /// Whether another instance responds.
--- a/crates/hibiscus-traffic/src/wire_format.rs
+++ b/crates/hibiscus-traffic/src/wire_format.rs
@@ -106,6 +106,13 @@
     /// Parses the header fields of a server's response.
     fn parse_response_headers(&self, headers: &HeaderMap) -> ResponseHeaders;
 
+    /// Path at which a server tells its state.
+    fn server_state_target(&self) -> &'static str;
+
+    /// Parses the start time of a server's process from its state, on the server's own
+    /// clock; `None` if the state has none.
+    fn parse_server_start(&self, state: &[u8]) -> Option<u64>;
+
     /// Sets the request id in the header fields of a local response.
     fn set_response_id(&self, id: &str, headers: &mut HeaderMap);
 }
--- a/crates/hibiscus-traffic/tests/server_choice.rs
+++ b/crates/hibiscus-traffic/tests/server_choice.rs
@@ -14,6 +14,7 @@
 use hibiscus_traffic::servers::choice::NoServer;
 use hibiscus_traffic::servers::choice::PlacementView;
 use hibiscus_traffic::servers::choice::ServerChoice;
+use hibiscus_traffic::stream_versions::VersionRule;
 use hibiscus_types::DataCentre;
 use hibiscus_types::ServerName;
 
@@ -78,6 +79,7 @@
         data_centre,
         others: 6,
         request: &REQUEST,
+        versions: &VersionRule::Any,
     }
 }
 
@@ -111,7 +113,11 @@
     assert_eq!(wanted.entry.name, entry(number).name);
     let chosen = choice.outcome.expect("the other server");
     assert_eq!(chosen.server.entry.name, entry(1 - number).name);
-    assert!(!pool.has_other(&"plain".into(), &[entry(1 - number).name]));
+    assert!(!pool.has_other(
+        &"plain".into(),
+        &[entry(1 - number).name],
+        &VersionRule::Any
+    ));
 }
 
 #[test]
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -29,6 +29,8 @@
 use hibiscus_traffic::state::TrafficComponents;
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::state::start;
+use hibiscus_traffic::stream_versions::StreamTracker;
+use hibiscus_traffic::stream_versions::StreamUpdate;
 use hibiscus_traffic::suspects::SuspectTracker;
 use hibiscus_traffic::suspects::SuspectUpdate;
 use hibiscus_traffic::updates::ConfigArrival;
@@ -72,6 +74,14 @@
     }
 
     fn set_response_id(&self, _id: &str, _headers: &mut HeaderMap) {}
+
+    fn server_state_target(&self) -> &'static str {
+        "/state"
+    }
+
+    fn parse_server_start(&self, _state: &[u8]) -> Option<u64> {
+        None
+    }
 }
 
 /// Returns the update that activates `config`.
@@ -111,6 +121,7 @@
         }),
         suspects: SuspectTracker::new(own.name.clone(), suspects.clone()),
         parts: PartTracker::new(own.name.clone(), suspects),
+        streams: StreamTracker::new(mpsc::sync_channel(16).0),
         directory: InstanceDirectory::new(own),
         memory_shares: MemoryShares::of_machine(88 << 20, 4_100),
         limits: MachineLimits::default(),
@@ -234,7 +245,7 @@
 /// Guards against requests that are refused just after the start, while the
 /// instance still reads configuration and servers from the store (issue 28).
 #[test]
-fn requests_just_after_the_start_wait_for_configuration_servers_and_suspects() {
+fn requests_just_after_the_start_wait_for_all_that_is_read_from_the_store() {
     let (state, _batches) = state();
     let state = Rc::new(state);
     let runtime = Builder::new_current_thread()
@@ -259,6 +270,10 @@
             reports: Vec::new(),
             parts: Vec::new(),
         }));
+        tokio::task::yield_now().await;
+        assert!(!waiting.is_finished(), "no software version is known yet");
+        let versions = StreamUpdate::AllVersions(Vec::new());
+        state.apply(TrafficUpdate::Streams(versions));
         waiting.await.expect("the wait ends");
         state.wait_until_configured(end).await;
     });
--- a/tests/testsuite/front/joined_streams.rs
+++ b/tests/testsuite/front/joined_streams.rs
@@ -62,9 +62,10 @@
     refused: usize,
 }
 
-fn now_ms() -> u128 {
+fn now_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.expect("the clock is set").as_millis()
+    let now = now.expect("the clock is set").as_millis();
+    u64::try_from(now).expect("the time fits")
 }
 
 impl VersionFleet {
@@ -102,10 +103,12 @@
 
     /// Writes the entry of a server that starts now.
     fn write(&self, name: &str, software: &str, backend: &BackendStandin) {
+        let started = now_ms();
+        backend.set_started(started);
         let entry = format!(
             r#"{{"service":"engine","address":"{}","zone":"a","version":"{software}","slots":8,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":{}}}"#,
             backend.address(),
-            now_ms()
+            started
         );
         self.store.write("keyed.servers", name, entry.as_bytes());
     }
@@ -308,6 +311,7 @@
             continue;
         }
         server.backend.crash_for(Duration::from_millis(300));
+        server.backend.set_started(now_ms());
         server.backend.set_behaviour(BackendBehaviour::BreakOff {
             software: "v2",
             events: EVENTS,
