Believe a refusal only if it names the request

What callers got: 503 or 421, 'not run, try again', for requests that a server was running, when a faulty server wrote an earlier refusal once more on a kept connection; or the request ran at a second server (REFUSED, TWICE).

Cause: an answer with the proof of a refusal that names no request at all counted as the refusal of the request on the connection. One that names another request did not.

Such a refusal without a name now counts as an unknown outcome.

--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -65,7 +65,7 @@
     /// The response reports success but has no signature or no request id.
     Unsigned,
     /// The status promises that the request did not run, but the response lacks
-    /// the server's proof.
+    /// the server's proof, or does not name the request.
     Unproven,
     /// The response has a server error status.
     ServerError,
@@ -320,6 +320,10 @@
     }
     if headers.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         server.note_inconclusive();
+        // A faulty server may repeat the refusal of an earlier request.
+        if headers.id.is_none() && !id.is_empty() {
+            return SendOutcome::Unknown(FailureCause::Unproven);
+        }
         return SendOutcome::NotRun(status);
     }
     if status.is_success() && (!headers.signed || (headers.id.is_none() && !id.is_empty())) {
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -13,6 +13,7 @@
 mod lifetime;
 mod limits;
 mod operations;
+mod repeated_refusals;
 mod soak;
 mod steady_callers;
 mod troubles;
