--- a/crates/hibiscus-traffic/src/server_changes.rs
+++ b/crates/hibiscus-traffic/src/server_changes.rs
@@ -30,6 +30,11 @@
 /// store accepts records of up to 262,144 bytes.
 const CHANGES_PER_SET_LIMIT: usize = 1_000;
 
+/// Maximum number of records that a change set may cover beyond those before: more than
+/// servers write while a relay cannot publish. A set of another writer that claims more
+/// would hide all further records.
+const COVERED_LIMIT: u64 = 100_000;
+
 /// Change to one server's entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerChange {
@@ -116,12 +121,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if change sets before this one are missing.
+    /// Fails if change sets before this one are missing, or if it claims to cover more
+    /// records than it can. The servers' topic has to be read then.
     pub fn apply_change_set(
         &mut self,
         change_set: ServerChangeSet,
     ) -> Result<Vec<ServerChange>, ChangeGap> {
-        if change_set.from > self.position {
+        let covers_too_much = change_set.upto > self.position.saturating_add(COVERED_LIMIT);
+        if change_set.from > self.position || covers_too_much {
             return Err(ChangeGap {
                 position: self.position,
             });
--- a/crates/hibiscus-traffic/tests/server_news.rs
+++ b/crates/hibiscus-traffic/tests/server_news.rs
@@ -209,3 +209,25 @@
         prop_assert_eq!(known, truth);
     }
 }
+
+/// Guards against a change set of another writer that hides all further changes
+/// (issue 38: machines that stop following a list).
+#[test]
+fn a_change_set_that_covers_too_much_is_not_applied() {
+    let mut table = EntryTable::new(&[entry(1, 5, ServerPhase::Serving)], 10);
+    for upto in [u64::MAX, 1 << 40] {
+        let odd = ServerChangeSet {
+            from: 3,
+            upto,
+            changes: vec![(11, gone(1))],
+        };
+        let gap = table.apply_change_set(odd).expect_err("the set is refused");
+        assert_eq!(gap.position, 10);
+    }
+    let changes = table.apply_change_set(ServerChangeSet {
+        from: 10,
+        upto: 12,
+        changes: vec![(11, gone(1))],
+    });
+    assert_eq!(changes.expect("the set is applied"), [gone(1)]);
+}
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -12,6 +12,7 @@
 mod joined_streams;
 mod lifetime;
 mod limits;
+mod odd_records;
 mod operations;
 mod repeated_refusals;
 mod soak;
