Take a stream that ends with its connection before its first event as broken off

What a caller got when such a server crashed before the first event: 200 and a whole body without any event; and the crash was not looked at, as the end of such a body is no error. Inside an event the stream was broken off already.

Such a body now counts as complete only after an event. The new test failed before in that case and passes; whole ones and ones that end inside an event are as before.

--- a/crates/hibiscus-traffic/src/handler/response_intake.rs
+++ b/crates/hibiscus-traffic/src/handler/response_intake.rs
@@ -7,6 +7,7 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
@@ -45,6 +46,8 @@
 pub(super) struct StartedStream {
     head: http::response::Parts,
     body: Incoming,
+    /// Whether the end of the body is marked.
+    is_framed: bool,
     in_flight: InFlightRequest,
     charge: Option<Rc<RequestCharge>>,
     attempt: SentAttempt,
@@ -91,6 +94,7 @@
         let deadline = tokio::time::sleep_until(admitted.deadline.into());
         let forwarder = StreamForwarder::new(
             stream.body,
+            stream.is_framed,
             admitted.caller_headers.resume_after,
             deadline,
             tracker,
@@ -122,10 +126,13 @@
     attempt: SentAttempt,
 ) -> StartedStream {
     let (mut head, body) = response.response.into_parts();
+    let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
     send::strip_connection_headers(&mut head.headers);
     StartedStream {
         head,
         body,
+        is_framed,
         in_flight: response.in_flight,
         charge: charge.map(Rc::clone),
         attempt,
--- a/crates/hibiscus-traffic/src/response_body.rs
+++ b/crates/hibiscus-traffic/src/response_body.rs
@@ -57,6 +57,9 @@
 /// end of the stream closes the connection to the server.
 pub struct StreamForwarder {
     body: Incoming,
+    /// Whether the end of the body is marked by a length or a last chunk. Otherwise it
+    /// ends with its connection.
+    is_framed: bool,
     parser: EventParser,
     deadline: Pin<Box<Sleep>>,
     tracker: ResponseTracker,
@@ -64,16 +67,18 @@
 }
 
 impl StreamForwarder {
-    /// Forwards `body` until `deadline`. If `after` is given, the first event must
+    /// Forwards `body` until `deadline`. `is_framed` is whether its end is marked. If `after` is given, the first event must
     /// be the next one after that number.
     pub fn new(
         body: Incoming,
+        is_framed: bool,
         after: Option<u64>,
         deadline: Sleep,
         tracker: ResponseTracker,
     ) -> Self {
         Self {
             body,
+            is_framed,
             parser: EventParser::after(after),
             deadline: Box::pin(deadline),
             tracker,
@@ -81,6 +86,12 @@
         }
     }
 
+    /// Whether the body is complete if it ends now. A connection that ends before the
+    /// first event is of a server that crashed.
+    fn is_complete(&self) -> bool {
+        self.parser.is_at_boundary() && (self.is_framed || self.parser.events() > 0)
+    }
+
     fn end(&mut self, fault: Option<BodyFault>) {
         if !self.ended {
             self.ended = true;
@@ -124,7 +135,7 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Some(Err(_broken)) => self.fail(BodyFault::Broken),
-            None if self.parser.is_at_boundary() => {
+            None if self.is_complete() => {
                 self.end(None);
                 Poll::Ready(None)
             }
--- a/tests/testsuite/front/forwarding.rs
+++ b/tests/testsuite/front/forwarding.rs
@@ -184,3 +184,21 @@
         platform.plain.connections()
     );
 }
+
+/// Guards against a stream without a length or chunks that breaks off inside an event or
+/// before the first one and looks complete (issue 38).
+#[test]
+fn a_stream_that_ends_with_its_connection_is_whole_only_after_an_event() {
+    let platform = Platform::start();
+    for (count, partial, is_whole) in [(4, false, true), (4, true, false), (0, false, false)] {
+        let behaviour = BackendBehaviour::UnframedEvents { count, partial };
+        platform.engine.set_behaviour(behaviour);
+        let text = platform.stream("id-1", 100, 30);
+        assert_eq!(text.contains("id: 3\n"), count > 0, "{behaviour:?}: {text}");
+        assert_eq!(
+            text.ends_with("0\r\n\r\n"),
+            is_whole,
+            "{behaviour:?}: {text}"
+        );
+    }
+}
