Let requests at a starting instance wait only for topics that decide on them

Cause: since every request of the first 3 s of a process waited up to 400 ms until the suspects and the software versions were read, also requests without shared parts of a prompt and requests that take no stream up.

Ruled out: load alone.

--- a/crates/hibiscus-traffic/src/handler/admission.rs
+++ b/crates/hibiscus-traffic/src/handler/admission.rs
@@ -28,6 +28,7 @@
 use crate::send;
 use crate::state::TrafficState;
 use crate::state::start;
+use crate::state::start::StartupNeeds;
 use crate::stream_versions::VersionRule;
 use crate::table;
 use crate::table::RouteTable;
@@ -67,7 +68,11 @@
 ) -> Result<AdmittedRequest> {
     let arrived = info.arrived;
     if let Some(end) = start::startup_wait_end(arrived, caller_headers.deadline, state.now()) {
-        state.wait_until_configured(end).await;
+        let needs = StartupNeeds {
+            suspects: caller_headers.parts.len() > 1,
+            versions: caller_headers.resume_after.is_some(),
+        };
+        state.wait_until_configured(needs, end).await;
     }
     let table = state.table().ok_or(LocalReason::NoConfig)?;
     let host = head.headers.get(header::HOST);
--- a/crates/hibiscus-traffic/src/state/start.rs
+++ b/crates/hibiscus-traffic/src/state/start.rs
@@ -1,8 +1,8 @@
 //! Waiting of requests while an instance starts.
 //!
 //! The callers' port opens a moment before the configuration, the servers, their
-//! software versions and the suspects are read from the store. Requests that arrive in between wait briefly
-//! for these.
+//! software versions and the suspects are read from the store. Requests that arrive in
+//! between wait briefly for those that decide on them.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -54,6 +54,15 @@
     }
 }
 
+/// Topics that decide on a request, besides configuration and servers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StartupNeeds {
+    /// The suspects: its prompt has parts that other requests share.
+    pub suspects: bool,
+    /// The software versions: it takes a stream up again.
+    pub versions: bool,
+}
+
 /// Returns when the wait of a request ends that arrived at `arrived` with the
 /// timeout `deadline`, if the instance is of `age`; `None` if it doesn't wait.
 pub fn startup_wait_end(
@@ -68,14 +77,14 @@
 }
 
 impl<D> TrafficState<D> {
-    /// Waits until configuration, servers and suspects are known, but not beyond
-    /// `end`.
-    pub async fn wait_until_configured(&self, end: Instant) {
+    /// Waits until configuration, servers and what else the request `needs` are known,
+    /// but not beyond `end`.
+    pub async fn wait_until_configured(&self, needs: StartupNeeds, end: Instant) {
         loop {
             let changed = self.startup.changed.notified();
             let is_read = self.startup.servers_read.get()
-                && self.startup.suspects_read.get()
-                && self.startup.versions_read.get();
+                && (!needs.suspects || self.startup.suspects_read.get())
+                && (!needs.versions || self.startup.versions_read.get());
             if is_read && self.table.borrow().is_some() {
                 return;
             }
