--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -318,7 +318,8 @@
                 self.apply_server_changes(change);
             }
             TrafficUpdate::ServerTopicUnavailable => {
-                self.server_registry.borrow_mut().note_store_lost()
+                self.streams.note_entries_lost();
+                self.server_registry.borrow_mut().note_store_lost();
             }
             TrafficUpdate::ServerTopicRead => {
                 self.streams.note_entries_read(self.now());
--- a/crates/hibiscus-traffic/src/stream_versions.rs
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -203,6 +203,11 @@
         self.entries_read_at.set(Some(now));
     }
 
+    /// Records that the servers' entries can't be read.
+    pub fn note_entries_lost(&self) {
+        self.entries_read_at.set(None);
+    }
+
     /// Records that the entry of a server changed at `now` from `before` to `after`.
     pub fn note_entry(
         &self,
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -16,6 +16,7 @@
 mod operations;
 mod repeated_refusals;
 mod soak;
+mod soak_streams;
 mod steady_callers;
 mod troubles;
 
--- a/tests/testsuite/front/soak.rs
+++ b/tests/testsuite/front/soak.rs
@@ -23,11 +23,11 @@
 use platform_standins::EndlessBytes;
 use platform_standins::StoreFaults;
 
-use crate::front::PREPAID;
-use crate::front::config;
 use crate::front::ending::CRASH_BODY;
 use crate::front::ending::CrashFleet;
 use crate::front::limits;
+use crate::front::soak_streams;
+use crate::front::soak_streams::ModelServers;
 use crate::front::status;
 
 /// Seeds of the test. A seed that fails is added with a line on the cause.
@@ -261,7 +261,7 @@
             ..StoreFaults::default()
         }),
         2 => {
-            let text = config(version, PREPAID, "");
+            let text = soak_streams::soak_config(version);
             fleet.store.write("keyed.op", "config", text.as_bytes());
         }
         _ => {}
@@ -372,6 +372,10 @@
 fn run(seed: u64) {
     let mut rng = Rng::with_seed(seed);
     let mut fleet = CrashFleet::start(INSTANCES);
+    let models = ModelServers::start(&fleet.store);
+    let mut version = 2;
+    let text = soak_streams::soak_config(version);
+    fleet.store.write("keyed.op", "config", text.as_bytes());
     let fronts: Vec<_> = fleet
         .fronts
         .iter()
@@ -380,24 +384,37 @@
     let stop = AtomicBool::new(false);
     let mut named = Vec::new();
     let mut faults = Vec::new();
+    let mut resumed = Vec::new();
     let responses = thread::scope(|scope| {
         let (fronts, stop) = (&fronts[..], &stop);
         let callers: Vec<_> = (0..CALLERS)
             .map(|number| scope.spawn(move || unique_requests(fronts, number, seed, stop)))
             .collect();
         scope.spawn(move || crashing_requests(fronts, seed, stop));
+        scope.spawn(move || soak_streams::deadly_requests(fronts, seed, stop));
+        let streams: Vec<_> = (0..CALLERS)
+            .map(|number| {
+                let seed = seed.wrapping_mul(7) + number as u64;
+                scope.spawn(move || soak_streams::resumed_streams(fronts, seed, stop))
+            })
+            .collect();
         let started = Instant::now();
-        let mut version = 1;
         named.extend(name_limits(&fleet, &mut rng));
         while started.elapsed() < FAULT_TIME {
             version += 1;
             faults.extend(inject_fault(&mut fleet, &mut rng, version));
+            if rng.u8(..3) == 0 {
+                models.inject_fault(&mut rng);
+            }
             if rng.u8(..8) == 0 {
                 named.extend(name_limits(&fleet, &mut rng));
             }
             thread::sleep(Duration::from_millis(rng.u64(50..500)));
         }
         stop.store(true, Ordering::Relaxed);
+        for caller in streams {
+            resumed.extend(caller.join().expect("a caller ends"));
+        }
         let joined = callers.into_iter().map(|caller| caller.join());
         joined
             .flat_map(|responses| responses.expect("a caller ends"))
@@ -412,6 +429,7 @@
         front.wait_ready();
     }
     thread::sleep(CALM_TIME);
+    models.check(&fronts, &resumed, seed);
     let crashes = fleet.crash_times().len();
     let before: usize = fleet
         .servers
