Begin streams at a version read a moment ago only if there are no others

Traced: an instance that had read the first entry of a version 250 ms before others began streams there at once, as most of the service's servers had it; another instance, which knew one version, took one up at that.

A version is young for 0.5 s after this instance read its first entry, known until its record has been read for 2 s, then settled. Streams begin at settled versions if these have half of the servers, else at all but young ones, and at young ones if there are no others.

--- a/crates/hibiscus-request/src/stream_versions.rs
+++ b/crates/hibiscus-request/src/stream_versions.rs
@@ -31,6 +31,9 @@
 /// Time from the record of a new version until servers of it begin streams. Within
 /// less, all instances that can read the store have read it.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Time after this instance has read of a version in which streams begin at others: other
+/// instances read the entries a moment later.
+const YOUNG_TIME: Duration = Duration::from_millis(500);
 /// Time after a version was read in the fleet's record within which this instance reads
 /// the entries of its servers too.
 const SEEN_TIME: Duration = Duration::from_secs(5);
@@ -56,6 +59,17 @@
     pub versions: Vec<VersionRecord>,
 }
 
+/// What other instances know of a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum VersionStanding {
+    /// Others may not know it yet.
+    Young,
+    /// Most instances know it.
+    Known,
+    /// All instances that can read the store know it.
+    Settled,
+}
+
 /// What is known of one version of a service.
 #[derive(Clone, Debug, Default)]
 struct VersionState {
@@ -66,8 +80,8 @@
     forget_at: Option<Duration>,
     /// Time of the steady clock from which on servers may begin streams.
     settled_at: Option<Duration>,
-    /// Whether the registry has had a server.
-    is_seen: bool,
+    /// Time of the steady clock at which the registry had the first server.
+    seen_at: Option<Duration>,
     /// Time of the steady clock at which the fleet's record was last read.
     recorded_at: Option<Duration>,
 }
@@ -83,7 +97,7 @@
     fn gone_for(&self, now: Duration) -> Option<Duration> {
         let until = self.forget_at.filter(|_until| self.servers == 0)?;
         let is_recent = |read: Duration| now < read + SEEN_TIME;
-        if !self.is_seen && self.recorded_at.is_some_and(is_recent) {
+        if self.seen_at.is_none() && self.recorded_at.is_some_and(is_recent) {
             return None;
         }
         let gone = VERSION_MEMORY.saturating_sub(until.saturating_sub(now));
@@ -113,11 +127,16 @@
         self.is_read
     }
 
-    /// Records that the registry has a further server of a version.
-    pub fn note_server(&mut self, service: &ServiceName, software: &SoftwareVersion) {
+    /// Records that the registry has a further server of a version at `now`.
+    pub fn note_server(
+        &mut self,
+        service: &ServiceName,
+        software: &SoftwareVersion,
+        now: Duration,
+    ) {
         let state = self.state_of(service, software);
         state.servers += 1;
-        state.is_seen = true;
+        state.seen_at.get_or_insert(now);
         state.forget_at = None;
     }
 
@@ -203,23 +222,27 @@
         mixed
     }
 
-    /// Whether servers of a version may begin streams at `now`.
-    pub fn is_settled(
+    /// Returns what other instances know of a version at `now`.
+    pub fn standing(
         &self,
         service: &ServiceName,
         software: &SoftwareVersion,
         now: Duration,
-    ) -> bool {
-        let Some(state) = self.services.get(service) else {
-            return true;
+    ) -> VersionStanding {
+        let state = self.services.get(service);
+        let version = state.and_then(|state| state.versions.get(software));
+        let Some(version) = version else {
+            return VersionStanding::Young;
         };
-        // Before the first record of a service, nobody knows a version before it.
-        if state.recorded.is_none() {
-            return true;
+        if version.settled_at.is_some_and(|at| now >= at) {
+            return VersionStanding::Settled;
+        }
+        let is_young = |seen_at: Duration| now < seen_at + YOUNG_TIME;
+        if version.seen_at.is_none_or(is_young) {
+            VersionStanding::Young
+        } else {
+            VersionStanding::Known
         }
-        let version = state.versions.get(software);
-        let settled_at = version.and_then(|version| version.settled_at);
-        settled_at.is_some_and(|at| now >= at)
     }
 
     /// Records that the fleet's topic should hold at `now`, which is `unix` by the
--- a/crates/hibiscus-traffic/src/servers/choice.rs
+++ b/crates/hibiscus-traffic/src/servers/choice.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hibiscus_request::stream_versions::VersionStanding;
 use hibiscus_routing::availability::ServerEligibility;
 use hibiscus_routing::permits::SendPermit;
 use hibiscus_routing::placement;
@@ -178,19 +179,28 @@
         }
     }
 
-    /// The servers of `service` that `versions` allows. Preferred versions are not
-    /// preferred if they have less than half of the serving servers.
+    /// The servers of `service` that `versions` allows, of the versions that most
+    /// instances know: settled ones if these have half of the serving servers, young
+    /// ones only if there are no others.
     fn allowed(&self, service: &ServiceName, versions: &VersionRule) -> Vec<&Rc<ServerHandle>> {
         let servers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let mut allowed: Vec<_> = servers.iter().collect();
         allowed.retain(|server| versions.allows(&server.entry));
-        if let VersionRule::Preferred(_) = versions {
-            let serving = servers.iter().filter(|server| server.is_serving());
-            let preferred = allowed.iter().filter(|server| server.is_serving());
-            if preferred.count() * 2 < serving.count() {
-                return servers.iter().collect();
-            }
-        }
+        let serving_from = |least: VersionStanding| {
+            let serving = allowed.iter().filter(|server| server.is_serving());
+            serving
+                .filter(|server| versions.standing(&server.entry) >= least)
+                .count()
+        };
+        let settled = serving_from(VersionStanding::Settled);
+        let least = if settled * 2 >= serving_from(VersionStanding::Young) {
+            VersionStanding::Settled
+        } else if serving_from(VersionStanding::Known) > 0 {
+            VersionStanding::Known
+        } else {
+            VersionStanding::Young
+        };
+        allowed.retain(|server| versions.standing(&server.entry) >= least);
         allowed
     }
 
--- a/crates/hibiscus-traffic/src/stream_versions.rs
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -28,6 +28,7 @@
 use hibiscus_request::stream_versions::StreamNotes;
 use hibiscus_request::stream_versions::VERSION_MEMORY;
 use hibiscus_request::stream_versions::VersionHistory;
+use hibiscus_request::stream_versions::VersionStanding;
 use hibiscus_types::ServerName;
 use hibiscus_types::ServiceName;
 use hibiscus_types::SoftwareVersion;
@@ -76,20 +77,28 @@
     Any,
     /// Servers of this version.
     Only(SoftwareVersion),
-    /// Servers of these versions, unless they are fewer than the others.
-    Preferred(BTreeSet<SoftwareVersion>),
+    /// Servers of any version, with a preference for those that other instances know.
+    Begin(BTreeMap<SoftwareVersion, VersionStanding>),
 }
 
 impl VersionRule {
     /// Whether a server may get the request.
     pub fn allows(&self, entry: &ServerEntry) -> bool {
         match self {
-            Self::Any => true,
+            Self::Any | Self::Begin(_) => true,
             Self::Only(software) => entry.software == *software,
-            Self::Preferred(versions) => versions.contains(&entry.software),
         }
     }
 
+    /// What other instances know of the version of a server that may get the request.
+    pub fn standing(&self, entry: &ServerEntry) -> VersionStanding {
+        let Self::Begin(versions) = self else {
+            return VersionStanding::Settled;
+        };
+        let standing = versions.get(&entry.software).copied();
+        standing.unwrap_or(VersionStanding::Young)
+    }
+
     /// Whether the process that answers must be the one that wrote the entry.
     pub fn is_strict(&self) -> bool {
         matches!(self, Self::Only(_))
@@ -217,7 +226,7 @@
     ) {
         let mut history = self.history.borrow_mut();
         if let Some(entry) = after {
-            history.note_server(&entry.service, &entry.software);
+            history.note_server(&entry.service, &entry.software, now);
         }
         if let Some(entry) = before {
             history.note_server_gone(&entry.service, &entry.software, now);
@@ -328,19 +337,17 @@
     /// The servers of `service` at which new streams may begin at `now`.
     pub fn rule_for_new(&self, service: &ServiceName, now: Duration) -> VersionRule {
         let history = self.history.borrow();
-        let mut settled = BTreeSet::new();
+        let mut standings = BTreeMap::new();
         let mut is_any = true;
         for software in history.versions(service, now) {
-            if history.is_settled(service, software, now) {
-                settled.insert(software.clone());
-            } else {
-                is_any = false;
-            }
+            let standing = history.standing(service, software, now);
+            is_any &= standing == VersionStanding::Settled;
+            standings.insert(software.clone(), standing);
         }
         if is_any {
             return VersionRule::Any;
         }
-        VersionRule::Preferred(settled)
+        VersionRule::Begin(standings)
     }
 
     /// The version that began a stream, if it is known: of a service with one version
