--- a/tests/testsuite/front/draining.rs
+++ b/tests/testsuite/front/draining.rs
@@ -197,7 +197,7 @@
     let instances = std::env::var(INSTANCES_VARIABLE);
     let instances = instances.ok().and_then(|text| text.parse().ok());
     let instances = instances.unwrap_or(INSTANCES);
-    let store = StoreStandin::start_for(instances);
+    let store = StoreStandin::start();
     store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
     let draining = BackendStandin::start(BackendBehaviour::Respond);
     let staying = BackendStandin::start(BackendBehaviour::Respond);
--- a/tests/testsuite/front/ending.rs
+++ b/tests/testsuite/front/ending.rs
@@ -71,7 +71,7 @@
 
     /// Starts `instances` daemons with servers of `service`.
     pub(super) fn start_for(service: &'static str, instances: usize) -> Self {
-        let store = Arc::new(StoreStandin::start_for(instances));
+        let store = Arc::new(StoreStandin::start());
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let mut servers = Vec::new();
         for number in 0..SERVERS {
--- a/tests/testsuite/front/entries.rs
+++ b/tests/testsuite/front/entries.rs
@@ -51,7 +51,7 @@
     BackendStandin,
     Vec<FrontProcess>,
 ) {
-    let store = StoreStandin::start_for(INSTANCES);
+    let store = StoreStandin::start();
     store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
     let draining = BackendStandin::start(BackendBehaviour::Respond);
     let staying = BackendStandin::start(BackendBehaviour::Respond);
--- a/tests/testsuite/front/joined_streams.rs
+++ b/tests/testsuite/front/joined_streams.rs
@@ -70,7 +70,7 @@
 
 impl VersionFleet {
     fn start(versions: &[&'static str]) -> Self {
-        let store = StoreStandin::start_for(INSTANCES);
+        let store = StoreStandin::start();
         let route = r#",{"name":"r-r","hostname":"h.example","path-prefix":"/resume/","route-type":"streaming","timeout-ms":3000,"target-latency-ms":500,"priority":1,"service":"engine","allow-anonymous":false,"max-attempts":2,"stream-resume":true}"#;
         let text = config(1, PREPAID, route).replace(&format!(r#","prepaid":{PREPAID}"#), "");
         store.write("keyed.op", "config", text.as_bytes());
--- a/tests/testsuite/front/limits.rs
+++ b/tests/testsuite/front/limits.rs
@@ -53,7 +53,7 @@
             .ok()
             .and_then(|text| text.parse().ok())
             .unwrap_or(instances);
-        let store = StoreStandin::start_for(instances);
+        let store = StoreStandin::start();
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         let servers: Vec<_> = (0..servers)
             .map(|_number| BackendStandin::start(BackendBehaviour::Respond))
--- a/tests/testsuite/front/odd_records.rs
+++ b/tests/testsuite/front/odd_records.rs
@@ -133,7 +133,7 @@
 /// following a topic (issue 38: processes that end by themselves, LOST).
 #[test]
 fn odd_records_in_any_topic_end_no_process_and_hide_no_other_record() {
-    let store = StoreStandin::start_for(INSTANCES);
+    let store = StoreStandin::start();
     let first = BackendStandin::start(BackendBehaviour::Respond);
     let second = BackendStandin::start(BackendBehaviour::Respond);
     store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
--- a/tests/testsuite/front/repeated_refusals.rs
+++ b/tests/testsuite/front/repeated_refusals.rs
@@ -46,7 +46,7 @@
 
 /// Sends requests that may run once to servers that repeat `refusal`.
 fn check(refusal: RepeatedRefusal) {
-    let store = StoreStandin::start_for(INSTANCES);
+    let store = StoreStandin::start();
     store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
     let mut servers = Vec::new();
     for number in 0..SERVERS {
