Take streams up at an only version only once it has been known for a moment

Ruled out: a read that failed or a store that was silent (no HS2003 before), and entries of the process before (the servers' starts are those of the entries).

Now a version that was read less than 0.5 s ago does not count as the only one, unless the record of the fleet that a starting process reads names it. A take-up waits for the notes until then, as it does while two versions serve, and looks once more at the end of its wait.

The unit test fails without it.

--- a/crates/hibiscus-request/src/stream_versions.rs
+++ b/crates/hibiscus-request/src/stream_versions.rs
@@ -31,8 +31,8 @@
 /// Time from the record of a new version until servers of it begin streams. Within
 /// less, all instances that can read the store have read it.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
-/// Time after this instance has read of a version in which streams begin at others: other
-/// instances read the entries a moment later.
+/// Time after this instance has read of a version in which streams begin at others, and in
+/// which it does not count as the only one: instances read the entries within a moment.
 const YOUNG_TIME: Duration = Duration::from_millis(500);
 /// Time after a version was read in the fleet's record within which this instance reads
 /// the entries of its servers too.
@@ -211,6 +211,15 @@
         self.versions(service, now).nth(1).is_some()
     }
 
+    /// The version that began all streams of `service` which are taken up at `now`; `None`
+    /// if there may be others, or if this instance read of it only a moment ago.
+    pub fn only_version(&self, service: &ServiceName, now: Duration) -> Option<&SoftwareVersion> {
+        let mut versions = self.versions(service, now);
+        let only = versions.next().filter(|_only| versions.next().is_none())?;
+        let is_young = self.standing(service, only, now) == VersionStanding::Young;
+        (!is_young).then_some(only)
+    }
+
     /// Services of which several versions may have begun streams.
     pub fn mixed_services(&self, now: Duration) -> Vec<ServiceName> {
         let mut mixed = Vec::new();
--- a/crates/hibiscus-request/tests/stream_versions.rs
+++ b/crates/hibiscus-request/tests/stream_versions.rs
@@ -116,6 +116,26 @@
     assert_eq!(standing(&history, "v3", 22_000), VersionStanding::Young);
 }
 
+/// Guards against streams that go on at the first version that an instance reads of, while
+/// it has not read of the one that began them (issue 38, ORDER; soak, seeds 6 and 14).
+#[test]
+fn a_version_read_a_moment_ago_does_not_count_as_the_only_one() {
+    let mut history = history_of(&["v1"]);
+    let only = |history: &VersionHistory, millis: u64| {
+        let only = history.only_version(&service(), Duration::from_millis(millis));
+        only.map(SoftwareVersion::to_string)
+    };
+    assert_eq!(only(&history, 499), None);
+    assert_eq!(only(&history, 500).as_deref(), Some("v1"));
+    history.note_server(&service(), &version("v2"), at(1));
+    assert_eq!(only(&history, 9_000), None);
+    // A process that starts has read the record of the fleet.
+    let record = write(&mut history_of(&["v1"]), 1).expect("the first record");
+    let mut restarted = history_of(&["v1"]);
+    restarted.apply_record(&service(), record, true, at(0), unix(0));
+    assert_eq!(only(&restarted, 0).as_deref(), Some("v1"));
+}
+
 /// Guards against an instance that has not read an entry yet and records the end of a
 /// version that has just begun, and against records written in turn.
 #[test]
--- a/crates/hibiscus-traffic/src/stream_versions.rs
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -367,12 +367,7 @@
             return Some(software.ok_or(LocalReason::StreamUnknown));
         }
         let history = self.history.borrow();
-        let mut versions = history.versions(service, now);
-        let only = versions.next()?;
-        if versions.next().is_none() {
-            return Some(Ok(only.clone()));
-        }
-        None
+        history.only_version(service, now).cloned().map(Ok)
     }
 
     /// Whether this instance has read what others know, at `now`.
@@ -483,6 +478,7 @@
         let wait = StreamTracker::batch_interval(instances) + BATCH_DELAY;
         let end = deadline.min(Instant::now() + wait);
         let stream = resumes.map(StreamKey::of);
+        let mut is_late = stream.is_none();
         loop {
             let noted = self.streams.noted.notified();
             if !self.streams.is_fresh(self.now()) {
@@ -491,10 +487,10 @@
             if let Some(found) = self.streams.find(service, stream, self.now()) {
                 return found.map(VersionRule::Only);
             }
-            let is_late = tokio::time::timeout_at(end.into(), noted).await.is_err();
-            if stream.is_none() || is_late {
+            if is_late {
                 return Err(LocalReason::StreamUnknown);
             }
+            is_late = tokio::time::timeout_at(end.into(), noted).await.is_err();
         }
     }
 
