--- a/crates/hibiscus-support/src/http.rs
+++ b/crates/hibiscus-support/src/http.rs
@@ -163,7 +163,7 @@
     let body = ReaderBody {
         reader,
         rest: size.map(|size| size as u64),
-        is_due: false,
+        has_yielded: false,
     };
     let mut encoded = hyper::Response::new(body);
     *encoded.status_mut() =
@@ -184,8 +184,8 @@
     reader: Box<dyn Read + Send>,
     /// Bytes that are left, if the length is known.
     rest: Option<u64>,
-    /// Whether the frame before has been written.
-    is_due: bool,
+    /// Whether the connection has written what was read before.
+    has_yielded: bool,
 }
 
 impl Body for ReaderBody {
@@ -196,12 +196,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        self.is_due = !self.is_due;
-        if self.is_due {
-            // The connection writes what it has before a read that may wait.
+        if !self.has_yielded {
+            self.has_yielded = true;
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
+        self.has_yielded = false;
         let mut buffer = vec![0; READ_BYTES];
         match self.reader.read(&mut buffer) {
             Ok(0) => Poll::Ready(None),
