Read the era of the store from its replies

A store that comes back from a copy names a higher era in all its replies. What was read and acknowledged before may be lost then, and offsets may be those of other records. Nothing read the era.

--- a/crates/hibiscus-types/src/lib.rs
+++ b/crates/hibiscus-types/src/lib.rs
@@ -7,12 +7,14 @@
 //! that implements its logic.
 
 pub mod codec;
+pub mod era;
 pub mod hash;
 pub mod id;
 pub mod outcome;
 pub mod page;
 pub mod time;
 
+pub use era::StoreEra;
 pub use id::BudgetName;
 pub use id::DataCentre;
 pub use id::GrantId;
