Announce an instance again when the store came back from a copy

An instance whose announcement was lost was found by nobody that started later (front::store_copies::an_instance_whose_announcement_was_lost, listed red since: not found within 20 s): an instance announced itself once, at its start.

Now a follower of a keyed topic that learns of a new era reads the newest records again, and the follower of the announcements writes that of its own instance before. The announcement is shared with the shutdown, so that none of a serving instance follows that of its end. An earlier announcement of a process that shuts down does not end the shutdown for the others: the copy may hold it (new unit test, failed before).

--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -1,7 +1,10 @@
 //! Threads that follow topics of the metadata store and send their records to the
 //! traffic thread.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::OnceLock;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -16,6 +19,7 @@
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
+use hibiscus_types::StoreEra;
 use hibiscus_types::codec;
 use platform::records;
 use platform::records::KeyedRecord;
@@ -61,6 +65,10 @@
 
     /// Handles the result of a call to the store.
     fn call_finished(&mut self, _succeeded: bool, _updates: &UpdateSender) {}
+
+    /// Handles that the store came back from a copy: records that were read or
+    /// appended may be lost. The newest records are read afterwards.
+    fn store_restored(&mut self, _store: &StoreClient, _updates: &UpdateSender) {}
 }
 
 /// Sends `update` to the traffic thread and blocks while its queue is full. It
@@ -116,6 +124,10 @@
                 event!(EventCode::HistoryDropped, "topic={topic} first={first}");
                 next = None;
             }
+            Err(StoreError::EraChanged { previous, current }) => {
+                log_era_change(topic, (previous, current), next.take());
+                reader.store_restored(store, updates);
+            }
             Err(error) => {
                 monitor.failed(topic, &error);
                 reader.call_finished(false, updates);
@@ -125,10 +137,71 @@
     }
 }
 
+/// Logs that the store came back from a copy after `topic` was read up to `offset`.
+pub(crate) fn log_era_change(
+    topic: &str,
+    (previous, current): (StoreEra, StoreEra),
+    offset: Option<u64>,
+) {
+    let offset = offset.map_or_else(|| "none".to_owned(), |offset| offset.to_string());
+    event!(
+        EventCode::StoreEraChanged,
+        "topic={topic} previous={previous} current={current} offset={offset}"
+    );
+}
+
+/// The announcement of this instance.
+pub(crate) struct OwnAnnouncement {
+    entry: Mutex<InstanceEntry>,
+}
+
+impl OwnAnnouncement {
+    pub(crate) fn new(entry: InstanceEntry) -> Self {
+        Self {
+            entry: Mutex::new(entry),
+        }
+    }
+
+    /// Changes the announcement to one of an instance that is shutting down.
+    pub(crate) fn set_shutting_down(&self) {
+        self.lock().shutting_down = true;
+    }
+
+    /// Appends the announcement with retries; announcements are idempotent.
+    pub(crate) fn publish(&self, store: &StoreClient) {
+        while let Err(error) = self.append(store) {
+            event!(EventCode::AnnouncementRepeated, "cause={error}");
+            thread::sleep(RETRY_DELAY);
+        }
+    }
+
+    /// Appends the announcement. The lock is held meanwhile, so that no announcement
+    /// follows that of the shutdown.
+    fn append(&self, store: &StoreClient) -> platform::store::Result<()> {
+        let entry = self.lock();
+        match codec::encode(&*entry) {
+            Ok(value) => {
+                let record = records::encode_keyed(entry.name.as_str(), &value);
+                store.append(INSTANCES_TOPIC, &[record]).map(|_receipt| ())
+            }
+            Err(error) => {
+                event!(EventCode::AnnouncementNotEncoded, "cause={error}");
+                Ok(())
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, InstanceEntry> {
+        self.entry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Reads the announcements of instances.
-struct InstancesReader;
+struct InstancesReader<'a> {
+    own: &'a OwnAnnouncement,
+}
 
-impl TopicReader for InstancesReader {
+impl TopicReader for InstancesReader<'_> {
     fn topic(&self) -> &'static str {
         INSTANCES_TOPIC
     }
@@ -153,29 +226,17 @@
             ),
         }
     }
+
+    fn store_restored(&mut self, store: &StoreClient, _updates: &UpdateSender) {
+        self.own.publish(store);
+    }
 }
 
 /// Publishes the announcement of this instance, then follows the announcements of
 /// all instances.
-pub(crate) fn follow_instances(store: &StoreClient, updates: &UpdateSender, own: &InstanceEntry) {
-    announce(store, own);
-    follow_keyed(store, updates, InstancesReader);
-}
-
-/// Publishes the announcement `own` with retries; announcements are idempotent.
-pub(crate) fn announce(store: &StoreClient, own: &InstanceEntry) {
-    let value = match codec::encode(own) {
-        Ok(value) => value,
-        Err(error) => {
-            event!(EventCode::AnnouncementNotEncoded, "cause={error}");
-            return;
-        }
-    };
-    let record = records::encode_keyed(own.name.as_str(), &value);
-    while let Err(error) = store.append(INSTANCES_TOPIC, std::slice::from_ref(&record)) {
-        event!(EventCode::AnnouncementRepeated, "cause={error}");
-        thread::sleep(RETRY_DELAY);
-    }
+pub(crate) fn follow_instances(store: &StoreClient, updates: &UpdateSender, own: &OwnAnnouncement) {
+    own.publish(store);
+    follow_keyed(store, updates, InstancesReader { own });
 }
 
 /// Switch by which the traffic thread starts and stops the reading of the account
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -66,6 +66,7 @@
 use crate::config;
 use crate::follow;
 use crate::follow::AccountsGate;
+use crate::follow::OwnAnnouncement;
 use crate::relay::RelayRole;
 use crate::servers;
 use crate::signals;
@@ -125,7 +126,7 @@
 /// Parts of the daemon that [`run`] passes to [`serve`].
 struct ServeParts {
     store: StoreClient,
-    own: InstanceEntry,
+    announcement: Arc<OwnAnnouncement>,
     keys: PinnedKeys,
     role: Arc<RelayRole>,
     accounts: Arc<AccountsGate>,
@@ -213,8 +214,9 @@
         move || follow::follow_accounts(&store, &sender, &gate)
     })?;
     accounts.set_reader(reader.thread().clone());
+    let announcement = Arc::new(OwnAnnouncement::new(own.clone()));
     spawn("instances", {
-        let (store, sender, own) = (store.clone(), sender.clone(), own.clone());
+        let (store, sender, own) = (store.clone(), sender.clone(), Arc::clone(&announcement));
         move || follow::follow_instances(&store, &sender, &own)
     })?;
     spawn("suspects", {
@@ -271,7 +273,7 @@
             metrics,
             ServeParts {
                 store,
-                own,
+                announcement,
                 keys,
                 role,
                 accounts,
@@ -319,7 +321,7 @@
 ) -> Result<()> {
     let ServeParts {
         store,
-        own,
+        announcement,
         keys,
         role,
         accounts,
@@ -386,11 +388,8 @@
         accounts.set(state.reads_account_stream());
     }
     spawn("announce", move || {
-        let shutting_down = InstanceEntry {
-            shutting_down: true,
-            ..own
-        };
-        follow::announce(&store, &shutting_down);
+        announcement.set_shutting_down();
+        announcement.publish(&store);
     })?;
     shut_down(settings, &state, &mut updates).await;
     Ok(())
--- a/crates/hibiscus-traffic/src/directory.rs
+++ b/crates/hibiscus-traffic/src/directory.rs
@@ -118,12 +118,16 @@
     /// An announcement of a replaced process is ignored. Announcements arrive in
     /// the order of their topic, which decides which process is newer. The time
     /// of day in incarnation ids cannot, since it may have been set back.
-    pub fn announce(&mut self, entry: InstanceEntry) -> bool {
+    pub fn announce(&mut self, mut entry: InstanceEntry) -> bool {
         if entry.name == self.own.name {
             return false;
         }
         let now = self.created.elapsed();
         let (name, incarnation) = (entry.name.clone(), entry.incarnation);
+        // A store that came back from a copy may have lost the announcement of a shutdown.
+        let known = self.others.get(&name).map(|known| &known.entry);
+        entry.shutting_down |=
+            known.is_some_and(|known| known.incarnation == incarnation && known.shutting_down);
         let shutting_down = entry.shutting_down;
         let Some(known) = self.others.get_mut(&name) else {
             let known = KnownInstance {
--- a/crates/hibiscus-traffic/tests/parts.rs
+++ b/crates/hibiscus-traffic/tests/parts.rs
@@ -327,6 +327,21 @@
     assert!(InstanceEntry::decode(&bytes[..9]).is_err());
 }
 
+/// Guards against callers at an instance that shuts down, after the store lost its last
+/// announcement (issue 39).
+#[test]
+fn an_earlier_announcement_of_a_process_does_not_end_its_shutdown() {
+    let mut directory = InstanceDirectory::new(instance(0, 1));
+    let other = instance(1, 1);
+    directory.announce(InstanceEntry {
+        shutting_down: true,
+        ..other.clone()
+    });
+    directory.announce(other.clone());
+    let known = directory.find(&other.name).expect("the instance is known");
+    assert!(known.shutting_down);
+}
+
 #[test]
 fn callers_do_not_get_the_address_of_an_instance_that_is_shutting_down() {
     let mut directory = InstanceDirectory::new(instance(0, 1));
