Read the configuration again when the store came back from a copy

An end below the position that was read counted as up to date.

Now both configuration threads discard their positions when the era rises; the operators' newest version is read whole. The traffic thread still accepts higher versions only, so nothing reverts. A delta names the era of its offsets and applies in no other: the same offset may be of another version. The format of deltas is 2; earlier releases read such versions whole. Deltas are appended by a client of their own, since a rise of the era that the append learns of must still reach the reads.

--- a/crates/hibiscus-front/src/config/deltas.rs
+++ b/crates/hibiscus-front/src/config/deltas.rs
@@ -16,6 +16,7 @@
 
 use crate::config::DELTAS_TOPIC;
 use crate::config::SharedConfig;
+use crate::follow;
 use crate::topic_monitor::RETRY_DELAY;
 use crate::topic_monitor::TopicMonitor;
 
@@ -53,6 +54,11 @@
                 assembler = DeltaAssembler::default();
                 next = None;
             }
+            Err(StoreError::EraChanged { previous, current }) => {
+                follow::log_era_change(DELTAS_TOPIC, (previous, current), next.take());
+                assembler = DeltaAssembler::default();
+                shared.set_deltas_end(None);
+            }
             Err(error) => {
                 monitor.failed(DELTAS_TOPIC, &error);
                 thread::sleep(RETRY_DELAY);
--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -22,6 +22,7 @@
 use crate::config::SharedConfig;
 use crate::config::deltas;
 use crate::config::shared::PositionedConfig;
+use crate::follow;
 use crate::topic_monitor::RETRY_DELAY;
 use crate::topic_monitor::TopicMonitor;
 
@@ -37,6 +38,9 @@
 /// Reads the operators' topic for one instance.
 pub(super) struct OperatorsReader<'a> {
     store: &'a StoreClient,
+    /// Client for deltas: an era change that it reports must still be reported to the
+    /// reads.
+    publisher: StoreClient,
     shared: &'a SharedConfig,
     monitor: TopicMonitor,
     /// Whether the last call found no newer record.
@@ -47,6 +51,7 @@
     pub(super) fn new(store: &'a StoreClient, shared: &'a Arc<SharedConfig>) -> Self {
         Self {
             store,
+            publisher: store.clone(),
             shared,
             monitor: TopicMonitor::default(),
             up_to_date: false,
@@ -64,6 +69,12 @@
             };
             match step {
                 Ok(()) => self.monitor.succeeded(config::TOPIC),
+                Err(StoreError::EraChanged { previous, current }) => {
+                    follow::log_era_change(config::TOPIC, (previous, current), position);
+                    self.shared.discard_positions();
+                    self.up_to_date = false;
+                    continue;
+                }
                 Err(error) => {
                     self.monitor.failed(config::TOPIC, &error);
                     self.up_to_date = false;
@@ -235,7 +246,12 @@
             queued_at: Instant::now(),
         };
         let before = self.shared.current();
-        self.shared.update(Arc::clone(&config), next, arrival);
+        let update = PositionedConfig {
+            config: Arc::clone(&config),
+            era: self.store.era(),
+            next,
+        };
+        self.shared.update(update, arrival);
         if let Some(before) = before.filter(|before| before.next < next) {
             self.publish(&before, next, &config);
         }
@@ -250,7 +266,8 @@
             return;
         }
         let delta = ConfigDelta::between((before.next, &before.config), (next, config));
-        deltas::publish(self.store, self.shared, &delta);
+        let delta = delta.in_era(before.era);
+        deltas::publish(&self.publisher, self.shared, &delta);
     }
 }
 
--- a/crates/hibiscus-front/src/config/shared.rs
+++ b/crates/hibiscus-front/src/config/shared.rs
@@ -15,6 +15,7 @@
 use hibiscus_traffic::updates::ConfigArrival;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
+use hibiscus_types::StoreEra;
 
 use crate::follow;
 use crate::relay::RelayRole;
@@ -24,6 +25,8 @@
 pub(super) struct PositionedConfig {
     /// The configuration.
     pub(super) config: Arc<FleetConfig>,
+    /// Era of the store in which the position was read.
+    pub(super) era: StoreEra,
     /// Offset after the last record of the operators' topic that the
     /// configuration includes.
     pub(super) next: u64,
@@ -99,31 +102,45 @@
         state.unreadable_end = state.unreadable_end.max(end);
     }
 
-    /// Replaces the configuration with `config`, which includes all records before
-    /// `next`, unless the current configuration is as new or newer.
-    pub(super) fn update(&self, config: Arc<FleetConfig>, next: u64, arrival: ConfigArrival) {
+    /// Discards all positions, because the store came back from a copy. The traffic
+    /// thread keeps its configuration until it gets a newer version.
+    pub(super) fn discard_positions(&self) {
+        let mut state = self.lock();
+        *state = SharedState {
+            deltas_end: state.deltas_end,
+            ..SharedState::default()
+        };
+    }
+
+    /// Replaces the configuration with `update`, unless the current configuration is as
+    /// new or newer.
+    pub(super) fn update(&self, update: PositionedConfig, arrival: ConfigArrival) {
         let mut state = self.lock();
         if state
             .current
             .as_ref()
-            .is_some_and(|current| current.next >= next)
+            .is_some_and(|current| current.next >= update.next)
         {
             return;
         }
-        self.replace(&mut state, config, next, arrival);
+        self.replace(&mut state, update, arrival);
     }
 
     /// Applies a delta that was read from the fleet's topic, if it is based on the
     /// current configuration.
     pub(super) fn apply(&self, delta: ConfigDelta, arrival: ConfigArrival) {
         let started = Instant::now();
-        let (base, next) = (delta.base, delta.next);
+        let (era, base, next) = (delta.era, delta.base, delta.next);
         let mut state = self.lock();
+        let current = state.current.clone();
+        let Some(current) = current.filter(|current| current.era == era) else {
+            return;
+        };
         state.published_next = state.published_next.max(next);
         self.changed.notify_all();
-        let Some(current) = state.current.clone().filter(|current| current.next < next) else {
+        if current.next >= next {
             return;
-        };
+        }
         if current.next != base {
             event!(
                 EventCode::ChangeNotApplied,
@@ -139,7 +156,8 @@
                     queued_at: Instant::now(),
                     ..arrival
                 };
-                self.replace(&mut state, Arc::new(config), next, arrival);
+                let config = Arc::new(config);
+                self.replace(&mut state, PositionedConfig { config, era, next }, arrival);
             }
             Err(error) => event!(
                 EventCode::ChangeNotApplied,
@@ -150,19 +168,12 @@
 
     /// Replaces the configuration, and sends it to the traffic thread before the
     /// lock is released so that versions arrive there in order.
-    fn replace(
-        &self,
-        state: &mut SharedState,
-        config: Arc<FleetConfig>,
-        next: u64,
-        arrival: ConfigArrival,
-    ) {
-        let sent = Arc::clone(&config);
-        state.current = Some(PositionedConfig { config, next });
+    fn replace(&self, state: &mut SharedState, current: PositionedConfig, arrival: ConfigArrival) {
         let update = TrafficUpdate::Config {
-            config: sent,
+            config: Arc::clone(&current.config),
             arrival,
         };
+        state.current = Some(current);
         follow::send_update(&self.updates, update);
         self.changed.notify_all();
     }
--- a/crates/hibiscus-traffic/src/config_delta.rs
+++ b/crates/hibiscus-traffic/src/config_delta.rs
@@ -4,13 +4,15 @@
 //! An instance that has read a complete version publishes the delta from the
 //! previous one for the other instances, in parts that fit in records of the
 //! store. A delta applies to exactly one configuration: the one that results
-//! from all of the operators' records before [`ConfigDelta::base`].
+//! from all of the operators' records before [`ConfigDelta::base`] in the era
+//! [`ConfigDelta::era`] of the store.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use hibiscus_types::ServiceName;
+use hibiscus_types::StoreEra;
 use hibiscus_types::codec;
 use hibiscus_types::codec::CodecError;
 use serde::Deserialize;
@@ -25,7 +27,7 @@
 /// Format of a delta. A release that changes the fields of a configuration must
 /// increment it; an instance reads the complete version instead of deltas in
 /// another format.
-const DELTA_FORMAT: u16 = 1;
+const DELTA_FORMAT: u16 = 2;
 /// Bytes of a delta in one part: a record holds up to 256 KiB.
 const PART_BYTES: usize = 200 * 1024;
 /// Most parts of a delta: a call to the store takes up to 2 MiB.
@@ -76,6 +78,8 @@
 /// The difference that turns one configuration into another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigDelta {
+    /// Era of the store in which the offsets were read.
+    pub era: StoreEra,
     /// Offset after the last of the operators' records that the old
     /// configuration results from.
     pub base: u64,
@@ -101,6 +105,7 @@
         (next, after): (u64, &FleetConfig),
     ) -> Self {
         Self {
+            era: StoreEra::default(),
             base,
             next,
             version: after.version,
@@ -114,6 +119,11 @@
         }
     }
 
+    /// Sets the era of the store in which the offsets were read.
+    pub fn in_era(self, era: StoreEra) -> Self {
+        Self { era, ..self }
+    }
+
     /// Applies the delta to `before` and returns the new configuration.
     ///
     /// # Errors
