Read the servers' entries again when the store came back from a copy

Found by reading: after a drill, records at offsets that were read before were never seen, a change set of an earlier era could hide records of the new one, and an earlier entry of a draining server made it get requests again.

Now the entries are read whole when the era rises, and servers that are missing then have the time that they have after any loss of the store. Change sets name the era of their offsets and apply in no other; their topic is server-changes-3, as earlier releases can't decode them. A process that is draining stays so until an entry of another process comes (new unit test, failed before: the registry put the earlier entry in force).

--- a/crates/hibiscus-front/src/servers.rs
+++ b/crates/hibiscus-front/src/servers.rs
@@ -16,9 +16,9 @@
 use hibiscus_traffic::server_changes::CHANGE_SET_INTERVAL;
 use hibiscus_traffic::server_changes::EntryTable;
 use hibiscus_traffic::server_changes::PendingChanges;
+use hibiscus_traffic::server_changes::PublishedChangeSet;
 use hibiscus_traffic::server_changes::SERVER_CHANGES_TOPIC;
 use hibiscus_traffic::server_changes::ServerChange;
-use hibiscus_traffic::server_changes::ServerChangeSet;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::ServerName;
@@ -30,6 +30,7 @@
 use platform::store::StoreClient;
 use platform::store::StoreError;
 
+use crate::follow::log_era_change;
 use crate::follow::send_update;
 use crate::relay::RelayRole;
 use crate::topic_monitor::READ_WAIT;
@@ -44,6 +45,7 @@
 pub(crate) fn follow_servers(store: &StoreClient, updates: &UpdateSender, role: &RelayRole) {
     let mut follower = ServersFollower {
         store,
+        publisher: store.clone(),
         updates,
         role,
         started: Instant::now(),
@@ -67,6 +69,11 @@
                 );
                 follower.registry = None;
             }
+            Err(StoreError::EraChanged { previous, current }) => {
+                let position = follower.registry.take().map(|registry| registry.position());
+                log_era_change(servers::TOPIC, (previous, current), position);
+                send_update(updates, TrafficUpdate::ServerTopicUnavailable);
+            }
             Err(error) => {
                 monitor.failed(servers::TOPIC, &error);
                 send_update(updates, TrafficUpdate::ServerTopicUnavailable);
@@ -79,6 +86,9 @@
 /// Follows the entries of the servers, according to the role of the instance.
 struct ServersFollower<'a> {
     store: &'a StoreClient,
+    /// Client for change sets: an era change that it reports must still be reported to
+    /// the reads.
+    publisher: StoreClient,
     updates: &'a UpdateSender,
     role: &'a RelayRole,
     started: Instant,
@@ -180,13 +190,14 @@
         }
         let change_sets = draft.change_sets(registry.position());
         let mut encoded = Vec::with_capacity(change_sets.len());
-        for change_set in &change_sets {
-            match codec::encode(change_set) {
+        for change_set in change_sets {
+            let era = self.store.era();
+            match codec::encode(&PublishedChangeSet { era, change_set }) {
                 Ok(record) => encoded.push(record),
                 Err(error) => event!(EventCode::ServerNewsNotPublished, "cause={error}"),
             }
         }
-        match self.store.append(SERVER_CHANGES_TOPIC, &encoded) {
+        match self.publisher.append(SERVER_CHANGES_TOPIC, &encoded) {
             // Change sets are idempotent, so an append without a reply is repeated.
             Ok(_receipt) => draft.note_published(registry.position(), now),
             Err(error) => event!(EventCode::ServerNewsNotPublished, "cause={error}"),
@@ -227,13 +238,17 @@
         let now = self.now();
         for record in read.page.records {
             self.changes_next += 1;
-            let change_set = match codec::decode::<ServerChangeSet>(&record) {
-                Ok(change_set) => change_set,
+            let published = match codec::decode::<PublishedChangeSet>(&record) {
+                Ok(published) => published,
                 Err(error) => {
                     event!(EventCode::ServerNewsUnreadable, "cause={error}");
                     continue;
                 }
             };
+            if published.era != self.store.era() {
+                continue;
+            }
+            let change_set = published.change_set;
             self.last_received = now;
             if let Some(draft) = &mut self.draft {
                 draft.note_published(change_set.upto, now);
--- a/crates/hibiscus-traffic/src/server_changes.rs
+++ b/crates/hibiscus-traffic/src/server_changes.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use hibiscus_types::ServerName;
+use hibiscus_types::StoreEra;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::model::ServerEntry;
 
 /// Topic of the change sets.
-pub const SERVER_CHANGES_TOPIC: &str = "server-changes-2"; // earlier releases cannot decode its entries
+pub const SERVER_CHANGES_TOPIC: &str = "server-changes-3"; // earlier releases cannot decode its records
 /// Time after which a relay publishes an empty change set.
 pub const CHANGE_SET_INTERVAL: Duration = Duration::from_secs(1);
 /// Additional time that each further relay waits for the relays before it.
@@ -65,6 +66,15 @@
     pub changes: Vec<(u64, ServerChange)>,
 }
 
+/// A change set and the era of the store in which its offsets were read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedChangeSet {
+    /// The era.
+    pub era: StoreEra,
+    /// The change set.
+    pub change_set: ServerChangeSet,
+}
+
 /// Reports that change sets before the received one are missing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ChangeGap {
--- a/crates/hibiscus-traffic/src/server_registry.rs
+++ b/crates/hibiscus-traffic/src/server_registry.rs
@@ -55,11 +55,15 @@
         self.is_store_lost = false;
     }
 
-    /// Adds or updates an entry; returns `None` if only its age changed.
-    pub fn put(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
+    /// Adds or updates an entry; returns `None` if only its age changed. A process that
+    /// is draining stays so: a store that came back from a copy shows its earlier entry.
+    pub fn put(&mut self, mut entry: ServerEntry) -> Option<RegistryChange> {
         let held = self.servers.get_mut(&entry.name);
         if let Some(held) = held {
             held.expires_at = None;
+            if held.entry.started == entry.started && held.entry.phase != ServerPhase::Serving {
+                entry.phase = held.entry.phase;
+            }
             if held.entry == entry {
                 return None;
             }
--- a/crates/hibiscus-traffic/tests/roster.rs
+++ b/crates/hibiscus-traffic/tests/roster.rs
@@ -73,6 +73,21 @@
     assert!(registry.remove(&"i-1".into(), at(10_100)).is_some());
 }
 
+/// Guards against new requests to a draining server whose earlier entry is in a store that
+/// came back from a copy (issue 39).
+#[test]
+fn an_earlier_entry_of_a_draining_process_does_not_end_its_draining() {
+    let mut registry = ServerRegistry::default();
+    registry.put(server("i-1", ServerPhase::Leaving));
+    let earlier = registry.put(server("i-1", ServerPhase::Serving));
+    assert_eq!(earlier, None);
+    let next = ServerEntry {
+        started: 2,
+        ..server("i-1", ServerPhase::Serving)
+    };
+    assert!(registry.put(next).is_some());
+}
+
 #[test]
 fn no_server_is_removed_during_an_outage() {
     let mut registry = ServerRegistry::default();
--- a/tests/testsuite/front/odd_records.rs
+++ b/tests/testsuite/front/odd_records.rs
@@ -34,7 +34,7 @@
 const LOG_TOPICS: [&str; 4] = [
     "accounts-2",
     "config-changes",
-    "server-changes-2",
+    "server-changes-3",
     "stream-versions",
 ];
 /// A route of a later version of the configuration.
