Keep quarantines when the store came back from a copy

After a gap in reading the topic of crash reports, an instance drops the reports that the topic held before and does not list now: others have removed them. A store that comes back from a copy does not list the newest either, so each instance would drop its quarantines, and requests that crash servers would be sent again.

Now a rise of the era makes reports and parts count as not stored, before the topic is read again: they stay, and the instance that maintains the topic appends them. Two unit tests; without forget_stored the reports are removed, as the test for a gap shows.

--- a/crates/hibiscus-front/src/suspects.rs
+++ b/crates/hibiscus-front/src/suspects.rs
@@ -78,6 +78,11 @@
             follow::send_update(updates, TrafficUpdate::Suspects(update));
         }
     }
+
+    fn store_restored(&mut self, _store: &StoreClient, updates: &UpdateSender) {
+        let update = SuspectUpdate::TopicRestored;
+        follow::send_update(updates, TrafficUpdate::Suspects(update));
+    }
 }
 
 /// Decodes a record; `None` if it is not valid, such as one from another writer.
--- a/crates/hibiscus-request/src/prompt_parts/table.rs
+++ b/crates/hibiscus-request/src/prompt_parts/table.rs
@@ -474,6 +474,13 @@
         self.dropped.retain(|part| listed.contains(part));
     }
 
+    /// Records that the fleet's topic may have lost parts that it held.
+    pub fn forget_stored(&mut self) {
+        for state in self.parts.values_mut() {
+            state.stored = None;
+        }
+    }
+
     /// Suspected and condemned parts of which the fleet's topic does not hold all
     /// that was received before `before`.
     pub fn not_stored(&self, before: Duration) -> Vec<PartEvidence> {
--- a/crates/hibiscus-request/src/suspects.rs
+++ b/crates/hibiscus-request/src/suspects.rs
@@ -398,6 +398,15 @@
         }
     }
 
+    /// Records that the fleet's topic may have lost reports that it held.
+    pub fn forget_stored(&mut self) {
+        for state in self.suspects.values_mut() {
+            for held in state.crashes.values_mut() {
+                held.stored = false;
+            }
+        }
+    }
+
     /// Reports that were received before `before` and that the fleet's topic does
     /// not hold.
     pub fn not_stored(&self, before: Duration) -> Vec<CrashReport> {
--- a/crates/hibiscus-request/tests/prompt_parts.rs
+++ b/crates/hibiscus-request/tests/prompt_parts.rs
@@ -251,6 +251,26 @@
 }
 
 /// Guards against a verdict that a restart of all instances loses (issue 38, BUDGET).
+/// Guards against requests with a condemned part that are sent again because the store lost
+/// its record (issue 39).
+#[test]
+fn a_verdict_that_the_store_may_have_lost_stays_and_is_stored_again() {
+    let mut sequence = three_crashes();
+    sequence.condemned();
+    let mut table = sequence.table;
+    let evidence = table.evidence(DEADLY).expect("the part is known");
+    table.note_stored(&evidence);
+    table.forget_stored();
+    table.retain_stored(&BTreeSet::new());
+    let parts = [CLASS, DOCUMENT, DEADLY];
+    assert_eq!(
+        table.status(&parts, team("team-a")),
+        PartStatus::Condemned(DEADLY)
+    );
+    let missing = table.not_stored(Duration::MAX);
+    assert!(missing.iter().any(|missing| missing.part == DEADLY));
+}
+
 #[test]
 fn a_verdict_survives_in_the_topic_until_it_is_dropped() {
     let mut sequence = three_crashes();
--- a/crates/hibiscus-request/tests/suspects.rs
+++ b/crates/hibiscus-request/tests/suspects.rs
@@ -176,6 +176,19 @@
     assert!(table.summary(&own.fingerprint, at(1)).is_some());
 }
 
+/// Guards against a quarantine that ends because the store lost the reports of it (issue
+/// 39).
+#[test]
+fn reports_that_the_store_may_have_lost_stay_and_are_stored_again() {
+    let mut table = CrashTable::default();
+    let stored = crash("a", 1, 0, true);
+    table.merge(stored.clone(), Duration::ZERO);
+    table.note_stored(&stored.key());
+    table.forget_stored();
+    table.retain_stored(&BTreeSet::new());
+    assert_eq!(table.not_stored(Duration::from_secs(1)), [stored]);
+}
+
 #[test]
 fn a_key_parses_from_its_displayed_text() {
     let key = crash("a", 1, 0, true).key();
--- a/crates/hibiscus-traffic/src/part_tracker.rs
+++ b/crates/hibiscus-traffic/src/part_tracker.rs
@@ -302,6 +302,11 @@
         }
     }
 
+    /// Records that the topic may have lost parts that it held.
+    pub fn forget_stored(&self) {
+        self.table.borrow_mut().forget_stored();
+    }
+
     /// Applies all parts in the topic, read at `now`.
     pub fn apply_snapshot(&self, parts: Vec<PartEvidence>, now: Duration) {
         let listed: BTreeSet<_> = parts.iter().map(|evidence| evidence.part).collect();
--- a/crates/hibiscus-traffic/src/suspects.rs
+++ b/crates/hibiscus-traffic/src/suspects.rs
@@ -120,6 +120,8 @@
     },
     /// A record that was appended to the topic.
     Appended(TopicRecord),
+    /// The store came back from a copy, so the topic may lack records that it held.
+    TopicRestored,
 }
 
 /// Tracks the requests that were running when servers crashed.
@@ -252,6 +254,11 @@
         self.crashes.borrow().has_crashed(process)
     }
 
+    /// Records that the topic may have lost reports that it held.
+    pub fn forget_stored(&self) {
+        self.crashes.borrow_mut().forget_stored();
+    }
+
     /// Applies all reports of the topic, read at `now`. `maintains` is whether this
     /// instance maintains the topic.
     pub fn apply_snapshot(&self, reports: Vec<CrashReport>, maintains: bool, now: Duration) {
@@ -432,6 +439,10 @@
             SuspectUpdate::Appended(TopicRecord::Part(record)) => {
                 self.parts.apply_record(&record, now);
             }
+            SuspectUpdate::TopicRestored => {
+                self.suspects.forget_stored();
+                self.parts.forget_stored();
+            }
         }
     }
 
