Record software versions and streams again when the store came back from a copy

What the store lost of the topics of versions and streams was not written again: an instance that started later could know one version where two began streams.

Now a rise of the era makes the records of all services due again, and each instance notes its streams of mixed services again. Notes are read from the oldest that the store keeps; repeated ones change nothing. One unit test; without forget_recorded nothing is due.

--- a/crates/hibiscus-front/src/streams.rs
+++ b/crates/hibiscus-front/src/streams.rs
@@ -68,6 +68,10 @@
             send(updates, StreamUpdate::Versions(service, versions));
         }
     }
+
+    fn store_restored(&mut self, _store: &StoreClient, updates: &UpdateSender) {
+        send(updates, StreamUpdate::VersionsRestored);
+    }
 }
 
 fn send(updates: &UpdateSender, update: StreamUpdate) {
@@ -119,6 +123,11 @@
                 }
             }
             Err(StoreError::Expired { first }) => next = first,
+            Err(StoreError::EraChanged { previous, current }) => {
+                follow::log_era_change(NOTES_TOPIC, (previous, current), Some(next));
+                next = 0;
+                send(updates, StreamUpdate::NotesRestored);
+            }
             Err(error) => {
                 monitor.failed(NOTES_TOPIC, &error);
                 thread::sleep(RETRY_DELAY);
--- a/crates/hibiscus-request/src/stream_versions.rs
+++ b/crates/hibiscus-request/src/stream_versions.rs
@@ -194,6 +194,13 @@
         self.is_read = true;
     }
 
+    /// Records that the fleet's topic may have lost records that it held.
+    pub fn forget_recorded(&mut self) {
+        for state in self.services.values_mut() {
+            state.recorded = None;
+        }
+    }
+
     /// Versions of `service` that may have begun streams which are taken up at `now`.
     pub fn versions(
         &self,
--- a/crates/hibiscus-request/tests/stream_versions.rs
+++ b/crates/hibiscus-request/tests/stream_versions.rs
@@ -163,6 +163,18 @@
 
 /// Guards against records while the topic has not been read, which would replace what
 /// other instances know.
+/// Guards against a process that starts and knows one version only, because the store lost
+/// the record of another (issue 39).
+#[test]
+fn versions_that_the_store_may_have_lost_are_recorded_again() {
+    let mut history = history_of(&["v1", "v2"]);
+    let record = write(&mut history, 1);
+    assert!(record.is_some());
+    assert!(due(&history, 2).is_none());
+    history.forget_recorded();
+    assert!(due(&history, 2).is_some());
+}
+
 #[test]
 fn nothing_is_recorded_before_the_topic_was_read() {
     let mut history = VersionHistory::default();
--- a/crates/hibiscus-traffic/src/stream_versions.rs
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -123,6 +123,10 @@
     Versions(ServiceName, ServiceVersions),
     /// Versions that began streams.
     Notes(Vec<StreamBatch>),
+    /// The store came back from a copy, so the topic of the versions may lack records.
+    VersionsRestored,
+    /// The store came back from a copy, so the topic of the streams may lack notes.
+    NotesRestored,
 }
 
 /// A stream that began here and is not complete.
@@ -272,19 +276,24 @@
                 versions.join(",")
             );
             drop(history);
-            let mut pending = self.pending.borrow_mut();
-            for (stream, own) in self.own.borrow().iter() {
-                if own.service == *service {
-                    pending.push((*stream, service.clone(), own.software.clone()));
-                }
-            }
-            self.has_pending.notify_one();
+            self.note_own_streams(service);
         }
         for service in before.difference(&mixed) {
             event!(EventCode::ServiceUniform, "service={service}");
         }
     }
 
+    /// Notes the streams of `service` that began here and are not complete.
+    fn note_own_streams(&self, service: &ServiceName) {
+        let mut pending = self.pending.borrow_mut();
+        for (stream, own) in self.own.borrow().iter() {
+            if own.service == *service {
+                pending.push((*stream, service.clone(), own.software.clone()));
+            }
+        }
+        self.has_pending.notify_one();
+    }
+
     /// Whether several versions of `service` may have begun streams.
     pub fn is_mixed(&self, service: &ServiceName) -> bool {
         self.mixed.borrow().contains(service)
@@ -431,6 +440,12 @@
                 history.apply_record(&service, record, false, now, unix);
             }
             StreamUpdate::Notes(batches) => self.merge_notes(&batches, now),
+            StreamUpdate::VersionsRestored => self.history.borrow_mut().forget_recorded(),
+            StreamUpdate::NotesRestored => {
+                for service in self.mixed.borrow().iter() {
+                    self.note_own_streams(service);
+                }
+            }
         }
         self.note_mixed(now);
     }
