Append account records again that a store lost when it came back from a copy

A store that comes back from a copy lacks the newest records of the account stream. The instances kept to their own view, but their draws were no longer counted, so other instances could be granted the same tokens.

Every reader of the stream now keeps the records of the last 30 s (1 MiB at most). When the era rises it reads the stream again from its start and appends the records that it lacks, in their order: the first holder at once, others after 0.4 s what is still missing. As all had read parts of the same stream, the fold grants the draws as before; repeated records change nothing. So draws of an instance that is killed at that moment are counted too, if any other had read them. New draws wait for 2.5 s, since a fold without the lost records shows too many tokens as free. A draw that was under way is not used. What the stream grants beyond what an instance had is returned, and what it grants less is drawn first.

raise_drawn takes the sum that the stream grants instead of adding each grant; the tests of the ledger call it with the same sums. power_cut passes positions instead of offsets.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -102,6 +102,7 @@
     TokensPassedOn = "HS3121", Info, "tokens were transferred to an instance that does not hold the budget, or the transfer was refused";
     TokensNotBrought = "HS3122", Warn, "unused tokens may not have been returned to a holder";
     BudgetLevels = "HS3123", Info, "gauges of a budget were sampled";
+    AccountsRestored = "HS3124", Warn, "account records that the store had lost were appended again";
     RequestAdmitted = "HS4001", Debug, "request was admitted";
     RequestOpened = "HS4002", Debug, "open record of the request was acknowledged";
     RequestDispatched = "HS4003", Debug, "request was sent to a server";
--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -12,6 +12,7 @@
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::budgets::AccountBatch;
+use hibiscus_traffic::budgets::StreamPosition;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::codec;
@@ -45,10 +46,12 @@
         thread::sleep(BATCH_DELAY);
         while let Ok(more) = batches.try_recv() {
             batch.number = more.number;
+            batch.encoded.extend(more.encoded);
             batch.records.extend(more.records);
             batch.snapshots.extend(more.snapshots);
         }
-        let end = append_records(store, limits, &batch.records);
+        let encoded = std::mem::take(&mut batch.encoded);
+        let end = append_records(store, limits, encoded, &batch.records);
         append_snapshots(store, limits, &batch.snapshots);
         let appended = TrafficUpdate::AccountsAppended {
             number: batch.number,
@@ -60,23 +63,20 @@
     }
 }
 
-/// Appends `records` to the account stream with retries; returns the offset after
-/// them.
+/// Appends `encoded` and then `records` to the account stream with retries; returns
+/// the position after them.
 fn append_records(
     store: &StoreClient,
     limits: StoreLimits,
+    mut encoded: Vec<Vec<u8>>,
     records: &[AccountRecord],
-) -> Option<u64> {
-    if records.is_empty() {
-        return None;
-    }
-    let encoded = match batch::encode(records, limits.record_bytes) {
-        Ok(encoded) => encoded,
-        Err(error) => {
-            event!(EventCode::AccountNotEncoded, "cause={error}");
-            return None;
+) -> Option<StreamPosition> {
+    if !records.is_empty() {
+        match batch::encode(records, limits.record_bytes) {
+            Ok(records) => encoded.extend(records),
+            Err(error) => event!(EventCode::AccountNotEncoded, "cause={error}"),
         }
-    };
+    }
     let mut end = None;
     for call in limits.batches(encoded) {
         end = Some(append_call(store, &call));
@@ -84,12 +84,17 @@
     end
 }
 
-/// Appends the records of one call with retries; returns the offset after them.
-fn append_call(store: &StoreClient, records: &[Vec<u8>]) -> u64 {
+/// Appends the records of one call with retries; returns the position after them.
+fn append_call(store: &StoreClient, records: &[Vec<u8>]) -> StreamPosition {
     let mut pause = MIN_RETRY_DELAY;
     loop {
         match store.append(account::STREAM, records) {
-            Ok(receipt) => return receipt.end_offset,
+            Ok(receipt) => {
+                return StreamPosition {
+                    era: store.era(),
+                    offset: receipt.end_offset,
+                };
+            }
             Err(error) => event!(EventCode::AppendFailed, "cause={error}"),
         }
         thread::sleep(pause);
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -16,6 +16,7 @@
 use hibiscus_ledger::account;
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
+use hibiscus_traffic::budgets::StreamPosition;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
@@ -299,7 +300,11 @@
             Ok(Some(page)) => {
                 monitor.succeeded(account::STREAM);
                 let end = page.end;
-                send_update(updates, TrafficUpdate::AccountsEnd(end));
+                let position = StreamPosition {
+                    era: store.era(),
+                    offset: end,
+                };
+                send_update(updates, TrafficUpdate::AccountsEnd(position));
                 let first = next;
                 let records = page.records;
                 next += u64::try_from(records.len()).unwrap_or(u64::MAX);
@@ -314,6 +319,12 @@
                     thread::park_timeout(ACCOUNTS_READ_INTERVAL);
                 }
             }
+            Err(StoreError::EraChanged { previous, current }) => {
+                log_era_change(account::STREAM, (previous, current), Some(next));
+                next = 0;
+                caught_up = false;
+                send_update(updates, TrafficUpdate::AccountsRestored(current));
+            }
             Err(error) => {
                 monitor.failed(account::STREAM, &error);
                 thread::sleep(RETRY_DELAY);
--- a/crates/hibiscus-ledger/src/account/quota.rs
+++ b/crates/hibiscus-ledger/src/account/quota.rs
@@ -59,9 +59,16 @@
 }
 
 impl LocalQuota {
-    /// Adds tokens granted by a draw.
-    pub fn add_drawn(&mut self, granted: TokenCount) {
-        self.drawn = self.drawn + granted;
+    /// Raises the sum of the drawn tokens to `drawn`; returns by how much.
+    pub fn raise_drawn(&mut self, drawn: TokenCount) -> TokenCount {
+        let added = drawn.saturating_sub(self.drawn);
+        self.drawn = self.drawn + added;
+        added
+    }
+
+    /// Sum of the drawn tokens.
+    pub fn drawn(&self) -> TokenCount {
+        self.drawn
     }
 
     /// Adds tokens received from another holder.
--- a/crates/hibiscus-ledger/tests/account.rs
+++ b/crates/hibiscus-ledger/tests/account.rs
@@ -178,7 +178,7 @@
 #[test]
 fn a_holder_spends_nothing_before_its_first_limit_is_acknowledged() {
     let mut quota = LocalQuota::default();
-    quota.add_drawn(tokens(500));
+    quota.raise_drawn(tokens(500));
     assert_eq!(
         quota.reserve(tokens(1), at(0)),
         Err(ReservationError::OverLimit)
@@ -271,7 +271,7 @@
 #[test]
 fn transferred_tokens_count_for_the_sender_and_not_for_the_receiver() {
     let mut sender = LocalQuota::default();
-    sender.add_drawn(tokens(500));
+    sender.raise_drawn(tokens(500));
     sender.record_sent_limit(
         1,
         SpendingLimit {
@@ -307,7 +307,7 @@
 #[test]
 fn refunded_tokens_are_available_again() {
     let mut quota = LocalQuota::default();
-    quota.add_drawn(tokens(500));
+    quota.raise_drawn(tokens(500));
     let limit = SpendingLimit {
         burst: tokens(300),
         created_at: at(0),
--- a/crates/hibiscus-ledger/tests/account_exhaustive.rs
+++ b/crates/hibiscus-ledger/tests/account_exhaustive.rs
@@ -148,7 +148,7 @@
         self.offset += 1;
         for result in results {
             if result.holder == process(FIRST) && !self.killed {
-                self.quota.add_drawn(result.granted);
+                self.quota.raise_drawn(self.quota.drawn() + result.granted);
             }
             if result.holder == process(OTHER) {
                 self.other_used += result.granted.get();
--- a/crates/hibiscus-ledger/tests/account_power.rs
+++ b/crates/hibiscus-ledger/tests/account_power.rs
@@ -219,7 +219,8 @@
             let machine = self.machines.iter_mut();
             let holder = result.holder;
             if let Some(machine) = machine.into_iter().find(|held| held.holder == holder) {
-                machine.quota.add_drawn(result.granted);
+                let drawn = machine.quota.drawn() + result.granted;
+                machine.quota.raise_drawn(drawn);
             }
         }
     }
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -8,6 +8,7 @@
 
 mod handle;
 mod recovery;
+mod restore;
 mod review;
 mod tokens;
 
@@ -32,6 +33,7 @@
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
+use hibiscus_types::StoreEra;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 use serde::Deserialize;
@@ -40,6 +42,9 @@
 
 pub use crate::budgets::handle::BudgetHandle;
 pub use crate::budgets::handle::TokenWaiter;
+use crate::budgets::restore::AccountRestore;
+use crate::budgets::restore::RecentRecords;
+pub use crate::budgets::restore::StreamPosition;
 use crate::clock::MachineClock;
 use crate::holders;
 use crate::model::FleetConfig;
@@ -51,6 +56,8 @@
 pub struct AccountBatch {
     /// Increases by one with each batch.
     pub number: u64,
+    /// Encoded records that the stream has lost, to be appended first.
+    pub encoded: Vec<Vec<u8>>,
     /// Account records, in order.
     pub records: Vec<AccountRecord>,
     /// Snapshots, which go to their own topic.
@@ -71,6 +78,8 @@
     /// Serial number of the last draw whose result was applied. When the stream
     /// is read again, it repeats results.
     decided_serial: u64,
+    /// Serial number up to which the tokens of undecided draws must not be used.
+    void_serial: u64,
     /// Serial number of the last report.
     report_serial: u64,
     /// When the last report was made.
@@ -189,6 +198,7 @@
     waiting: BTreeSet<BudgetName>,
     outbox: SyncSender<AccountBatch>,
     unsent: Vec<AccountRecord>,
+    unsent_encoded: Vec<Vec<u8>>,
     unsent_snapshots: Vec<AccountSnapshot>,
     /// When each budget's last snapshot was written, and its offset.
     snapshots: BTreeMap<BudgetName, (Duration, u64)>,
@@ -198,8 +208,16 @@
     /// each acknowledgement.
     unacknowledged_since: Option<Duration>,
     acknowledged: u64,
-    /// Offset after the last record that the store has from this holder.
-    appended: u64,
+    /// Position after the last record that the store has from this holder.
+    appended: StreamPosition,
+    /// Era of the store in which the fold was read.
+    era: StoreEra,
+    /// Records that the store may lose if it comes back from a copy.
+    recent: RecentRecords,
+    /// The restore of the accounts, while one is in progress.
+    restore: Option<AccountRestore>,
+    /// Time until which no new tokens are drawn.
+    draws_resume_at: Duration,
     totals: BTreeMap<BudgetName, BudgetTotal>,
     /// One budget of each group.
     group_samples: Rc<Vec<BudgetName>>,
@@ -245,12 +263,17 @@
             waiting: BTreeSet::new(),
             outbox,
             unsent: Vec::new(),
+            unsent_encoded: Vec::new(),
             unsent_snapshots: Vec::new(),
             snapshots: BTreeMap::new(),
             batch: 1,
             unacknowledged_since: None,
             acknowledged: 0,
-            appended: 0,
+            appended: StreamPosition::default(),
+            era: StoreEra::default(),
+            recent: RecentRecords::default(),
+            restore: None,
+            draws_resume_at: Duration::ZERO,
             totals: BTreeMap::new(),
             group_samples: Rc::default(),
             sent: VecDeque::new(),
@@ -288,10 +311,10 @@
         &self.tally
     }
 
-    /// Records that the stream ended at the offset `end` when it was read at
-    /// `now`.
-    pub fn set_stream_end(&mut self, end: u64, now: Duration) {
-        self.stream_end = end;
+    /// Records that the stream ended at `end` when it was read at `now`.
+    pub fn set_stream_end(&mut self, end: StreamPosition, now: Duration) {
+        self.era = end.era;
+        self.stream_end = end.offset;
         if self.unread_records() == 0 {
             self.stream_read_at = now;
         }
@@ -359,6 +382,10 @@
     pub fn apply(&mut self, offset: u64, record: &[u8], now: Duration) {
         self.stream_read_at = now;
         self.tally.records.add();
+        self.recent.push(record, now);
+        if let Some(restore) = &mut self.restore {
+            restore.note_found(record);
+        }
         let records: Vec<AccountRecord> = match codec::decode(record) {
             Ok(records) => records,
             Err(error) => {
@@ -384,7 +411,17 @@
                 continue;
             }
             held.decided_serial = result.serial;
-            held.quota.add_drawn(result.granted);
+            let account = self.fold.budget(&result.budget);
+            let own = account.and_then(|account| account.holders.get(&self.holder));
+            let added = held
+                .quota
+                .raise_drawn(own.map_or(TokenCount::ZERO, |own| own.drawn));
+            let usable = if result.serial > held.void_serial {
+                result.granted
+            } else {
+                TokenCount::ZERO
+            };
+            held.quota.return_tokens(added.saturating_sub(usable));
             self.tally
                 .count_draw(DrawOutcome::of(held.requested, result.granted));
             held.pending &= result.serial < held.draw_serial;
@@ -418,11 +455,11 @@
     }
 
     /// Records that the store has all batches up to `number`, and that the last
-    /// of them ends before the offset `end` of the stream.
-    pub fn acknowledge(&mut self, number: u64, end: Option<u64>, now: Duration) {
+    /// of them ends before the position `end` of the stream.
+    pub fn acknowledge(&mut self, number: u64, end: Option<StreamPosition>, now: Duration) {
         self.acknowledged = number;
         self.measure_store_delay(number, now);
-        self.appended = end.unwrap_or(self.appended);
+        self.appended = end.unwrap_or_default().max(self.appended);
         self.unacknowledged_since = (number + 1 < self.batch).then_some(now);
         let mut pending = false;
         for held in self.held.values_mut() {
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -14,12 +14,14 @@
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
 use hibiscus_types::InstanceName;
+use hibiscus_types::StoreEra;
 use hibiscus_types::TokenCount;
 use tokio::sync::Notify;
 
 use crate::budgets::BudgetManager;
 use crate::budgets::BudgetRole;
 use crate::budgets::RecoveryPhase;
+use crate::budgets::StreamPosition;
 use crate::budgets::TokenRefusal;
 use crate::model::FleetConfig;
 use crate::tally::WorkTally;
@@ -46,7 +48,7 @@
     }
 
     /// See [`BudgetManager::set_stream_end`].
-    pub fn set_stream_end(&self, end: u64) {
+    pub fn set_stream_end(&self, end: StreamPosition) {
         let now = self.started.elapsed();
         self.manager.borrow_mut().set_stream_end(end, now);
     }
@@ -133,7 +135,7 @@
     }
 
     /// See [`BudgetManager::acknowledge`].
-    pub fn acknowledge(&self, number: u64, end: Option<u64>) {
+    pub fn acknowledge(&self, number: u64, end: Option<StreamPosition>) {
         let now = self.started.elapsed();
         self.manager.borrow_mut().acknowledge(number, end, now);
     }
@@ -154,6 +156,18 @@
         self.manager.borrow_mut().write_snapshots(now);
     }
 
+    /// See [`BudgetManager::begin_restore`].
+    pub fn begin_restore(&self, era: StoreEra) {
+        let now = self.started.elapsed();
+        self.manager.borrow_mut().begin_restore(era, now);
+    }
+
+    /// See [`BudgetManager::note_caught_up`].
+    pub fn note_caught_up(&self) {
+        let now = self.started.elapsed();
+        self.manager.borrow_mut().note_caught_up(now);
+    }
+
     /// See [`BudgetManager::recover`].
     pub fn recover(&self) {
         self.manager.borrow_mut().recover();
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -12,10 +12,12 @@
 use hibiscus_ledger::account::policy::DrawInputs;
 use hibiscus_ledger::account::policy::DrawMode;
 use hibiscus_types::BudgetName;
+use hibiscus_types::TokenCount;
 
 use crate::budgets::AccountBatch;
 use crate::budgets::BudgetManager;
 use crate::budgets::BudgetRole;
+use crate::budgets::StreamPosition;
 
 /// Age at which a holder that spends nothing renews its limit. A crash loses
 /// what the limit allows by then, even if nothing was spent.
@@ -32,6 +34,10 @@
     /// instance's role for a budget.
     pub fn review(&mut self, role_of: impl Fn(&BudgetName) -> BudgetRole, now: Duration) {
         let names: Vec<BudgetName> = self.totals.keys().cloned().collect();
+        let is_first = || names.iter().any(|budget| role_of(budget).is_first_holder);
+        if self.restore.is_some() && self.advance_restore(is_first(), now) {
+            return;
+        }
         for budget in names {
             let role = role_of(&budget);
             if role.mode == DrawMode::Release && !self.held.contains_key(&budget) {
@@ -49,6 +55,9 @@
     /// records of the stream are irrelevant to other budgets until the next
     /// full review.
     pub fn review_waiting(&mut self, role_of: impl Fn(&BudgetName) -> BudgetRole, now: Duration) {
+        if self.restore.is_some() {
+            return;
+        }
         let names: Vec<BudgetName> = self.waiting.iter().cloned().collect();
         for budget in names {
             self.review_one(&budget, role_of(&budget), now);
@@ -63,8 +72,8 @@
 
     /// Whether the store has acknowledged all records and snapshots.
     pub fn is_acknowledged(&self) -> bool {
-        let is_empty = self.unsent.is_empty() && self.unsent_snapshots.is_empty();
-        is_empty && self.acknowledged + 1 >= self.batch
+        let is_empty = self.unsent.is_empty() && self.unsent_encoded.is_empty();
+        is_empty && self.unsent_snapshots.is_empty() && self.acknowledged + 1 >= self.batch
     }
 
     /// Whether this instance's own accounts are closed, so that it can reserve
@@ -75,7 +84,11 @@
 
     /// Whether all records that the store has from this holder were read back.
     pub fn has_read_own_records(&self) -> bool {
-        self.fold.next_offset() >= self.appended
+        let read = StreamPosition {
+            era: self.era,
+            offset: self.fold.next_offset(),
+        };
+        read >= self.appended
     }
 
     /// Returns all unreserved tokens at the end of a graceful shutdown, and
@@ -168,16 +181,24 @@
             mode: role.mode,
         };
         let decision = policy::decide(&inputs);
-        if !held.pending && !decision.draw.is_zero() {
+        let own = account.and_then(|account| account.holders.get(&self.holder));
+        let counted = own.map_or(TokenCount::ZERO, |own| own.drawn);
+        let missing = held.quota.drawn().saturating_sub(counted);
+        let draw = if now < self.draws_resume_at {
+            missing
+        } else {
+            missing + decision.draw
+        };
+        if !held.pending && !draw.is_zero() {
             held.draw_serial += 1;
             held.pending = true;
-            held.requested = decision.draw;
+            held.requested = draw;
             self.unsent.push(AccountRecord::Draw {
                 budget: budget.clone(),
                 holder: self.holder,
                 machine: self.machine.clone(),
                 serial: held.draw_serial,
-                tokens: decision.draw,
+                tokens: draw,
             });
         }
         if held.quota.has_unacknowledged() {
@@ -228,11 +249,13 @@
     }
 
     pub(super) fn send(&mut self, now: Duration) {
-        if self.unsent.is_empty() && self.unsent_snapshots.is_empty() {
+        let is_empty = self.unsent.is_empty() && self.unsent_encoded.is_empty();
+        if is_empty && self.unsent_snapshots.is_empty() {
             return;
         }
         let batch = AccountBatch {
             number: self.batch,
+            encoded: std::mem::take(&mut self.unsent_encoded),
             records: std::mem::take(&mut self.unsent),
             snapshots: std::mem::take(&mut self.unsent_snapshots),
         };
@@ -244,6 +267,7 @@
             }
             Err(TrySendError::Full(batch) | TrySendError::Disconnected(batch)) => {
                 self.unsent = batch.records;
+                self.unsent_encoded = batch.encoded;
                 self.unsent_snapshots = batch.snapshots;
             }
         }
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -340,8 +340,10 @@
                 self.review_waiting();
             }
             TrafficUpdate::AccountsEnd(end) => self.budgets.set_stream_end(end),
+            TrafficUpdate::AccountsRestored(era) => self.budgets.begin_restore(era),
             TrafficUpdate::AccountsCaughtUp => {
                 self.budgets.recover();
+                self.budgets.note_caught_up();
                 self.review_budgets();
             }
             TrafficUpdate::AccountsTruncated { first, snapshots } => {
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -6,8 +6,10 @@
 
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_types::ServerName;
+use hibiscus_types::StoreEra;
 use tokio::sync::mpsc;
 
+use crate::budgets::StreamPosition;
 use crate::model::FleetConfig;
 use crate::model::InstanceEntry;
 use crate::model::ServerEntry;
@@ -80,8 +82,11 @@
         /// Encoded records.
         records: Vec<Vec<u8>>,
     },
-    /// The account stream ends at this offset; updates with its records follow.
-    AccountsEnd(u64),
+    /// The account stream ends at this position; updates with its records follow.
+    AccountsEnd(StreamPosition),
+    /// The store came back from a copy in this era; the account stream is read again from
+    /// its start.
+    AccountsRestored(StoreEra),
     /// The reader has caught up: all account records that the store had were
     /// sent.
     AccountsCaughtUp,
@@ -97,9 +102,9 @@
     AccountsAppended {
         /// Number of the last appended batch.
         number: u64,
-        /// Offset after the records of that batch; `None` if it held only
+        /// Position after the records of that batch; `None` if it held only
         /// snapshots.
-        end: Option<u64>,
+        end: Option<StreamPosition>,
     },
     /// All instance announcements that the store had were sent.
     InstancesRead,
--- a/crates/hibiscus-traffic/tests/power_cut.rs
+++ b/crates/hibiscus-traffic/tests/power_cut.rs
@@ -27,12 +27,14 @@
 use hibiscus_traffic::budgets::AccountBatch;
 use hibiscus_traffic::budgets::BudgetManager;
 use hibiscus_traffic::budgets::BudgetRole;
+use hibiscus_traffic::budgets::StreamPosition;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_traffic::holders;
 use hibiscus_traffic::holders::HOLDERS_PER_BUDGET;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_types::BudgetName;
 use hibiscus_types::IncarnationId;
+use hibiscus_types::StoreEra;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 
@@ -41,6 +43,14 @@
 use crate::fixtures::instance;
 
 const BUDGETS: usize = 40;
+/// Returns a position in the only era of the store.
+fn position(offset: u64) -> StreamPosition {
+    StreamPosition {
+        era: StoreEra::default(),
+        offset,
+    }
+}
+
 /// Seconds of traffic.
 const DAY_SECONDS: u64 = 40;
 /// Times at which all machines lose power, in milliseconds.
@@ -400,7 +410,7 @@
             {
                 let (_at, offset, record) = holder.reading.pop_front().expect("a record");
                 holder.manager.apply(offset, &record, millis);
-                holder.manager.set_stream_end(offset + 1, millis);
+                holder.manager.set_stream_end(position(offset + 1), millis);
             }
             if holder.recovers_at.is_some_and(|at| at <= self.now) {
                 holder.recovers_at = None;
@@ -481,7 +491,7 @@
         }
         for (number, batch) in landed {
             self.append(&batch.records);
-            let end = self.stream.len() as u64;
+            let end = position(self.stream.len() as u64);
             let holder = &mut self.holders[number];
             holder.manager.acknowledge(batch.number, Some(end), millis);
         }
--- a/tests/testsuite/front/store_copies.rs
+++ b/tests/testsuite/front/store_copies.rs
@@ -97,6 +97,28 @@
     assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
 }
 
+/// Guards against the same when an instance is killed at that moment and the store comes
+/// back twice (issue 39).
+#[test]
+fn prepaid_is_not_exceeded_after_two_copies_and_a_kill_of_one_instance() {
+    let mut fleet = CopyFleet::start();
+    let mut spent = 0;
+    for _drill in 0..2 {
+        let copy = fleet.store.copy();
+        spent += fleet.spend(9);
+        thread::sleep(SETTLE_TIME);
+        fleet.drill(copy);
+    }
+    let copy = fleet.store.copy();
+    spent += fleet.spend(9);
+    thread::sleep(SETTLE_TIME);
+    fleet.fronts.remove(0).kill();
+    fleet.drill(copy);
+    thread::sleep(SETTLE_TIME);
+    spent += fleet.spend(30);
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+}
+
 /// Guards against the same when the instances that made the draws are killed meanwhile, so
 /// that nobody knows of them (issue 39).
 #[test]
