Let the store of the soak come back from a copy

The store is copied, goes on for up to 1.2 s, is away for half of that and comes back from the copy, beside the other faults.

--- a/tests/testsuite/front/soak.rs
+++ b/tests/testsuite/front/soak.rs
@@ -284,7 +284,7 @@
         fleet.servers[server].set_behaviour(BackendBehaviour::Respond);
     };
     let began = Instant::now();
-    let fault = rng.u8(..10);
+    let fault = rng.u8(..11);
     match fault {
         0 => {
             fleet.fronts[front].kill();
@@ -319,6 +319,17 @@
             thread::sleep(pause * 2);
             fleet.store.set_faults(StoreFaults::default());
         }
+        9 => {
+            let copy = fleet.store.copy();
+            thread::sleep(pause);
+            fleet.store.set_faults(StoreFaults {
+                refuse: Some(503),
+                ..StoreFaults::default()
+            });
+            thread::sleep(pause / 2);
+            fleet.store.come_back_from(copy);
+            fleet.store.set_faults(StoreFaults::default());
+        }
         _ => {
             fleet.store.set_faults(StoreFaults {
                 delay: pause / 4,
