Add transferred tokens to the account of the holder that gets them

No sound part was refused.

Cause: holders of one fleet pass tokens to each other. They went to the receiver as to an instance without an account, where no report shows them, and the sender reported them as tokens that may come back for 20 s, some 90,000 in all (trial with the terms of the refusal in the log).

Now a holder adds such tokens to its own account if it has spent as many there, and its reports show what is left. If all instances hold all budgets, the sender expects nothing back. Prepaid is as before: the sender counts the tokens as spent before it answers, the receiver counts as much less.

Both unit tests need the new calls; the same sequence on the code before gave Unconfirmed instead of Spent.

--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -257,9 +257,17 @@
     }
 
     /// See [`BudgetManager::transfer`].
-    pub fn transfer(&self, budget: &BudgetName, reservation: QuotaReservation) {
+    pub fn transfer(&self, budget: &BudgetName, reservation: QuotaReservation, is_visible: bool) {
         let now = self.started.elapsed();
-        self.manager.borrow_mut().transfer(budget, reservation, now);
+        let mut manager = self.manager.borrow_mut();
+        manager.transfer(budget, reservation, is_visible, now);
+    }
+
+    /// See [`BudgetManager::take_transferred`].
+    pub fn take_transferred(&self, budget: &BudgetName, tokens: TokenCount, is_holder: bool) {
+        let now = self.started.elapsed();
+        let mut manager = self.manager.borrow_mut();
+        manager.take_transferred(budget, tokens, is_holder, now);
     }
 
     /// See [`BudgetManager::received`].
--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -154,10 +154,37 @@
         held.changed.notify_waiters();
     }
 
-    /// Ends a reservation whose tokens go to an instance that does not hold the
-    /// budget; they count as spent here.
-    pub fn transfer(&mut self, budget: &BudgetName, reservation: QuotaReservation, now: Duration) {
+    /// Adds tokens that another instance transferred. A holder adds them to its own
+    /// account, whose reports show what it has not spent.
+    pub fn take_transferred(
+        &mut self,
+        budget: &BudgetName,
+        tokens: TokenCount,
+        is_holder: bool,
+        now: Duration,
+    ) {
+        let held = self.held.get(budget);
+        if is_holder && held.is_some_and(|held| held.quota.spent() >= tokens) {
+            self.refund(budget, tokens);
+        } else {
+            self.add_received(budget, tokens, now);
+        }
+    }
+
+    /// Ends a reservation whose tokens go to another instance; they count as spent here.
+    /// What the instance does not use comes back, unless `is_visible` is set: then the
+    /// reports of that instance show it.
+    pub fn transfer(
+        &mut self,
+        budget: &BudgetName,
+        reservation: QuotaReservation,
+        is_visible: bool,
+        now: Duration,
+    ) {
         self.settle(budget, reservation, reservation.tokens, now);
+        if is_visible {
+            return;
+        }
         let held = self.held.entry(budget.clone()).or_default();
         held.transferred.push_back((now, reservation.tokens));
         while let Some((at, _tokens)) = held.transferred.front() {
--- a/crates/hibiscus-traffic/src/state/holding.rs
+++ b/crates/hibiscus-traffic/src/state/holding.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Whether all instances hold all budgets.
+    pub fn all_hold(&self) -> bool {
+        let most = u32::try_from(HOLDERS_PER_BUDGET).unwrap_or(u32::MAX);
+        self.directory.borrow().possibly_live_count() <= most
+    }
+
     /// Returns the holders of `budget`.
     pub(super) fn group_holders(
         &self,
--- a/crates/hibiscus-traffic/src/supply.rs
+++ b/crates/hibiscus-traffic/src/supply.rs
@@ -105,7 +105,8 @@
         EventCode::TokensPassedOn,
         "budget={budget} tokens={tokens} refusal={refusal:?}"
     );
-    state.budgets.transfer(budget, reserved?);
+    let is_visible = state.all_hold();
+    state.budgets.transfer(budget, reserved?, is_visible);
     Ok(())
 }
 
@@ -292,7 +293,8 @@
         }
         let (outcome, response) = match response {
             Some(PeerResponse::Reserved(tokens)) => {
-                state.budgets.add_received(&budget, tokens);
+                let is_holder = !state.requests_from_holders(&budget);
+                state.budgets.take_transferred(&budget, tokens, is_holder);
                 (PeerRequestOutcome::Answered, Ok(()))
             }
             Some(PeerResponse::Refused(TokenRefusal::Spent)) => {
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -214,6 +214,52 @@
     assert_eq!(refusal, Some(TokenRefusal::Spent));
 }
 
+/// Guards against refusals of a used-up budget that ask callers to come back, since tokens
+/// that were transferred to another holder count as expected back (issue 38, LOST).
+#[test]
+fn tokens_that_were_transferred_to_a_holder_are_not_expected_back() {
+    let mut case = ManagerCase::start();
+    case.review(Duration::ZERO);
+    let budget = budget(0);
+    let now = Duration::from_millis(100);
+    let tokens = TokenCount::new(700);
+    case.manager.add_waiter(&budget, tokens);
+    case.review(now);
+    case.manager.remove_waiter(&budget, tokens);
+    for _transfer in 0..2 * PREPAID / 700 {
+        let reservation = case.manager.reserve(&budget, tokens, now);
+        let reservation = reservation.expect("the tokens are drawn");
+        case.manager.transfer(&budget, reservation, true, now);
+        case.manager.refund(&budget, tokens);
+    }
+    let beyond = TokenCount::new(PREPAID + 1);
+    let refusal = case.manager.refusal(&budget, beyond, now);
+    assert_eq!(refusal, Some(TokenRefusal::Spent));
+}
+
+/// Guards against tokens that no report shows while a holder keeps them for requests
+/// (issue 38, LOST).
+#[test]
+fn tokens_that_a_holder_gets_show_in_its_reports() {
+    let mut case = ManagerCase::start();
+    case.review(Duration::ZERO);
+    let budget = budget(0);
+    let now = Duration::from_millis(100);
+    let tokens = TokenCount::new(700);
+    case.manager.add_waiter(&budget, tokens);
+    case.review(now);
+    case.manager.remove_waiter(&budget, tokens);
+    let reservation = case.manager.reserve(&budget, tokens, now);
+    let reservation = reservation.expect("the tokens are drawn");
+    case.manager.settle(&budget, reservation, tokens, now);
+    case.manager.take_transferred(&budget, tokens, true, now);
+    assert!(case.manager.received(&budget).is_zero());
+    let reports = case.review(Duration::from_secs(3));
+    assert!(reports[0].spent.is_zero());
+    case.manager.take_transferred(&budget, tokens, true, now);
+    assert_eq!(case.manager.received(&budget), tokens);
+}
+
 /// Guards against a final refusal while tokens that this holder returned are on
 /// their way to the store, or are not read back yet (found with issue 20).
 #[test]
