Compare a verdict before and after the store may have lost it

The test accepted any condemned part after forget_stored; now it expects the verdict from before. No bound or assertion is wider.

--- a/crates/hibiscus-request/tests/prompt_parts.rs
+++ b/crates/hibiscus-request/tests/prompt_parts.rs
@@ -257,13 +257,14 @@
     let mut sequence = three_crashes();
     sequence.condemned();
     let mut table = sequence.table;
+    let parts = [CLASS, DOCUMENT, DEADLY];
+    let before = table.status(&parts, team("team-a"));
+    assert!(matches!(before, PartStatus::Condemned(_)), "{before:?}");
     let evidence = table.evidence(DEADLY).expect("the part is known");
     table.note_stored(&evidence);
     table.forget_stored();
     table.retain_stored(&BTreeSet::new());
-    let parts = [CLASS, DOCUMENT, DEADLY];
-    let status = table.status(&parts, team("team-a"));
-    assert!(matches!(status, PartStatus::Condemned(_)), "{status:?}");
+    assert_eq!(table.status(&parts, team("team-a")), before);
     let missing = table.not_stored(Duration::MAX);
     assert!(missing.iter().any(|missing| missing.part == DEADLY));
 }
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Makes the spending limit allow `tokens`, by a request that waits for them.
+    fn allow(&mut self, tokens: TokenCount, now: Duration) {
+        self.manager.add_waiter(&budget(0), tokens);
+        self.review(now);
+        self.manager.remove_waiter(&budget(0), tokens);
+    }
+
     /// Reviews all budgets at `now` and appends the batches. Returns the
     /// reports in them.
     fn review(&mut self, now: Duration) -> Vec<HolderReport> {
@@ -223,9 +230,7 @@
     let budget = budget(0);
     let now = Duration::from_millis(100);
     let tokens = TokenCount::new(700);
-    case.manager.add_waiter(&budget, tokens);
-    case.review(now);
-    case.manager.remove_waiter(&budget, tokens);
+    case.allow(tokens, now);
     for _transfer in 0..2 * PREPAID / 700 {
         let reservation = case.manager.reserve(&budget, tokens, now);
         let reservation = reservation.expect("the tokens are drawn");
@@ -246,9 +251,7 @@
     let budget = budget(0);
     let now = Duration::from_millis(100);
     let tokens = TokenCount::new(700);
-    case.manager.add_waiter(&budget, tokens);
-    case.review(now);
-    case.manager.remove_waiter(&budget, tokens);
+    case.allow(tokens, now);
     let reservation = case.manager.reserve(&budget, tokens, now);
     let reservation = reservation.expect("the tokens are drawn");
     case.manager.settle(&budget, reservation, tokens, now);
