Review case 4: a machine without the store joins two software versions

Rule: ORDER, more than two streams hold events from servers of two software versions of one service. Done: one of three machines is cut from the store, silently; both servers of a service are replaced by servers of another version, 1 s apart; the process of another machine is killed and its streams are taken up at the other two.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -286,6 +286,47 @@
     return status, "application/json", json.dumps(value).encode()
 
 
+class Path:
+    """The network path of one machine to the store, which can be cut: nothing passes in
+    either direction, and nothing is closed."""
+
+    def __init__(self, address):
+        self.target = address.split(":")
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        return self
+
+    def cut(self):
+        self.open.clear()
+
+    def heal(self):
+        self.open.set()
+
+    async def serve(self, reader, writer):
+        await self.open.wait()
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.pump(reader, far_writer), self.pump(far_reader, writer))
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
 # --- servers ----------------------------------------------------------------------
 
 
@@ -526,7 +567,8 @@
     """What a client got for one attempt."""
 
     def __init__(self):
-        self.status, self.headers, self.events, self.is_complete = 0, {}, [], False
+        self.status, self.headers, self.body = 0, {}, ""
+        self.events, self.is_complete = [], False
 
     @property
     def last(self):
@@ -567,7 +609,7 @@
         return
     answer.status, answer.headers = int(head[0].split(" ")[1]), head[1]
     if answer.headers.get("transfer-encoding", "").lower() != "chunked":
-        await read_body(reader, answer.headers)
+        answer.body = (await read_body(reader, answer.headers)).decode("latin-1")
         answer.is_complete = True
         return
     rest = b""
