--- a/review/4/case.py
+++ b/review/4/case.py
@@ -106,12 +106,12 @@
         )
         mixed += len(versions) > 1
 
-    await at(1.45)
+    await at(1.5)
     tasks = []
     for number in range(STREAMS):
         again_at = (cut, third)[number % 2]
         tasks.append(asyncio.create_task(stream(again_at)))
-    await at(1.85)
+    await at(1.87)
     if case.trouble:
         killed.kill()
     await asyncio.gather(*tasks)
