--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,13 +6,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 from deployment import *
 
-# A request of the kind `frame-notes` of the sheet, which may be resumed: 568 + 1,800 tokens
-# in. 20 events (30 at most on the sheet) with pauses of 120 ms (200 ms allowed).
+# A request of the kind `fit-note` of the sheet, which may be resumed: 568 + 1,800 tokens
+# in. 20 events with pauses of 120 ms (250 ms allowed).
 PROMPT, MOST = 2_368, 20 * STRIDE
 PAUSE_S = 0.12
 DEADLINE_MS = 4_000
-STREAMS = 16
-BEAT_S = 1.2
+STREAMS = 24
 
 
 class Servers:
@@ -47,12 +46,12 @@
     servers = Servers(case, store)
     teams = [("team-a", "key-a", 10_000_000)]
     store.write("keyed.op", "config", config(1, teams, resume=True, timeout_ms=DEADLINE_MS))
-    old = [await servers.start(f"i-old-{n}", "1") for n in (1, 2)]
-    new = [await servers.start(f"i-new-{n}", "2") for n in (1, 2)]
+    old = [await servers.start(f"i-old-{n}", "1") for n in range(1, 5)]
+    new = [await servers.start(f"i-new-{n}", "2") for n in range(1, 4)]
     plain = [await servers.start(f"i-plain-{n}", "1", "studio-app") for n in range(4)]
     for server in old + plain:
         servers.write(server, "ready")
-        await asyncio.sleep(BEAT_S / 6)
+        await asyncio.sleep(BEAT_S / 8)
     path = await Path(store.address).start()
     cut = case.front("front-a-1", path.address)
     killed = case.front("front-b-1", store.address, zone="b")
@@ -71,8 +70,10 @@
     if case.trouble:
         path.cut()
         case.record(f"the path from {cut.name} to the store is cut")
-    # Planned work: the servers are replaced one after the other; each new one starts
-    # first, then the old one drains and goes on serving.
+    # Planned work: an empty server is added, and two of four servers are replaced one after
+    # the other; each new one starts first, then the old one drains and goes on serving.
+    await at(0.1)
+    servers.write(new[2], "ready")
     for number, seconds in enumerate((0.1, 1.1)):
         await at(seconds)
         servers.write(new[number], "ready")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -26,6 +26,8 @@
 FOREIGN_TOPICS = ("keyed.op", "keyed.servers")
 STRIDE = 3
 HOST = "h.example"
+# `heartbeat-interval-ms` of the settings.
+BEAT_S = 1.2
 
 
 class CannotRun(Exception):
@@ -345,6 +347,19 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def keep_entry(self, store):
+        """Writes the entry now and then every heartbeat interval, when the store answers."""
+        store.write("keyed.servers", self.name, self.entry())
+        self.beats = asyncio.create_task(self.beat(store))
+
+    async def beat(self, store):
+        sequence = 1
+        while True:
+            await asyncio.sleep(BEAT_S)
+            if not store.is_away:
+                sequence += 1
+                store.write("keyed.servers", self.name, self.entry(sequence=sequence))
+
     def crash(self):
         """Ends the process: the port closes and all connections are reset."""
         self.is_up = False
