Begin streams only at recorded versions, and read the record before a take-up

Cause: an instance took the only version that it knew for the one that began a stream until its last read of the servers' entries was 2.6 s old, while others began streams at a version 0.5 s after they had read of it.

Fix: a stream begins only at a version that the topic of the versions holds, and an instance that knows one version reads this topic after the request has arrived. The stream began before the request that takes it up, so the read brings its version, however long the instance was cut off or stood still. A new stream waits up to 0.5 s for the record, which its instance writes itself. After the store came back from a copy no read confirms anything for 2.5 s. An instance that runs again after a stop waits for its next read where it refused.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -39,6 +39,7 @@
 use hibiscus_traffic::state::TrafficState;
 use hibiscus_traffic::stream_versions;
 use hibiscus_traffic::stream_versions::StreamTracker;
+use hibiscus_traffic::stream_versions::VersionReads;
 use hibiscus_traffic::supply;
 use hibiscus_traffic::suspects::SuspectTracker;
 use hibiscus_traffic::traffic_metrics;
@@ -231,6 +232,12 @@
         let (store, sender) = (store.clone(), sender.clone());
         move || streams::follow_versions(&store, &sender)
     })?;
+    let version_reads = Arc::new(VersionReads::default());
+    let version_reader = spawn("versions-check", {
+        let (store, sender, reads) = (store.clone(), sender.clone(), Arc::clone(&version_reads));
+        move || streams::confirm_versions(&store, &sender, &reads)
+    })?;
+    version_reads.set_reader(version_reader.thread().clone());
     spawn("streams", {
         let (store, sender) = (store.clone(), sender.clone());
         move || streams::follow_notes(&store, &sender)
@@ -258,7 +265,7 @@
         directory: InstanceDirectory::new(own.clone()),
         suspects: SuspectTracker::new(own.name.clone(), suspect_sender.clone()),
         parts: PartTracker::new(own.name.clone(), suspect_sender),
-        streams: StreamTracker::new(stream_sender),
+        streams: StreamTracker::new(stream_sender, version_reads),
         memory_shares: MemoryShares::of_machine(settings.memory_bytes, settings.descriptors),
         limits,
         first_start: settings.first_start,
--- a/crates/hibiscus-front/src/streams.rs
+++ b/crates/hibiscus-front/src/streams.rs
@@ -15,6 +15,7 @@
 use hibiscus_request::stream_versions::StreamBatch;
 use hibiscus_traffic::stream_versions::StreamRecord;
 use hibiscus_traffic::stream_versions::StreamUpdate;
+use hibiscus_traffic::stream_versions::VersionReads;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
 use hibiscus_types::ServiceName;
@@ -42,6 +43,9 @@
 /// Pause after a read that returned notes, so that one read returns the notes of several
 /// instances.
 const NOTES_READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Pause after a read of the versions that requests waited for: one read serves all
+/// requests that arrived before it.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of records to keep while the store is unreachable; the oldest are
 /// dropped first, as their streams are taken up before.
 const PENDING_LIMIT: usize = 64;
@@ -99,6 +103,74 @@
     follow::follow_keyed(store, updates, VersionsReader);
 }
 
+/// Reads the software versions whenever `reads` requests it, from the record after the last
+/// one that was read here.
+pub(crate) fn confirm_versions(store: &StoreClient, updates: &UpdateSender, reads: &VersionReads) {
+    let mut monitor = TopicMonitor::default();
+    let mut next = None;
+    let mut fulfilled = 0;
+    loop {
+        let requested = reads.requested();
+        if requested == fulfilled {
+            thread::park();
+            continue;
+        }
+        match read_versions(store, updates, next) {
+            Ok(offset) => {
+                monitor.succeeded(VERSIONS_TOPIC);
+                next = Some(offset);
+                send(
+                    updates,
+                    StreamUpdate::VersionsConfirmed(requested, store.era()),
+                );
+            }
+            Err(StoreError::Expired { .. } | StoreError::EraChanged { .. }) => {
+                next = None;
+                continue;
+            }
+            Err(error) => {
+                monitor.failed(VERSIONS_TOPIC, &error);
+                send(updates, StreamUpdate::VersionsUnconfirmed);
+            }
+        }
+        fulfilled = requested;
+        thread::sleep(CONFIRM_INTERVAL);
+    }
+}
+
+/// Reads the versions from the offset `next`, or the newest of all services, and sends them
+/// to the traffic thread. Returns the offset of the next record.
+fn read_versions(
+    store: &StoreClient,
+    updates: &UpdateSender,
+    next: Option<u64>,
+) -> platform::store::Result<u64> {
+    let Some(from) = next else {
+        let newest = store.newest(VERSIONS_TOPIC)?;
+        let records: Vec<_> = newest
+            .records
+            .into_iter()
+            .map(|newest| newest.record)
+            .collect();
+        VersionsReader.reset(records, updates);
+        return Ok(newest.next);
+    };
+    let mut offset = from;
+    loop {
+        let page = store.read(VERSIONS_TOPIC, offset, Duration::ZERO)?.page;
+        for record in &page.records {
+            offset += 1;
+            match records::decode_keyed(record) {
+                Some(record) => VersionsReader.apply(record, updates),
+                None => event!(EventCode::RecordWithoutKey, "topic={VERSIONS_TOPIC}"),
+            }
+        }
+        if page.records.is_empty() || offset >= page.end {
+            return Ok(offset);
+        }
+    }
+}
+
 /// Follows the notes on streams, from the oldest that the store keeps.
 pub(crate) fn follow_notes(store: &StoreClient, updates: &UpdateSender) {
     let mut monitor = TopicMonitor::default();
--- a/crates/hibiscus-request/src/stream_versions.rs
+++ b/crates/hibiscus-request/src/stream_versions.rs
@@ -7,8 +7,9 @@
 //! stream that is still taken up: those with servers, and those whose last server has
 //! gone a short time ago. The fleet keeps it in a topic ([`ServiceVersions`]), so that it
 //! outlives all processes. While there is only one version, nothing has to be known of
-//! a stream. A new version begins streams only after all instances had time to learn of
-//! it.
+//! a stream. A version begins streams only once the topic holds it
+//! ([`VersionHistory::is_recorded`]): an instance that reads the topic after a stream has
+//! begun learns of its version.
 //!
 //! While there are several versions, instances tell each other which one began each
 //! stream ([`StreamNotes`]). A stream that is in no note is not guessed.
@@ -194,6 +195,16 @@
         self.is_read = true;
     }
 
+    /// Whether the fleet's topic holds a version of `service`.
+    pub fn is_recorded(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
+        let recorded = self.services.get(service);
+        let recorded = recorded.and_then(|state| state.recorded.as_ref());
+        recorded.is_some_and(|recorded| {
+            let mut versions = recorded.versions.iter();
+            versions.any(|version| version.software == *software)
+        })
+    }
+
     /// Records that the fleet's topic may have lost records that it held.
     pub fn forget_recorded(&mut self) {
         for state in self.services.values_mut() {
@@ -269,22 +280,28 @@
         unix: UnixMillis,
     ) -> Vec<(ServiceName, ServiceVersions)> {
         let mut due = Vec::new();
-        if !self.is_read {
-            return due;
-        }
-        for (service, state) in &self.services {
-            let record = state.record(now, unix);
-            let is_new = state
-                .recorded
-                .as_ref()
-                .is_none_or(|recorded| !recorded.says_the_same(&record));
-            if is_new && !record.versions.is_empty() {
-                due.push((service.clone(), record));
-            }
+        for service in self.services.keys() {
+            let record = self.record_due(service, now, unix);
+            due.extend(record.map(|record| (service.clone(), record)));
         }
         due
     }
 
+    /// The record of `service` that the fleet's topic should hold at `now`; `None` if it
+    /// holds it, or has not been read.
+    pub fn record_due(
+        &self,
+        service: &ServiceName,
+        now: Duration,
+        unix: UnixMillis,
+    ) -> Option<ServiceVersions> {
+        let state = self.services.get(service).filter(|_state| self.is_read)?;
+        let record = state.record(now, unix);
+        let recorded = state.recorded.as_ref();
+        let is_new = recorded.is_none_or(|recorded| !recorded.says_the_same(&record));
+        (is_new && !record.versions.is_empty()).then_some(record)
+    }
+
     /// Forgets versions whose streams are not taken up any more at `now`.
     pub fn expire(&mut self, now: Duration) {
         for state in self.services.values_mut() {
--- a/crates/hibiscus-request/tests/stream_versions.rs
+++ b/crates/hibiscus-request/tests/stream_versions.rs
@@ -173,6 +173,25 @@
     assert!(due(&history, 2).is_some());
 }
 
+/// Guards against streams at a version that an instance which reads the topic does not learn
+/// of (issue 45, ORDER; review/4), also after the store has lost its record.
+#[test]
+fn a_version_is_recorded_only_while_the_topic_is_known_to_hold_it() {
+    let mut history = history_of(&["v1"]);
+    let is_recorded =
+        |history: &VersionHistory, name: &str| history.is_recorded(&service(), &version(name));
+    assert!(!is_recorded(&history, "v1"));
+    write(&mut history, 1);
+    assert!(is_recorded(&history, "v1"));
+    history.note_server(&service(), &version("v2"), at(2));
+    assert!(!is_recorded(&history, "v2"));
+    write(&mut history, 60);
+    assert!(is_recorded(&history, "v2"));
+    history.forget_recorded();
+    assert!(!is_recorded(&history, "v1"));
+    assert!(!is_recorded(&history, "v2"));
+}
+
 /// Guards against records while the topic has not been read, which would replace what
 /// other instances know.
 #[test]
--- a/crates/hibiscus-traffic/src/handler/admission.rs
+++ b/crates/hibiscus-traffic/src/handler/admission.rs
@@ -137,7 +137,7 @@
         return Ok(VersionRule::Any);
     }
     if caller_headers.resume_after.is_none() {
-        return Ok(state.streams.rule_for_new(service, state.now()));
+        return Ok(state.rule_for_new_stream(service, deadline).await);
     }
     let resumes = caller_headers.resumes.as_deref();
     let rule = state.rule_for_take_up(service, resumes, deadline).await;
--- a/crates/hibiscus-traffic/src/servers/choice.rs
+++ b/crates/hibiscus-traffic/src/servers/choice.rs
@@ -204,6 +204,14 @@
         allowed
     }
 
+    /// Whether servers of `service` serve, and `versions` allows none of them.
+    pub fn awaits_version(&self, service: &ServiceName, versions: &VersionRule) -> bool {
+        let servers = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        let mut serving = servers.iter().filter(|server| server.is_serving());
+        let has_serving = serving.clone().next().is_some();
+        has_serving && !serving.any(|server| versions.allows(&server.entry))
+    }
+
     /// The servers of `service` that are not in `tried`, by how they may be used.
     fn candidates(
         &self,
--- a/crates/hibiscus-traffic/src/stream_versions.rs
+++ b/crates/hibiscus-traffic/src/stream_versions.rs
@@ -5,9 +5,16 @@
 //! versions, or had them a short time ago, the instance tells the others by a topic of
 //! the fleet which version began each stream that may still be taken up. [`run`] sends
 //! these notes in batches. A request that takes a stream up goes on only at the version
-//! that is known to have begun it, and is refused where this is not known. An instance
-//! that can't read the servers' entries knows nothing for certain, since other instances
-//! may have begun streams at versions that it has not read of.
+//! that is known to have begun it, and is refused where this is not known.
+//!
+//! Streams begin only at versions that the topic of the versions holds. An instance that
+//! knows one version of a service therefore reads that topic after the request has
+//! arrived ([`VersionReads`]), before it takes the version for the one that began the
+//! stream. However long it could not read the store or did not run, it learns of every
+//! version that began a stream by then.
+
+mod take_up;
+mod version_reads;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,6 +23,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
 use std::time::Instant;
@@ -32,14 +40,14 @@
 use hibiscus_types::ServerName;
 use hibiscus_types::ServiceName;
 use hibiscus_types::SoftwareVersion;
+use hibiscus_types::StoreEra;
 use hibiscus_types::UnixMillis;
-use metrics::counter;
 use metrics::gauge;
 use tokio::sync::Notify;
 
 use crate::model::ServerEntry;
-use crate::response::LocalReason;
 use crate::state::TrafficState;
+pub use crate::stream_versions::version_reads::VersionReads;
 use crate::wire_format::WireFormat;
 
 /// Counts requests that take streams up again, by outcome.
@@ -57,11 +65,13 @@
 /// Time between two batches for each instance, so that all together append at most 200
 /// times a second.
 const BATCH_INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(5);
-/// Time for a batch to be appended and read, beyond the time between two.
-const BATCH_DELAY: Duration = Duration::from_millis(450);
 /// Time before the entry of a new process was read in which the process may have begun
 /// streams: servers write their entries about every second.
 const ENTRY_LAG: Duration = Duration::from_secs(5);
+/// Time after the store came back from a copy in which the topic of the versions may lack
+/// some: servers write their entries again within 2 s, and their versions are recorded at
+/// the next tick.
+const RESTORE_TIME: Duration = Duration::from_millis(2_500);
 /// Subject by which the instance that maintains the topic of the versions is chosen.
 const MAINTAINER_SUBJECT: &str = "versions";
 /// Maximum number of streams of this instance to remember.
@@ -77,7 +87,8 @@
     Any,
     /// Servers of this version.
     Only(SoftwareVersion),
-    /// Servers of any version, with a preference for those that other instances know.
+    /// Servers of one of these versions, with a preference for those that other instances
+    /// know.
     Begin(BTreeMap<SoftwareVersion, VersionStanding>),
 }
 
@@ -85,7 +96,8 @@
     /// Whether a server may get the request.
     pub fn allows(&self, entry: &ServerEntry) -> bool {
         match self {
-            Self::Any | Self::Begin(_) => true,
+            Self::Any => true,
+            Self::Begin(versions) => versions.contains_key(&entry.software),
             Self::Only(software) => entry.software == *software,
         }
     }
@@ -121,6 +133,11 @@
     AllVersions(Vec<(ServiceName, ServiceVersions)>),
     /// The versions of a service.
     Versions(ServiceName, ServiceVersions),
+    /// A read of the topic of the versions that [`VersionReads`] requested by this number
+    /// has succeeded in this era of the store; its records were sent before.
+    VersionsConfirmed(u64, StoreEra),
+    /// A read of the topic of the versions that [`VersionReads`] requested has failed.
+    VersionsUnconfirmed,
     /// Versions that began streams.
     Notes(Vec<StreamBatch>),
     /// The store came back from a copy, so the topic of the versions may lack records.
@@ -172,6 +189,19 @@
     }
 }
 
+/// What is known of the version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum StreamOrigin {
+    /// This version began the stream.
+    Known(SoftwareVersion),
+    /// It is not known which process of a server began the stream.
+    Doubted,
+    /// The stream is in no note, and this instance knows this version only.
+    OnlyKnown(SoftwareVersion),
+    /// The stream is in no note.
+    Unknown,
+}
+
 /// Follows the versions of servers and of the streams that they began.
 #[derive(Debug)]
 pub struct StreamTracker {
@@ -183,19 +213,27 @@
     /// Notes for the next batch.
     pending: RefCell<Vec<(StreamKey, ServiceName, Option<SoftwareVersion>)>>,
     has_pending: Notify,
-    /// Notifies requests that notes of other instances arrived.
+    /// Notifies requests that notes of other instances or records of versions arrived.
     noted: Notify,
     /// Services that were mixed at the last look.
     mixed: RefCell<BTreeSet<ServiceName>>,
     /// Time at which the servers' entries were last read.
     entries_read_at: Cell<Option<Duration>>,
+    version_reads: Arc<VersionReads>,
+    /// Number of the last request for a read of the versions that was fulfilled.
+    confirmed: Cell<u64>,
+    /// Highest era of the store in which the versions were read on request.
+    era: Cell<Option<StoreEra>>,
+    /// Time until which the topic of the versions may lack some.
+    restored_until: Cell<Duration>,
     outbox: SyncSender<StreamRecord>,
     started: Instant,
 }
 
 impl StreamTracker {
-    /// An empty tracker, which sends records to `outbox`.
-    pub fn new(outbox: SyncSender<StreamRecord>) -> Self {
+    /// An empty tracker, which sends records to `outbox` and requests reads of the topic of
+    /// the versions by `version_reads`.
+    pub fn new(outbox: SyncSender<StreamRecord>, version_reads: Arc<VersionReads>) -> Self {
         Self {
             started: Instant::now(),
             history: RefCell::default(),
@@ -207,6 +245,10 @@
             noted: Notify::new(),
             mixed: RefCell::default(),
             entries_read_at: Cell::new(None),
+            version_reads,
+            confirmed: Cell::default(),
+            era: Cell::default(),
+            restored_until: Cell::default(),
             outbox,
         }
     }
@@ -214,11 +256,18 @@
     /// Records that the servers' entries were read at `now`.
     pub fn note_entries_read(&self, now: Duration) {
         self.entries_read_at.set(Some(now));
+        self.noted.notify_waiters();
+    }
+
+    /// Whether the last read of the servers' entries has failed.
+    fn entries_are_lost(&self) -> bool {
+        self.entries_read_at.get().is_none()
     }
 
     /// Records that the servers' entries can't be read.
     pub fn note_entries_lost(&self) {
         self.entries_read_at.set(None);
+        self.noted.notify_waiters();
     }
 
     /// Records that the entry of a server changed at `now` from `before` to `after`.
@@ -343,40 +392,64 @@
         self.own.borrow_mut().remove(&StreamKey::of(id));
     }
 
-    /// The servers of `service` at which new streams may begin at `now`.
+    /// The servers of `service` at which new streams may begin at `now`: those of versions
+    /// that the fleet's topic holds.
     pub fn rule_for_new(&self, service: &ServiceName, now: Duration) -> VersionRule {
         let history = self.history.borrow();
         let mut standings = BTreeMap::new();
-        let mut is_any = true;
         for software in history.versions(service, now) {
+            if !history.is_recorded(service, software) {
+                continue;
+            }
             let standing = history.standing(service, software, now);
-            is_any &= standing == VersionStanding::Settled;
             standings.insert(software.clone(), standing);
         }
-        if is_any {
-            return VersionRule::Any;
-        }
         VersionRule::Begin(standings)
     }
 
-    /// The version that began a stream, if it is known: of a service with one version
-    /// that is this one.
+    /// Records the versions of `service` in the fleet's topic if it lacks one, whichever
+    /// instance maintains the topic.
+    fn record_versions(&self, service: &ServiceName, now: Duration) {
+        let history = self.history.borrow();
+        let record = history.record_due(service, now, UnixMillis::now());
+        if let Some(record) = record {
+            self.send(StreamRecord::Versions(service.clone(), record));
+        }
+    }
+
+    /// What is known of the version that began `stream`.
     fn find(
         &self,
         service: &ServiceName,
         stream: Option<StreamKey>,
         now: Duration,
-    ) -> Option<Result<SoftwareVersion, LocalReason>> {
+    ) -> StreamOrigin {
         let known = stream.and_then(|stream| {
             let own = self.own.borrow().get(&stream).cloned();
             own.map(|own| own.software)
                 .or_else(|| self.notes.borrow().find(stream).cloned())
         });
         if let Some(software) = known {
-            return Some(software.ok_or(LocalReason::StreamUnknown));
+            return software.map_or(StreamOrigin::Doubted, StreamOrigin::Known);
         }
         let history = self.history.borrow();
-        history.only_version(service, now).cloned().map(Ok)
+        let only = history.only_version(service, now).cloned();
+        only.map_or(StreamOrigin::Unknown, StreamOrigin::OnlyKnown)
+    }
+
+    /// Whether the topic of the versions held all versions that had begun streams when the
+    /// read with `number` was requested, and was read.
+    fn is_confirmed(&self, number: u64, now: Duration) -> bool {
+        self.confirmed.get() >= number && now >= self.restored_until.get()
+    }
+
+    /// Records that the topic of the versions was read in `era` for the request `number`.
+    fn note_confirmed(&self, number: u64, era: StoreEra, now: Duration) {
+        if self.era.get().is_some_and(|known| known < era) {
+            self.restored_until.set(now + RESTORE_TIME);
+        }
+        self.era.set(self.era.get().max(Some(era)));
+        self.confirmed.set(self.confirmed.get().max(number));
     }
 
     /// Whether this instance has read what others know, at `now`.
@@ -439,8 +512,13 @@
                 let mut history = self.history.borrow_mut();
                 history.apply_record(&service, record, false, now, unix);
             }
+            StreamUpdate::VersionsConfirmed(number, era) => self.note_confirmed(number, era, now),
+            StreamUpdate::VersionsUnconfirmed => {}
             StreamUpdate::Notes(batches) => self.merge_notes(&batches, now),
-            StreamUpdate::VersionsRestored => self.history.borrow_mut().forget_recorded(),
+            StreamUpdate::VersionsRestored => {
+                self.history.borrow_mut().forget_recorded();
+                self.restored_until.set(now + RESTORE_TIME);
+            }
             StreamUpdate::NotesRestored => {
                 for service in self.mixed.borrow().iter() {
                     self.note_own_streams(service);
@@ -448,6 +526,7 @@
             }
         }
         self.note_mixed(now);
+        self.noted.notify_waiters();
     }
 
     /// Appends records of versions that the topic lacks if this instance `maintains`
@@ -476,71 +555,6 @@
     }
 }
 
-impl<D: WireFormat> TrafficState<D> {
-    /// The servers at which the stream of the request `resumes` may go on. Waits for the
-    /// notes of other instances until `deadline`, but not long.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the version that began the stream is not known.
-    pub async fn rule_for_take_up(
-        &self,
-        service: &ServiceName,
-        resumes: Option<&str>,
-        deadline: Instant,
-    ) -> Result<VersionRule, LocalReason> {
-        let instances = self.directory.borrow().live_count();
-        let wait = StreamTracker::batch_interval(instances) + BATCH_DELAY;
-        let end = deadline.min(Instant::now() + wait);
-        let stream = resumes.map(StreamKey::of);
-        let mut is_late = stream.is_none();
-        loop {
-            let noted = self.streams.noted.notified();
-            if !self.streams.is_fresh(self.now()) {
-                return Err(LocalReason::StreamUnconfirmed);
-            }
-            if let Some(found) = self.streams.find(service, stream, self.now()) {
-                return found.map(VersionRule::Only);
-            }
-            if is_late {
-                return Err(LocalReason::StreamUnknown);
-            }
-            is_late = tokio::time::timeout_at(end.into(), noted).await.is_err();
-        }
-    }
-
-    /// Appends what the topic of the versions lacks, and forgets old versions.
-    pub fn tick_streams(&self) {
-        let maintains = self.directory.borrow().is_first_for(MAINTAINER_SUBJECT);
-        self.streams.tick(maintains, self.now());
-    }
-
-    /// Logs and counts the refusal of a request that takes a stream up.
-    pub fn log_take_up_refusal(
-        &self,
-        id: &str,
-        resumes: Option<&str>,
-        service: &ServiceName,
-        reason: LocalReason,
-    ) {
-        counter!(STREAM_TAKE_UPS, "outcome" => reason.as_str()).increment(1);
-        let history = self.streams.history.borrow();
-        let versions: Vec<_> = history
-            .versions(service, self.now())
-            .map(SoftwareVersion::to_string)
-            .collect();
-        let read_at = self.streams.entries_read_at.get();
-        event!(
-            EventCode::TakeUpRefused,
-            "request={id} resumes={} reason={} service={service} versions={} entries_age_ms={}",
-            resumes.unwrap_or("none"),
-            reason.as_str(),
-            versions.join(","),
-            read_at.map_or(-1, |at| self.now().saturating_sub(at).as_millis() as i64)
-        );
-    }
-}
-
 /// Sends notes of streams to the other instances until the runtime stops.
 pub async fn run<D: WireFormat>(state: Rc<TrafficState<D>>) {
     loop {
--- a/crates/hibiscus-traffic/tests/state.rs
+++ b/crates/hibiscus-traffic/tests/state.rs
@@ -122,7 +122,7 @@
         }),
         suspects: SuspectTracker::new(own.name.clone(), suspects.clone()),
         parts: PartTracker::new(own.name.clone(), suspects),
-        streams: StreamTracker::new(mpsc::sync_channel(16).0),
+        streams: StreamTracker::new(mpsc::sync_channel(16).0, Arc::default()),
         directory: InstanceDirectory::new(own),
         memory_shares: MemoryShares::of_machine(88 << 20, 4_100),
         limits: MachineLimits::default(),
--- a/tests/testsuite/front/joined_streams.rs
+++ b/tests/testsuite/front/joined_streams.rs
@@ -6,13 +6,19 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use hibiscus_support::proxy::LinkDirection;
+use hibiscus_support::proxy::LinkFaults;
+use hibiscus_support::proxy::tcp::TcpProxy;
+use nix::sys::signal::Signal;
 use platform_standins::BackendBehaviour;
 use platform_standins::BackendStandin;
 use platform_standins::FrontProcess;
 use platform_standins::StoreFaults;
 use platform_standins::StoreStandin;
+use platform_standins::front::FrontPorts;
 
 use crate::front::PREPAID;
+use crate::front::SETTLE_TIME;
 use crate::front::config;
 use crate::front::start_fronts;
 use crate::front::status;
@@ -33,6 +39,10 @@
 /// Time within which the beginning of a stream is known to all instances.
 const NOTE_TIME: Duration = Duration::from_secs(1);
 
+/// Time from the first entry of a new version until the streams of a test begin: less than
+/// an instance that is cut from the store takes to notice it.
+const RELEASE_TIME: Duration = Duration::from_millis(1_200);
+
 /// A server of one software version.
 struct VersionedServer {
     name: String,
@@ -101,6 +111,41 @@
         }
     }
 
+    /// Adds an instance that reaches the store by a proxy.
+    fn add_front_behind_proxy(&mut self) -> TcpProxy {
+        let proxy = TcpProxy::start(self.store.address());
+        let front = FrontProcess::start("front-far", FrontPorts::find(), proxy.address());
+        front.wait_ready();
+        self.fronts.push(front);
+        thread::sleep(SETTLE_TIME);
+        // All instances have just read the topic of the entries.
+        self.store.write("keyed.servers", "i-other", b"");
+        thread::sleep(Duration::from_millis(100));
+        proxy
+    }
+
+    /// Begins streams at the other instances than the last one while most servers of v1
+    /// are replaced by servers of v2.
+    fn begin_in_release(&mut self) -> Vec<BrokenStream> {
+        self.add_servers("v2");
+        self.store.write("keyed.servers", "i-v1-0", b"");
+        thread::sleep(RELEASE_TIME);
+        let far = self.fronts.len() - 1;
+        let fleet = &*self;
+        let streams: Vec<_> = thread::scope(|scope| {
+            let begun: Vec<_> = (0..STREAMS)
+                .map(|number| scope.spawn(move || fleet.begin_at(number % far)))
+                .collect();
+            let begun = begun.into_iter();
+            begun
+                .filter_map(|stream| stream.join().expect("the call ends"))
+                .collect()
+        });
+        let newer = streams.iter().filter(|stream| stream.software == "v2");
+        assert!(newer.count() > JOINED_LIMIT, "too few streams of v2");
+        streams
+    }
+
     /// Writes the entry of a server that starts now.
     fn write(&self, name: &str, software: &str, backend: &BackendStandin) {
         let started = now_ms();
@@ -133,20 +178,30 @@
     fn begin(&self, streams: usize) -> Vec<BrokenStream> {
         let mut broken = Vec::new();
         for front in 0..streams {
-            let id = format!("{:016x}", fastrand::u64(..));
-            let text = self.send(front, &id, "");
-            let software = version_in(&text);
-            let is_begun = text.contains(&format!("id: {}\n", EVENTS - 1));
-            assert!(is_begun, "the stream has not begun: {text}");
-            broken.push(BrokenStream {
-                id,
-                software: software.expect("an event names the version"),
-                front,
-            });
+            let stream = self.begin_at(front);
+            broken.push(stream.expect("the stream begins"));
         }
         broken
     }
 
+    /// Begins a stream at the instance `front`; `None` if it was refused.
+    fn begin_at(&self, front: usize) -> Option<BrokenStream> {
+        let id = format!("{:016x}", fastrand::u64(..));
+        let text = self.send(front, &id, "");
+        if status(&text) == "503" {
+            println!("not begun: {text}");
+            return None;
+        }
+        let software = version_in(&text);
+        let is_begun = text.contains(&format!("id: {}\n", EVENTS - 1));
+        assert!(is_begun, "the stream has not begun: {text}");
+        Some(BrokenStream {
+            id,
+            software: software.expect("an event names the version"),
+            front,
+        })
+    }
+
     /// Takes `stream` up again at the instance `front`.
     fn take_up(&self, stream: &BrokenStream, front: usize) -> String {
         let id = format!("{:016x}", fastrand::u64(..));
@@ -163,20 +218,36 @@
         let mut take_ups = TakeUps::default();
         for (index, stream) in streams.iter().enumerate() {
             let text = self.take_up(stream, stream.front + 1 + index % (INSTANCES - 1));
-            if status(&text) != "200" {
-                assert_eq!(status(&text), "503", "{text}");
-                take_ups.refused += 1;
-                continue;
-            }
-            match version_in(&text) {
-                Some(software) if software == stream.software => take_ups.gone_on += 1,
-                _ => take_ups.joined += 1,
-            }
+            take_ups.count(stream, &text);
         }
         println!("{take_ups:?}");
         take_ups
     }
 
+    /// Takes all `streams` up at the instance `front` at once; `resume` is called when they
+    /// have been sent.
+    fn take_all_up_at(
+        &self,
+        streams: &[BrokenStream],
+        front: usize,
+        resume: impl FnOnce(),
+    ) -> TakeUps {
+        let mut take_ups = TakeUps::default();
+        thread::scope(|scope| {
+            let calls: Vec<_> = streams
+                .iter()
+                .map(|stream| (stream, scope.spawn(move || self.take_up(stream, front))))
+                .collect();
+            thread::sleep(Duration::from_millis(100));
+            resume();
+            for (stream, call) in calls {
+                take_ups.count(stream, &call.join().expect("the call ends"));
+            }
+        });
+        println!("{take_ups:?}");
+        take_ups
+    }
+
     fn restart_all(&mut self) {
         for front in &mut self.fronts {
             front.kill();
@@ -192,6 +263,21 @@
     }
 }
 
+impl TakeUps {
+    /// Counts the response `text` to a request that takes `stream` up.
+    fn count(&mut self, stream: &BrokenStream, text: &str) {
+        if status(text) != "200" {
+            assert_eq!(status(text), "503", "{text}");
+            self.refused += 1;
+            return;
+        }
+        match version_in(text) {
+            Some(software) if software == stream.software => self.gone_on += 1,
+            _ => self.joined += 1,
+        }
+    }
+}
+
 /// The version that the events of a response name.
 fn version_in(text: &str) -> Option<String> {
     let (_before, rest) = text.split_once("data: ")?;
@@ -351,3 +437,36 @@
     let take_ups = fleet.take_all_up(&streams);
     assert!(take_ups.joined <= JOINED_LIMIT, "{take_ups:?}");
 }
+
+/// Guards against streams that are joined at an instance that lost the store silently while
+/// a new version joined (issue 45, ORDER; review/4).
+#[test]
+fn no_stream_is_joined_at_an_instance_that_was_cut_from_the_store_in_a_release() {
+    let mut fleet = VersionFleet::start(&["v1"]);
+    let proxy = fleet.add_front_behind_proxy();
+    for direction in [LinkDirection::Forward, LinkDirection::Back] {
+        let faults = LinkFaults {
+            hold: true,
+            ..LinkFaults::default()
+        };
+        proxy.set_faults(direction, faults);
+    }
+    let streams = fleet.begin_in_release();
+    let take_ups = fleet.take_all_up_at(&streams, INSTANCES, || ());
+    assert!(take_ups.joined <= JOINED_LIMIT, "{take_ups:?}");
+}
+
+/// Guards against streams that are joined at an instance that did not run while a new
+/// version joined, and against refusing them all (issue 45, ORDER and LOST; report of an
+/// operator).
+#[test]
+fn no_stream_is_joined_at_an_instance_that_stood_still_in_a_release() {
+    let mut fleet = VersionFleet::start(&["v1"]);
+    let _proxy = fleet.add_front_behind_proxy();
+    fleet.fronts[INSTANCES].signal(Signal::SIGSTOP);
+    let streams = fleet.begin_in_release();
+    let take_ups = fleet.take_all_up_at(&streams, INSTANCES, || {
+        fleet.fronts[INSTANCES].signal(Signal::SIGCONT);
+    });
+    check_kept(&take_ups);
+}
