Draw tokens only once the account stream is known to be complete

Cause: the stream of the copy lacks the draws of the others until they append them again. A process that starts has no earlier era to compare with; it drew even before it had read the stream.

Fix: a keyed topic names the era in which the stream is complete. The copy brings the earlier era back, and the instances that restore the stream write the present one when they draw again, with a condition on the end of the topic. A process that starts draws once it has read that this is the present era. A fleet without a record, as after an update, draws as before.

--- a/crates/hibiscus-front/src/append.rs
+++ b/crates/hibiscus-front/src/append.rs
@@ -12,12 +12,16 @@
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
 use hibiscus_traffic::budgets::AccountBatch;
+use hibiscus_traffic::budgets::COMPLETE_ERA_KEY;
+use hibiscus_traffic::budgets::COMPLETE_ERA_TOPIC;
 use hibiscus_traffic::budgets::StreamPosition;
 use hibiscus_traffic::updates::TrafficUpdate;
 use hibiscus_traffic::updates::UpdateSender;
+use hibiscus_types::StoreEra;
 use hibiscus_types::codec;
 use platform::records;
 use platform::records::StoreLimits;
+use platform::store::AppendReceipt;
 use platform::store::StoreClient;
 
 /// Capacity of the queue of batches to this thread.
@@ -49,10 +53,14 @@
             batch.encoded.extend(more.encoded);
             batch.records.extend(more.records);
             batch.snapshots.extend(more.snapshots);
+            batch.complete_era = more.complete_era.or(batch.complete_era);
         }
         let encoded = std::mem::take(&mut batch.encoded);
         let end = append_records(store, limits, encoded, &batch.records);
         append_snapshots(store, limits, &batch.snapshots);
+        if let Some(era) = batch.complete_era {
+            append_complete_era(store, era);
+        }
         let appended = TrafficUpdate::AccountsAppended {
             number: batch.number,
             end,
@@ -102,6 +110,42 @@
     }
 }
 
+/// Appends `batch` to `topic` if the store is in `era` and nothing was appended since it was
+/// asked. Such a record must not reach the store after it came back from a copy.
+fn append_in_era(
+    store: &StoreClient,
+    era: StoreEra,
+    topic: &str,
+    batch: &[Vec<u8>],
+) -> platform::store::Result<Option<AppendReceipt>> {
+    let end = store.end(topic)?;
+    if store.era() != era {
+        return Ok(None);
+    }
+    store.append_at(topic, batch, end).map(Some)
+}
+
+/// Records `era` as the one in which the stream is complete, without retries: the traffic
+/// thread repeats it.
+fn append_complete_era(store: &StoreClient, era: StoreEra) {
+    let record = match codec::encode(&era) {
+        Ok(value) => records::encode_keyed(COMPLETE_ERA_KEY, &value),
+        Err(error) => {
+            event!(EventCode::AccountNotEncoded, "cause={error}");
+            return;
+        }
+    };
+    match append_in_era(store, era, COMPLETE_ERA_TOPIC, &[record]) {
+        Ok(Some(_receipt)) => event!(EventCode::AccountsComplete, "era={era}"),
+        Ok(None) => event!(
+            EventCode::AppendFailed,
+            "cause=the store is in era {}",
+            store.era()
+        ),
+        Err(error) => event!(EventCode::AppendFailed, "cause={error}"),
+    }
+}
+
 /// Appends `snapshots` without retries: newer snapshots follow, and account
 /// records must not wait for snapshots.
 fn append_snapshots(store: &StoreClient, limits: StoreLimits, snapshots: &[AccountSnapshot]) {
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -10,12 +10,14 @@
 use std::thread;
 use std::thread::Thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use hibiscus_ledger::account;
 use hibiscus_ledger::account::snapshot::AccountSnapshot;
 use hibiscus_ledger::account::snapshot::SNAPSHOT_TOPIC;
+use hibiscus_traffic::budgets::COMPLETE_ERA_TOPIC;
 use hibiscus_traffic::budgets::StreamPosition;
 use hibiscus_traffic::model::InstanceEntry;
 use hibiscus_traffic::updates::TrafficUpdate;
@@ -38,6 +40,10 @@
 /// result of a draw.
 const ACCOUNTS_READ_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time between reads of the era in which the account stream is complete, while none is
+/// recorded.
+const COMPLETE_ERA_READ_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Handles the records of a keyed topic.
 pub(crate) trait TopicReader {
     /// Returns the name of the topic.
@@ -271,14 +277,79 @@
     }
 }
 
+/// Reads the era in which the account stream is complete, until it is the present one.
+#[derive(Default)]
+struct CompleteEraReader {
+    recorded: Option<StoreEra>,
+    read_at: Option<Instant>,
+}
+
+impl CompleteEraReader {
+    /// Reads the era if it may have changed. Returns whether it did.
+    fn read_if_due(
+        &mut self,
+        store: &StoreClient,
+        updates: &UpdateSender,
+    ) -> platform::store::Result<bool> {
+        if self.recorded.is_some() && self.recorded == Some(store.era()) {
+            return Ok(false);
+        }
+        let interval = match self.recorded {
+            Some(_earlier) => ACCOUNTS_READ_INTERVAL,
+            None => COMPLETE_ERA_READ_INTERVAL,
+        };
+        if self.read_at.is_some_and(|at| at.elapsed() < interval) {
+            return Ok(false);
+        }
+        let newest = store.newest(COMPLETE_ERA_TOPIC)?;
+        let mut recorded = None;
+        for newest_record in newest.records {
+            let value = newest_record.record.value.unwrap_or_default();
+            match codec::decode::<StoreEra>(&value) {
+                Ok(era) => recorded = recorded.max(Some(era)),
+                Err(error) => event!(
+                    EventCode::RecordWithoutKey,
+                    "topic={COMPLETE_ERA_TOPIC} cause={error}"
+                ),
+            }
+        }
+        let is_first = self.read_at.replace(Instant::now()).is_none();
+        let is_changed = recorded != self.recorded;
+        self.recorded = recorded;
+        if is_first || is_changed {
+            let update = TrafficUpdate::AccountsCompleteEra(recorded, store.era());
+            send_update(updates, update);
+        }
+        Ok(is_changed)
+    }
+}
+
 /// Follows the account stream from its first record while `gate` is open. If
 /// records expired before they were read, it continues from the snapshots.
 pub(crate) fn follow_accounts(store: &StoreClient, updates: &UpdateSender, gate: &AccountsGate) {
     let mut monitor = TopicMonitor::default();
+    let mut complete_era = CompleteEraReader::default();
     let mut next = 0;
     let mut caught_up = false;
     loop {
         gate.wait();
+        match complete_era.read_if_due(store, updates) {
+            // Records that were missing before stand before the era.
+            Ok(true) => caught_up = false,
+            Ok(false) => {}
+            Err(StoreError::EraChanged { previous, current }) => {
+                log_era_change(account::STREAM, (previous, current), Some(next));
+                next = 0;
+                caught_up = false;
+                send_update(updates, TrafficUpdate::AccountsRestored(current));
+                continue;
+            }
+            Err(error) => {
+                monitor.failed(account::STREAM, &error);
+                thread::sleep(RETRY_DELAY);
+                continue;
+            }
+        }
         let wait = if caught_up {
             monitor.wait()
         } else {
--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -252,6 +252,7 @@
     })?;
     let mut desk = BudgetManager::new(own.incarnation, own.name.clone(), clock, outbox);
     desk.set_reader(reader.thread().clone());
+    desk.require_complete_era();
     let retries = RetryCounter::new(RetryBound {
         share: settings.retry_share,
         slack: settings.retry_slack,
--- a/crates/hibiscus-traffic/src/budgets.rs
+++ b/crates/hibiscus-traffic/src/budgets.rs
@@ -6,6 +6,7 @@
 //! processes and writes snapshots for later ones. The tasks of the traffic
 //! thread share the manager through a [`BudgetHandle`].
 
+mod completeness;
 mod handle;
 mod recovery;
 mod restore;
@@ -40,6 +41,9 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+pub use crate::budgets::completeness::COMPLETE_ERA_KEY;
+pub use crate::budgets::completeness::COMPLETE_ERA_TOPIC;
+use crate::budgets::completeness::StreamCompleteness;
 pub use crate::budgets::handle::BudgetHandle;
 pub use crate::budgets::handle::TokenWaiter;
 use crate::budgets::restore::AccountRestore;
@@ -62,6 +66,8 @@
     pub records: Vec<AccountRecord>,
     /// Snapshots, which go to their own topic.
     pub snapshots: Vec<AccountSnapshot>,
+    /// Era of the store in which the stream holds all draws again, to be recorded last.
+    pub complete_era: Option<StoreEra>,
 }
 
 /// State of one budget at this instance.
@@ -200,6 +206,7 @@
     unsent: Vec<AccountRecord>,
     unsent_encoded: Vec<Vec<u8>>,
     unsent_snapshots: Vec<AccountSnapshot>,
+    unsent_era: Option<StoreEra>,
     /// When each budget's last snapshot was written, and its offset.
     snapshots: BTreeMap<BudgetName, (Duration, u64)>,
     /// Number of the next batch.
@@ -218,6 +225,8 @@
     restore: Option<AccountRestore>,
     /// Time until which no new tokens are drawn.
     draws_resume_at: Duration,
+    /// What is known of the completeness of the stream.
+    completeness: StreamCompleteness,
     totals: BTreeMap<BudgetName, BudgetTotal>,
     /// One budget of each group.
     group_samples: Rc<Vec<BudgetName>>,
@@ -265,6 +274,7 @@
             unsent: Vec::new(),
             unsent_encoded: Vec::new(),
             unsent_snapshots: Vec::new(),
+            unsent_era: None,
             snapshots: BTreeMap::new(),
             batch: 1,
             unacknowledged_since: None,
@@ -274,6 +284,7 @@
             recent: RecentRecords::default(),
             restore: None,
             draws_resume_at: Duration::ZERO,
+            completeness: StreamCompleteness::default(),
             totals: BTreeMap::new(),
             group_samples: Rc::default(),
             sent: VecDeque::new(),
--- /dev/null
+++ b/crates/hibiscus-traffic/src/budgets/completeness.rs
@@ -0,0 +1,101 @@
+//! Whether the account stream holds all draws.
+//!
+//! After the store came back from a copy, the stream lacks draws until the instances that
+//! had read them append them again ([`crate::budgets::restore`]). A process that starts
+//! meanwhile can't see this in the stream. So the era of the store in which the stream is
+//! complete is kept in a keyed topic, which comes back from the copy with the era before.
+//! The instances that restore the stream write the present era there when they draw again.
+//! Until it is there, a process that started in between neither draws nor closes accounts.
+
+use std::time::Duration;
+
+use hibiscus_types::StoreEra;
+
+use crate::budgets::BudgetManager;
+
+/// Topic of the era in which the account stream is complete.
+pub const COMPLETE_ERA_TOPIC: &str = "keyed.accounts-era";
+/// Key of the only record of that topic.
+pub const COMPLETE_ERA_KEY: &str = "complete";
+
+/// Time after which instances other than the first holder record the era.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
+/// Time after which the era is recorded again, if it was not read.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a process knows of the completeness of the stream.
+#[derive(Debug, Default)]
+pub(super) struct StreamCompleteness {
+    /// Whether the era in the topic must be read first.
+    is_unread: bool,
+    /// The era in the topic; `None` if there is none.
+    recorded: Option<StoreEra>,
+    /// Whether this process has read a complete stream, and can restore it since.
+    has_read_complete: bool,
+    /// When the stream was first read to its end in the present era.
+    caught_up_at: Option<Duration>,
+    /// When the era was last recorded.
+    written_at: Option<Duration>,
+}
+
+impl StreamCompleteness {
+    /// Records that the store came back from a copy.
+    pub(super) fn note_era_changed(&mut self) {
+        self.caught_up_at = None;
+        self.written_at = None;
+    }
+
+    /// Whether the era should be recorded that is complete since `complete_since`.
+    fn is_record_due(&self, is_first: bool, complete_since: Duration, now: Duration) -> bool {
+        let delay = if is_first {
+            Duration::ZERO
+        } else {
+            TAKEOVER_DELAY
+        };
+        let complete_since = self.caught_up_at.map(|at| at.max(complete_since));
+        let is_time = complete_since.is_some_and(|since| now >= since + delay);
+        let written = self.written_at.map(|at| now.saturating_sub(at));
+        is_time && written.is_none_or(|since| since >= REPEAT_INTERVAL)
+    }
+}
+
+impl BudgetManager {
+    /// Makes this process draw only after it has read the era in the topic.
+    pub fn require_complete_era(&mut self) {
+        self.completeness.is_unread = true;
+    }
+
+    /// Records the era that the topic names as the one in which the stream is complete,
+    /// read in the era `current`.
+    pub fn set_complete_era(&mut self, recorded: Option<StoreEra>, current: StoreEra) {
+        self.completeness.is_unread = false;
+        self.completeness.recorded = recorded;
+        self.era = self.era.max(current);
+    }
+
+    /// Whether the stream may lack draws that this process has never read.
+    pub fn may_lack_draws(&self) -> bool {
+        let recorded = self.completeness.recorded;
+        let is_earlier = recorded.is_some_and(|era| era < self.era);
+        !self.completeness.has_read_complete && (self.completeness.is_unread || is_earlier)
+    }
+
+    /// Records that the stream was read to its end at `now`.
+    pub(super) fn note_stream_read(&mut self, now: Duration) {
+        self.completeness.has_read_complete |= !self.may_lack_draws();
+        self.completeness.caught_up_at.get_or_insert(now);
+    }
+
+    /// The era to record as the one in which the stream is complete, if it is not recorded.
+    /// `is_first` is whether this instance is the first holder of a budget.
+    pub(super) fn complete_era_due(&mut self, is_first: bool, now: Duration) -> Option<StoreEra> {
+        let is_recorded = self.completeness.recorded == Some(self.era);
+        let is_complete = self.completeness.has_read_complete && self.restore.is_none();
+        let since = self.draws_resume_at;
+        if is_recorded || !is_complete || !self.completeness.is_record_due(is_first, since, now) {
+            return None;
+        }
+        self.completeness.written_at = Some(now);
+        Some(self.era)
+    }
+}
--- a/crates/hibiscus-traffic/src/budgets/handle.rs
+++ b/crates/hibiscus-traffic/src/budgets/handle.rs
@@ -53,6 +53,12 @@
         self.manager.borrow_mut().set_stream_end(end, now);
     }
 
+    /// See [`BudgetManager::set_complete_era`].
+    pub fn set_complete_era(&self, recorded: Option<StoreEra>, current: StoreEra) {
+        let mut manager = self.manager.borrow_mut();
+        manager.set_complete_era(recorded, current);
+    }
+
     /// See [`BudgetManager::unread_records`].
     pub fn unread_records(&self) -> u64 {
         self.manager.borrow().unread_records()
--- a/crates/hibiscus-traffic/src/budgets/restore.rs
+++ b/crates/hibiscus-traffic/src/budgets/restore.rs
@@ -149,6 +149,7 @@
         self.stream_end = 0;
         self.snapshots.clear();
         self.draws_resume_at = now + DRAW_PAUSE;
+        self.completeness.note_era_changed();
         for held in self.held.values_mut() {
             held.discard_unread();
         }
@@ -156,6 +157,7 @@
 
     /// Records that the stream was read to its end at `now`.
     pub fn note_caught_up(&mut self, now: Duration) {
+        self.note_stream_read(now);
         if let Some(restore) = &mut self.restore
             && restore.phase == RestorePhase::Reading
         {
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -38,6 +38,10 @@
         if self.restore.is_some() && self.advance_restore(is_first(), now) {
             return;
         }
+        if self.may_lack_draws() {
+            return;
+        }
+        self.unsent_era = self.complete_era_due(is_first(), now);
         for budget in names {
             let role = role_of(&budget);
             if role.mode == DrawMode::Release && !self.held.contains_key(&budget) {
@@ -55,7 +59,7 @@
     /// records of the stream are irrelevant to other budgets until the next
     /// full review.
     pub fn review_waiting(&mut self, role_of: impl Fn(&BudgetName) -> BudgetRole, now: Duration) {
-        if self.restore.is_some() {
+        if self.restore.is_some() || self.may_lack_draws() {
             return;
         }
         let names: Vec<BudgetName> = self.waiting.iter().cloned().collect();
@@ -250,7 +254,7 @@
 
     pub(super) fn send(&mut self, now: Duration) {
         let is_empty = self.unsent.is_empty() && self.unsent_encoded.is_empty();
-        if is_empty && self.unsent_snapshots.is_empty() {
+        if is_empty && self.unsent_snapshots.is_empty() && self.unsent_era.is_none() {
             return;
         }
         let batch = AccountBatch {
@@ -258,6 +262,7 @@
             encoded: std::mem::take(&mut self.unsent_encoded),
             records: std::mem::take(&mut self.unsent),
             snapshots: std::mem::take(&mut self.unsent_snapshots),
+            complete_era: self.unsent_era.take(),
         };
         match self.outbox.try_send(batch) {
             Ok(()) => {
--- a/crates/hibiscus-traffic/src/budgets/tokens.rs
+++ b/crates/hibiscus-traffic/src/budgets/tokens.rs
@@ -96,6 +96,9 @@
         tokens: TokenCount,
         now: Duration,
     ) -> Option<TokenRefusal> {
+        if self.may_lack_draws() {
+            return Some(TokenRefusal::Unconfirmed);
+        }
         let waiting = self
             .unacknowledged_since
             .map(|since| now.saturating_sub(since));
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -340,6 +340,9 @@
                 self.review_waiting();
             }
             TrafficUpdate::AccountsEnd(end) => self.budgets.set_stream_end(end),
+            TrafficUpdate::AccountsCompleteEra(recorded, current) => {
+                self.budgets.set_complete_era(recorded, current);
+            }
             TrafficUpdate::AccountsRestored(era) => self.budgets.begin_restore(era),
             TrafficUpdate::AccountsCaughtUp => {
                 self.budgets.recover();
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -87,6 +87,9 @@
     /// The store came back from a copy in this era; the account stream is read again from
     /// its start.
     AccountsRestored(StoreEra),
+    /// The era that the store holds as the one in which the account stream is complete, and
+    /// the present era.
+    AccountsCompleteEra(Option<StoreEra>, StoreEra),
     /// The reader has caught up: all account records that the store had were
     /// sent.
     AccountsCaughtUp,
--- a/tests/testsuite/front/store_copies.rs
+++ b/tests/testsuite/front/store_copies.rs
@@ -3,7 +3,9 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use platform_standins::BackendBehaviour;
 use platform_standins::BackendStandin;
 use platform_standins::FrontProcess;
@@ -26,8 +28,16 @@
 const INSTANCES: usize = 3;
 /// Time for which the store is away before it comes back.
 const AWAY_TIME: Duration = Duration::from_millis(500);
+/// Time limit of a planned stop.
+const STOP_LIMIT: Duration = Duration::from_secs(10);
+/// Number of callers of an instance that send requests at the same time.
+const CALLERS: usize = 6;
 /// Tokens of one request.
 const REQUEST_TOKENS: u64 = 2_515;
+/// Tokens of a large request.
+const LARGE_TOKENS: u64 = 9_015;
+/// Output tokens of a request, which the server delivers: five events of three tokens.
+const OUTPUT_TOKENS: u64 = 15;
 
 /// Daemons with a store that comes back from a copy.
 struct CopyFleet {
@@ -62,26 +72,69 @@
 
     /// Lets the store be away for a moment and come back from `copy`.
     fn drill(&self, copy: StoreCopy) {
+        self.drill_with(copy, || ());
+    }
+
+    /// Lets the store be away for a moment, in which `trouble` happens, and come back from
+    /// `copy`.
+    fn drill_with<T>(&self, copy: StoreCopy, trouble: impl FnOnce() -> T) -> T {
         self.store.set_faults(StoreFaults {
             refuse: Some(503),
             ..StoreFaults::default()
         });
+        let outcome = trouble();
         thread::sleep(AWAY_TIME);
         self.store.come_back_from(copy);
         self.store.set_faults(StoreFaults::default());
+        outcome
     }
 
     /// Sends `count` requests to one instance after another; returns the tokens spent.
     fn spend(&self, count: usize) -> u64 {
+        let fronts = self.fronts.iter().cycle().take(count);
+        fronts.map(|front| spend_at(front, REQUEST_TOKENS)).sum()
+    }
+
+    /// As [`Self::spend`], with large requests.
+    fn spend_large(&self, count: usize) -> u64 {
+        let fronts = self.fronts.iter().cycle().take(count);
+        fronts.map(|front| spend_at(front, LARGE_TOKENS)).sum()
+    }
+}
+
+/// Sends a request of `tokens` to `front`; returns the tokens spent.
+fn spend_at(front: &FrontProcess, tokens: u64) -> u64 {
+    let id = format!("id-{:x}", fastrand::u64(..));
+    let counts = format!(
+        "Token-Counts: {},{OUTPUT_TOKENS}\r\n",
+        tokens - OUTPUT_TOKENS
+    );
+    let response = front.call(&request("/stream/x", &id, &counts));
+    u64::from(status(&response) == "200") * tokens
+}
+
+/// Sends large requests to each of `fronts` from several callers for `time`; returns the tokens
+/// spent.
+fn spend_for(fronts: &[FrontProcess], time: Duration) -> u64 {
+    let began = Instant::now();
+    let call_until_end = |front| {
         let mut spent = 0;
-        for number in 0..count {
-            let id = format!("id-{:x}", fastrand::u64(..));
-            let call = request("/stream/x", &id, "Token-Counts: 2500,15\r\n");
-            let response = self.fronts[number % self.fronts.len()].call(&call);
-            spent += u64::from(status(&response) == "200") * REQUEST_TOKENS;
+        while began.elapsed() < time {
+            spent += spend_at(front, LARGE_TOKENS);
+            thread::sleep(Duration::from_millis(10));
         }
         spent
-    }
+    };
+    thread::scope(|scope| {
+        let mut callers = Vec::new();
+        for front in fronts {
+            for _caller in 0..CALLERS {
+                callers.push(scope.spawn(move || call_until_end(front)));
+            }
+        }
+        let spent = callers.into_iter().map(|caller| caller.join());
+        spent.map(|spent| spent.expect("the caller ends")).sum()
+    })
 }
 
 /// Guards against tokens that are drawn a second time, after the store has lost the
@@ -119,6 +172,27 @@
     assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
 }
 
+/// Guards against tokens that a process draws which starts while the store is away, from a
+/// stream that lacks the draws of the others (issue 45, BUDGET; review/1).
+#[test]
+fn prepaid_is_not_exceeded_by_an_instance_that_starts_while_the_store_is_away() {
+    let mut fleet = CopyFleet::start();
+    let mut stopped = fleet.fronts.remove(0);
+    stopped.signal(Signal::SIGTERM);
+    assert!(stopped.wait(STOP_LIMIT).is_some());
+    let copy = fleet.store.copy();
+    let mut spent = fleet.spend_large(10);
+    let started = fleet.drill_with(copy, || {
+        FrontProcess::start("front-0", stopped.ports, fleet.store.address())
+    });
+    spent += spend_for(std::slice::from_ref(&started), SETTLE_TIME);
+    fleet.fronts.push(started);
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+    spent += spend_for(&fleet.fronts, SETTLE_TIME);
+    assert!(spent <= PREPAID, "{spent} tokens of {PREPAID}");
+    assert!(spent > PREPAID / 10 * 9, "{spent} tokens of {PREPAID}");
+}
+
 /// Guards against the same when the instances that made the draws are killed meanwhile, so
 /// that nobody knows of them (issue 39).
 #[test]
