Count tokens as spent that nobody can account for after a copy

What was served since the copy is served again: 378,881 tokens of 200,000 prepaid.

Cause: the copy lacks the newest draws, and all who had read them are dead.

Fix: processes that start see that the present era is not recorded as complete, and wait. If nobody records it within 8 s, nobody is left who could, and the first holder counts all that the copy shows as free or held as spent, by records that releases before read too (HS3127). A raise of the total is served. The team loses what it had left at the copy: nothing tells that part from what was spent.

--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -105,6 +105,7 @@
     AccountsRestored = "HS3124", Warn, "account records that the store had lost were appended again";
     AccountsComplete = "HS3125", Info, "account stream is recorded as complete in this era of the store";
     ClosesDropped = "HS3126", Info, "accounts were not closed, because the store came back from a copy";
+    TokensLost = "HS3127", Warn, "free tokens of a budget count as spent, because nobody knows what was drawn before the store came back from a copy";
     RequestAdmitted = "HS4001", Debug, "request was admitted";
     RequestOpened = "HS4002", Debug, "open record of the request was acknowledged";
     RequestDispatched = "HS4003", Debug, "request was sent to a server";
--- a/crates/hibiscus-traffic/src/budgets/completeness.rs
+++ b/crates/hibiscus-traffic/src/budgets/completeness.rs
@@ -6,10 +6,20 @@
 //! complete is kept in a keyed topic, which comes back from the copy with the era before.
 //! The instances that restore the stream write the present era there when they draw again.
 //! Until it is there, a process that started in between neither draws nor closes accounts.
+//!
+//! If nobody writes it, all instances that had read the lost draws have ended. Nothing tells
+//! what was drawn since the copy, so all that the copy shows as free counts as spent, until
+//! the total is raised.
 
 use std::time::Duration;
 
+use hibiscus_events::EventCode;
+use hibiscus_events::event;
+use hibiscus_ledger::account::AccountRecord;
+use hibiscus_types::IncarnationId;
+use hibiscus_types::InstanceName;
 use hibiscus_types::StoreEra;
+use hibiscus_types::TokenCount;
 
 use crate::budgets::BudgetManager;
 
@@ -20,6 +30,13 @@
 
 /// Time after which instances other than the first holder record the era.
 const TAKEOVER_DELAY: Duration = Duration::from_millis(1_500);
+/// Time within which instances that had read the lost draws record the era: a failed read
+/// takes up to 2.4 s, draws resume 2.5 s later, and another holder takes over after 1.5 s.
+const RESTORE_LIMIT: Duration = Duration::from_secs(8);
+/// Further time after which instances other than the first holder count tokens as lost.
+const LOSS_TAKEOVER_DELAY: Duration = Duration::from_secs(2);
+/// Machine of the accounts that hold lost tokens; no instance has this name.
+const LOST_MACHINE: &str = "";
 /// Time after which the era is recorded again, if it was not read.
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -80,6 +97,58 @@
         !self.completeness.has_read_complete && (self.completeness.is_unread || is_earlier)
     }
 
+    /// Counts all that the stream shows as free as spent if nobody has restored it by `now`.
+    /// `is_first` is whether this instance is the first holder of a budget.
+    pub(super) fn count_lost_tokens(&mut self, is_first: bool, now: Duration) {
+        let delay = if is_first {
+            RESTORE_LIMIT
+        } else {
+            RESTORE_LIMIT + LOSS_TAKEOVER_DELAY
+        };
+        let is_time = self
+            .completeness
+            .caught_up_at
+            .is_some_and(|at| now >= at + delay);
+        if !is_time || self.completeness.is_unread || self.totals.is_empty() {
+            return;
+        }
+        let lost_holder = IncarnationId::generate();
+        let all = TokenCount::new(u64::MAX);
+        for (budget, total) in &self.totals {
+            self.unsent.push(AccountRecord::Prepaid {
+                budget: budget.clone(),
+                version: total.version,
+                tokens: total.tokens,
+            });
+            self.unsent.push(AccountRecord::Draw {
+                budget: budget.clone(),
+                holder: lost_holder,
+                machine: InstanceName::new(LOST_MACHINE),
+                serial: 1,
+                tokens: all,
+            });
+            let account = self.fold.budget(budget);
+            let holders = account
+                .into_iter()
+                .flat_map(|account| account.holders.keys());
+            for holder in holders.copied().chain([lost_holder]) {
+                self.unsent.push(AccountRecord::Close {
+                    budget: budget.clone(),
+                    holder,
+                    spent: all,
+                });
+            }
+            event!(
+                EventCode::TokensLost,
+                "budget={budget} era={} free={} prepaid={}",
+                self.era,
+                account.map_or(total.tokens, |account| account.free()),
+                total.tokens
+            );
+        }
+        self.completeness.has_read_complete = true;
+    }
+
     /// Whether the stream holds all draws, so that accounts can be closed: a close that
     /// counts too few tokens as spent is final.
     pub fn has_all_draws(&self) -> bool {
--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -41,6 +41,8 @@
             return;
         }
         if self.may_lack_draws() {
+            self.count_lost_tokens(is_first(), now);
+            self.send(now);
             return;
         }
         self.end_draw_pause(now);
--- a/crates/hibiscus-traffic/tests/budgets.rs
+++ b/crates/hibiscus-traffic/tests/budgets.rs
@@ -18,6 +18,7 @@
 use hibiscus_traffic::budgets::TokenRefusal;
 use hibiscus_traffic::clock::MachineClock;
 use hibiscus_types::IncarnationId;
+use hibiscus_types::StoreEra;
 use hibiscus_types::TokenCount;
 use hibiscus_types::codec;
 
@@ -121,6 +122,62 @@
     assert_eq!(written, [1, 61, 121]);
 }
 
+/// Guards against tokens that are spent twice when all instances were killed while the store
+/// came back from a copy, and against a team that gets none after its total was raised
+/// (issue 45, BUDGET; review/5).
+#[test]
+fn tokens_that_nobody_knows_of_count_as_spent_until_the_total_is_raised() {
+    let mut case = ManagerCase::start();
+    case.manager.require_complete_era();
+    case.review(Duration::ZERO);
+    assert_eq!(case.offset, 0);
+    let (earlier, present) = (StoreEra::new(3), StoreEra::new(4));
+    case.manager.set_complete_era(Some(earlier), present);
+    case.manager.note_caught_up(Duration::ZERO);
+    let one = TokenCount::new(1);
+    case.allow(one, Duration::from_secs(7));
+    assert_eq!(case.offset, 0, "the stream may still be restored");
+    let refusal = case
+        .manager
+        .refusal(&budget(0), one, Duration::from_secs(7));
+    assert_eq!(refusal, Some(TokenRefusal::Unconfirmed));
+    case.review(Duration::from_secs(8));
+    case.allow(one, Duration::from_secs(9));
+    let reservation = case
+        .manager
+        .reserve(&budget(0), one, Duration::from_secs(9));
+    assert!(reservation.is_err());
+    let mut raised = config(1, PREPAID + 1_000);
+    raised.version = 2;
+    case.manager.set_totals(&raised);
+    for second in 10..13 {
+        case.allow(one, Duration::from_secs(second));
+    }
+    let now = Duration::from_secs(13);
+    assert!(case.manager.reserve(&budget(0), one, now).is_ok());
+    let (available, reserved, _spent) = case.manager.token_sums();
+    assert!(available + reserved <= 1_000, "{available} tokens");
+}
+
+/// Guards against tokens that are lost although an instance restores the stream.
+#[test]
+fn a_process_draws_once_the_present_era_is_recorded() {
+    let mut case = ManagerCase::start();
+    case.manager.require_complete_era();
+    let (earlier, present) = (StoreEra::new(3), StoreEra::new(4));
+    case.manager.set_complete_era(Some(earlier), present);
+    case.manager.note_caught_up(Duration::ZERO);
+    case.review(Duration::from_secs(4));
+    assert_eq!(case.offset, 0);
+    case.manager.set_complete_era(Some(present), present);
+    case.manager.note_caught_up(Duration::from_secs(5));
+    case.review(Duration::from_secs(5));
+    case.allow(TokenCount::new(1), Duration::from_secs(20));
+    let now = Duration::from_secs(20);
+    let reservation = case.manager.reserve(&budget(0), TokenCount::new(1), now);
+    assert!(reservation.is_ok());
+}
+
 /// A draw may be granted after the account was closed, when its tokens are free
 /// again.
 #[test]
