Find the end of a topic where the store rejects reads beyond it

Cause: the end of a topic was found by a read from an offset that no topic reaches. After a drill the store answers 410 to a read from an offset that it doesn't have. So no end was found, the readers of deltas and servers started again without a pause, and no new version was read. The stand-in answered 410 only to offsets that had been lost.

--- a/crates/hibiscus-front/src/config/deltas.rs
+++ b/crates/hibiscus-front/src/config/deltas.rs
@@ -53,6 +53,7 @@
                 );
                 assembler = DeltaAssembler::default();
                 next = None;
+                thread::sleep(RETRY_DELAY);
             }
             Err(StoreError::EraChanged { previous, current }) => {
                 follow::log_era_change(DELTAS_TOPIC, (previous, current), next.take());
--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -113,10 +113,11 @@
     /// Checks whether the topic has records after `position`, and reads the newest
     /// version unless a delta leads to it in time.
     fn check_end(&mut self, position: Option<u64>) -> Result<()> {
-        let end = self.store.end(config::TOPIC)?;
         let Some(position) = position else {
+            let end = self.store.end(config::TOPIC)?;
             return self.read_newest(end);
         };
+        let end = self.store.end_after(config::TOPIC, position)?;
         self.up_to_date = position >= end;
         if self.up_to_date || self.shared.wait_for_position(end, self.delta_wait()) {
             return Ok(());
--- a/crates/hibiscus-front/src/servers.rs
+++ b/crates/hibiscus-front/src/servers.rs
@@ -68,6 +68,7 @@
                     servers::TOPIC
                 );
                 follower.registry = None;
+                thread::sleep(RETRY_DELAY);
             }
             Err(StoreError::EraChanged { previous, current }) => {
                 let position = follower.registry.take().map(|registry| registry.position());
--- a/tests/testsuite/front/store_copies.rs
+++ b/tests/testsuite/front/store_copies.rs
@@ -26,6 +26,12 @@
 
 /// Number of instances.
 const INSTANCES: usize = 3;
+/// Number of instances of which some are no relays.
+const CONFIG_INSTANCES: usize = 7;
+/// Number of copies in a row.
+const CONFIG_DRILLS: u64 = 5;
+/// Time after which a version has to be in force, by the users' rules.
+const CONFIG_LIMIT: Duration = Duration::from_secs(2);
 /// Time for which the store is away before it comes back.
 const AWAY_TIME: Duration = Duration::from_millis(500);
 /// Time after SIGTERM in which an instance still serves.
@@ -50,12 +56,16 @@
 
 impl CopyFleet {
     fn start() -> Self {
+        Self::start_with(INSTANCES)
+    }
+
+    fn start_with(instances: usize) -> Self {
         let store = StoreStandin::start();
         let engine = BackendStandin::start(BackendBehaviour::Events { count: 5 });
         store.write("keyed.op", "config", config(1, PREPAID, "").as_bytes());
         write_server(&store, "i-engine", "engine", &engine, "ready");
         Self {
-            fronts: start_fronts(&store, INSTANCES),
+            fronts: start_fronts(&store, instances),
             store,
             _engine: engine,
         }
@@ -66,6 +76,28 @@
         self.store.write("keyed.op", "config", text.as_bytes());
     }
 
+    /// Writes a configuration that adds a route of this version, as the operator does.
+    fn write_route(&self, version: u64) {
+        let route = format!(
+            r#",{{"name":"r-{version}","hostname":"h.example","path-prefix":"/added-{version}/","route-type":"streaming","timeout-ms":3000,"target-latency-ms":500,"priority":1,"service":"engine","allow-anonymous":false,"max-attempts":1}}"#
+        );
+        let text = config(version, PREPAID, &route);
+        self.store.write("keyed.op", "config", text.as_bytes());
+    }
+
+    /// Instances that do not serve the route of `version` at this moment.
+    fn without_route(&self, version: u64) -> Vec<usize> {
+        let mut without = Vec::new();
+        for (number, front) in self.fronts.iter().enumerate() {
+            let path = format!("/added-{version}/x");
+            let response = front.call(&request(&path, &format!("id-{:x}", fastrand::u64(..)), ""));
+            if status(&response) != "200" {
+                without.push(number);
+            }
+        }
+        without
+    }
+
     /// Waits until each instance has the configuration `version` in force.
     fn wait_for_config(&self, version: u64) {
         let line = format!("HS2001 configuration version is in force version={version} ");
@@ -281,6 +313,54 @@
     fleet.wait_for_config(9);
 }
 
+/// Guards against versions that are not in force in time, or come back older, while the store
+/// comes back from copies again and again (issue 45, CONFIG). Four of seven instances
+/// are no relays and look at the end of the topic only.
+#[test]
+fn routes_that_are_added_between_copies_in_a_row_are_served_in_time() {
+    check_added_routes(&StoreFaults::default());
+}
+
+/// Guards against the same where the store answers 410 to a read from any offset that it
+/// does not have, as the users' page says (issue 45, CONFIG).
+#[test]
+fn routes_are_served_in_time_if_the_store_rejects_reads_beyond_the_end() {
+    check_added_routes(&StoreFaults {
+        refuse_beyond_end: true,
+        ..StoreFaults::default()
+    });
+}
+
+/// Adds routes between copies in a row, with `faults` of the store after each.
+fn check_added_routes(faults: &StoreFaults) {
+    let fleet = CopyFleet::start_with(CONFIG_INSTANCES);
+    let mut version = 1;
+    let mut failures = Vec::new();
+    for drill in 0..CONFIG_DRILLS {
+        let copy = fleet.store.copy();
+        for _lost in 0..3 {
+            version += 1;
+            fleet.write_route(version);
+            thread::sleep(Duration::from_millis(700));
+        }
+        fleet.drill(copy);
+        fleet.store.set_faults(faults.clone());
+        // Fewer records than were lost, so that the offsets stay below those that were read.
+        thread::sleep(Duration::from_millis(200 * drill));
+        version += 1;
+        fleet.write_route(version);
+        thread::sleep(CONFIG_LIMIT);
+        for _look in 0..5 {
+            let without = fleet.without_route(version);
+            if !without.is_empty() {
+                failures.push(format!("drill {drill}: version {version} at {without:?}"));
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against an instance that nobody finds, after the store has lost its
 /// announcement (issue 39).
 #[test]
