Refuse requests that a planned stop would cut

Cause: for 3 s after SIGTERM an instance took every request, whatever time it might need.

Fix: from 2.5 s on, a request whose deadline lies beyond the end of the stop is refused with 503. Shorter ones are served until 3 s, as before.

--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -90,6 +90,9 @@
 /// served: callers cache addresses for up to three lifetimes, and streams need
 /// the remaining time before the process is killed.
 const SHUTDOWN_SERVING_TIME: Duration = Duration::from_millis(3_000);
+/// Time after the start of a graceful shutdown after which requests that may not end before
+/// it does are refused: at least a tick before the platform stops excusing that they are cut.
+const LONG_REQUESTS_TIME: Duration = Duration::from_millis(2_500);
 /// Share of the time between SIGTERM and SIGKILL that the shutdown may take.
 const SHUTDOWN_SHARE: f64 = 0.95;
 /// Time to respond to the last connections after the accounts are closed.
@@ -472,6 +475,9 @@
                 state.tick_streams();
             }
         }
+        if started.elapsed() >= LONG_REQUESTS_TIME {
+            state.refuse_beyond(limit.into_std());
+        }
         if started.elapsed() < SHUTDOWN_SERVING_TIME {
             continue;
         }
--- a/crates/hibiscus-traffic/src/handler/admission.rs
+++ b/crates/hibiscus-traffic/src/handler/admission.rs
@@ -96,6 +96,9 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let deadline = arrived + wait;
+    if state.may_be_cut(deadline) {
+        return Err(LocalReason::ShuttingDown.into());
+    }
     let limit = table.config().limits.body_bytes;
     let reading = read_body(body, limit, state.callers.begin_body());
     let read = tokio::time::timeout_at(deadline.into(), reading).await;
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -146,6 +146,8 @@
     instances_read: Cell<Option<Duration>>,
     in_progress: Rc<Cell<usize>>,
     shutdown_start: Cell<Option<Instant>>,
+    /// When a graceful shutdown ends the requests that are still in progress.
+    shutdown_end: Cell<Option<Instant>>,
     closing: Cell<bool>,
     close: Notify,
     /// Whether the callers' port is closed.
@@ -195,6 +197,7 @@
             instances_read: Cell::default(),
             in_progress: Rc::default(),
             shutdown_start: Cell::new(None),
+            shutdown_end: Cell::new(None),
             closing: Cell::new(false),
             close: Notify::new(),
             port_closed: Cell::new(false),
@@ -218,6 +221,17 @@
         self.shutdown_start.get()
     }
 
+    /// Refuses requests from now on that may last beyond `end`, when a graceful shutdown ends
+    /// the requests in progress.
+    pub fn refuse_beyond(&self, end: Instant) {
+        self.shutdown_end.set(Some(end));
+    }
+
+    /// Whether a request with this deadline may be ended by a graceful shutdown.
+    pub fn may_be_cut(&self, deadline: Instant) -> bool {
+        self.shutdown_end.get().is_some_and(|end| deadline > end)
+    }
+
     /// Closes callers' connections as soon as they are idle.
     pub fn close_idle(&self) {
         self.closing.set(true);
--- a/tests/testsuite/front/troubles.rs
+++ b/tests/testsuite/front/troubles.rs
@@ -16,7 +16,10 @@
 use platform_standins::FrontProcess;
 use platform_standins::TruncatedFraming;
 
+use crate::front::PREPAID;
 use crate::front::Platform;
+use crate::front::config;
+use crate::front::count_logs;
 use crate::front::request;
 use crate::front::start_fronts;
 use crate::front::status;
@@ -26,6 +29,32 @@
 /// Number of concurrent callers.
 const CALLERS: usize = 8;
 
+/// Guards against requests that are taken late in a planned stop and cut at its end (issue 45,
+/// LOST; report of an operator).
+#[test]
+fn a_request_that_a_planned_stop_would_cut_is_refused() {
+    let mut platform = Platform::start();
+    let route = r#",{"name":"r-long","hostname":"h.example","path-prefix":"/long/","route-type":"non_idempotent","timeout-ms":15000,"target-latency-ms":500,"priority":1,"service":"plain","allow-anonymous":false,"max-attempts":1}"#;
+    let text = config(2, PREPAID, route);
+    platform.store.write("keyed.op", "config", text.as_bytes());
+    let line = "HS2001 configuration version is in force version=2 ";
+    wait_for(line, || {
+        count_logs(std::slice::from_ref(&platform.front), line) == 1
+    });
+    platform.front.signal(Signal::SIGTERM);
+    thread::sleep(Duration::from_millis(2_800));
+    let short = platform.call("/once/x", "id-short", "");
+    assert_eq!(status(&short), "200", "{short}");
+    let behaviour = BackendBehaviour::Delayed(Duration::from_secs(6));
+    platform.plain.set_behaviour(behaviour);
+    let long = request("/long/x", "id-long", "");
+    let long = long.replace("Deadline-Ms: 2500", "Deadline-Ms: 12000");
+    let response = platform.front.call(&long);
+    assert_eq!(status(&response), "503", "{response}");
+    let status = platform.front.wait(Duration::from_secs(10));
+    assert!(status.expect("the instance ends").success());
+}
+
 /// Guards against a duplicate response that arrives late and is forwarded to the
 /// next caller whose request uses the connection.
 #[test]
