Bound the body of a readiness response

Cause: a probe of another instance gathered the whole body of the response, whatever its size. A port that something else has taken over could fill the memory within the 600 ms of a probe.

Evidence: a_probe_does_not_gather_a_body_without_end failed before (268,435,456 bytes were read, all that the test sends) and passes.

--- a/crates/hibiscus-traffic/src/probe.rs
+++ b/crates/hibiscus-traffic/src/probe.rs
@@ -1,5 +1,6 @@
 //! Probes the readiness of other instances, faster than the store reports it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +13,7 @@
 use http::Uri;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 
 use crate::connect::ServerConnection;
 use crate::idle::IdleConnection;
@@ -31,6 +33,8 @@
 /// Time between two checks whether the idle connection was closed: a process that
 /// exits closes its connections, so it is probed at once.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Size limit of the body of a response; instances send none.
+const BODY_LIMIT_BYTES: usize = 64 * 1024;
 /// Time to wait for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -44,7 +48,7 @@
     let mut link = None;
     let mut last_serves = None;
     while state.directory.borrow().monitors(&entry) {
-        let exchange = request_readiness(&mut link, &entry, path);
+        let exchange = request_readiness(&mut link, entry.readiness, path);
         let response = tokio::time::timeout(RESPONSE_TIMEOUT, exchange).await;
         let serves = matches!(response, Ok(Some(StatusCode::OK)));
         let outcome = match response {
@@ -89,23 +93,25 @@
     }
 }
 
-/// Sends one probe on the idle connection, or on a new one.
-async fn request_readiness(
+/// Sends one probe to `address` on the idle connection, or on a new one. Returns the status
+/// of the response, unless its body is longer than an instance sends.
+pub async fn request_readiness(
     link: &mut Option<ServerConnection>,
-    entry: &InstanceEntry,
+    address: SocketAddr,
     path: &'static str,
 ) -> Option<StatusCode> {
     if link.as_ref().is_none_or(|link| !link.is_usable()) {
-        *link = ServerConnection::open(entry.readiness).await.ok();
+        *link = ServerConnection::open(address).await.ok();
     }
     let sender = link.as_mut()?.sender();
     sender.ready().await.ok()?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = Uri::from_static(path);
-    let host = http::HeaderValue::from_str(&entry.readiness.to_string()).ok()?;
+    let host = http::HeaderValue::from_str(&address.to_string()).ok()?;
     request.headers_mut().insert(http::header::HOST, host);
     let response = sender.send_request(request).await.ok()?;
     let status = response.status();
-    response.into_body().collect().await.ok()?;
+    let body = Limited::new(response.into_body(), BODY_LIMIT_BYTES);
+    body.collect().await.ok()?;
     Some(status)
 }
