Draw lost tokens again at each tick, also while none are free

The fix before this one drew no more than the stream shows as free. An instance that has spent what the stream does not count must draw it before others do, so it should try while nothing is free too. Now it does so at each tick (250 ms), and not at each record of the stream, which had caused the draws without end.

Evidence: lost_tokens_are_drawn_again_at_each_tick_only, which replaces the test of the fix before, counts at most 40 draws in 40 ticks; with a draw at each record 975.

--- a/crates/hibiscus-traffic/src/budgets/review.rs
+++ b/crates/hibiscus-traffic/src/budgets/review.rs
@@ -30,6 +30,15 @@
 /// Time after which a total that is missing in the stream is written again.
 const TOTAL_REWRITE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Why a budget is reviewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReviewOccasion {
+    /// Time has passed.
+    Tick,
+    /// A record was read or appended, and requests wait.
+    Record,
+}
+
 impl BudgetManager {
     /// Decides on draws, returns and reports for all budgets, and sends the
     /// records to the thread that appends them. `role_of` returns this
@@ -52,7 +61,7 @@
             if role.mode == DrawMode::Release && !self.held.contains_key(&budget) {
                 continue;
             }
-            self.review_one(&budget, role, now);
+            self.review_one(&budget, role, ReviewOccasion::Tick, now);
             if role.is_first_holder && self.is_snapshot_due(&budget, now) {
                 self.write_snapshot(&budget, now);
             }
@@ -69,7 +78,7 @@
         }
         let names: Vec<BudgetName> = self.waiting.iter().cloned().collect();
         for budget in names {
-            self.review_one(&budget, role_of(&budget), now);
+            self.review_one(&budget, role_of(&budget), ReviewOccasion::Record, now);
         }
         self.send(now);
     }
@@ -187,7 +196,13 @@
         });
     }
 
-    fn review_one(&mut self, budget: &BudgetName, role: BudgetRole, now: Duration) {
+    fn review_one(
+        &mut self,
+        budget: &BudgetName,
+        role: BudgetRole,
+        occasion: ReviewOccasion,
+        now: Duration,
+    ) {
         if self.closed {
             return;
         }
@@ -219,8 +234,11 @@
         let decision = policy::decide(&inputs);
         let own = account.and_then(|account| account.holders.get(&self.holder));
         let counted = own.map_or(TokenCount::ZERO, |own| own.drawn);
-        // Nothing is granted while no tokens are free; each result would cause the next draw.
-        let missing = held.quota.drawn().saturating_sub(counted).min(inputs.free);
+        let missing = match occasion {
+            ReviewOccasion::Tick => held.quota.drawn().saturating_sub(counted),
+            // While others hold all tokens, each result would cause the next draw.
+            ReviewOccasion::Record => TokenCount::ZERO,
+        };
         let draw = if now < self.draws_resume_at {
             missing
         } else {
