--- a/crates/hibiscus-front/src/serve.rs
+++ b/crates/hibiscus-front/src/serve.rs
@@ -90,8 +90,8 @@
 /// served: callers cache addresses for up to three lifetimes, and streams need
 /// the remaining time before the process is killed.
 const SHUTDOWN_SERVING_TIME: Duration = Duration::from_millis(3_000);
-/// Time after the start of a graceful shutdown after which requests that may not end before
-/// it does are refused: at least a tick before the platform stops excusing that they are cut.
+/// Time after the start of a graceful shutdown after which requests are refused that may
+/// last beyond its end.
 const LONG_REQUESTS_TIME: Duration = Duration::from_millis(2_500);
 /// Share of the time between SIGTERM and SIGKILL that the shutdown may take.
 const SHUTDOWN_SHARE: f64 = 0.95;
