Name the requested offset in errors and log lines of refused reads

In the users' record HS2006 names the oldest offset that the store has (first=0), not the one that was read, so that it doesn't tell expired records from an offset that the topic does not have: the store answers 410 to both.

HS2006 was written in four places; one function writes it.

--- a/crates/hibiscus-front/src/config/deltas.rs
+++ b/crates/hibiscus-front/src/config/deltas.rs
@@ -46,11 +46,8 @@
                 next = Some(offset);
                 shared.set_deltas_end(next);
             }
-            Err(StoreError::Expired { first }) => {
-                event!(
-                    EventCode::HistoryDropped,
-                    "topic={DELTAS_TOPIC} first={first}"
-                );
+            Err(StoreError::Expired { from, first }) => {
+                follow::log_expired(DELTAS_TOPIC, from, first);
                 assembler = DeltaAssembler::default();
                 next = None;
                 thread::sleep(RETRY_DELAY);
--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -97,12 +97,8 @@
                 self.shared.skip_unreadable(position + record_count(&read));
                 Ok(())
             }
-            Err(StoreError::Expired { first }) => {
-                event!(
-                    EventCode::HistoryDropped,
-                    "topic={} first={first}",
-                    config::TOPIC
-                );
+            Err(StoreError::Expired { from, first }) => {
+                follow::log_expired(config::TOPIC, from, first);
                 self.up_to_date = false;
                 Ok(())
             }
@@ -165,7 +161,7 @@
                     self.take_newest(&read, position);
                     position += record_count(&read);
                 }
-                Err(StoreError::Expired { first }) => position = first.max(position + 1),
+                Err(StoreError::Expired { first, .. }) => position = first.max(position + 1),
                 Err(error) => return Err(error),
             }
         }
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -127,8 +127,8 @@
                 next = Some(offset);
                 thread::sleep(reader.pause());
             }
-            Err(StoreError::Expired { first }) => {
-                event!(EventCode::HistoryDropped, "topic={topic} first={first}");
+            Err(StoreError::Expired { from, first }) => {
+                log_expired(topic, from, first);
                 next = None;
             }
             Err(StoreError::EraChanged { previous, current }) => {
@@ -144,6 +144,15 @@
     }
 }
 
+/// Logs that `topic` cannot be read from the offset `from`, since its oldest record is at
+/// `first`.
+pub(crate) fn log_expired(topic: &str, from: u64, first: u64) {
+    event!(
+        EventCode::HistoryDropped,
+        "topic={topic} from={from} first={first}"
+    );
+}
+
 /// Logs that the store came back from a copy after `topic` was read up to `offset`.
 pub(crate) fn log_era_change(
     topic: &str,
@@ -356,7 +365,7 @@
             Duration::ZERO
         };
         let page = match store.read(account::STREAM, next, wait) {
-            Err(StoreError::Expired { first }) => {
+            Err(StoreError::Expired { first, .. }) => {
                 event!(EventCode::AccountsExpired, "first={first} next={next}");
                 read_snapshots(store, updates, first).map(|()| {
                     next = first;
--- a/crates/hibiscus-front/src/servers.rs
+++ b/crates/hibiscus-front/src/servers.rs
@@ -31,6 +31,7 @@
 use platform::store::StoreError;
 
 use crate::follow::log_era_change;
+use crate::follow::log_expired;
 use crate::follow::send_update;
 use crate::relay::RelayRole;
 use crate::topic_monitor::READ_WAIT;
@@ -61,12 +62,8 @@
                 monitor.succeeded(servers::TOPIC);
                 send_update(updates, TrafficUpdate::ServerTopicRead);
             }
-            Err(StoreError::Expired { first }) => {
-                event!(
-                    EventCode::HistoryDropped,
-                    "topic={} first={first}",
-                    servers::TOPIC
-                );
+            Err(StoreError::Expired { from, first }) => {
+                log_expired(servers::TOPIC, from, first);
                 follower.registry = None;
                 thread::sleep(RETRY_DELAY);
             }
@@ -230,7 +227,7 @@
             .read(SERVER_CHANGES_TOPIC, self.changes_next, wait)
         {
             Ok(read) => read,
-            Err(StoreError::Expired { first }) => {
+            Err(StoreError::Expired { first, .. }) => {
                 self.changes_next = first;
                 return Ok(());
             }
--- a/crates/hibiscus-front/src/streams.rs
+++ b/crates/hibiscus-front/src/streams.rs
@@ -194,7 +194,7 @@
                     thread::sleep(NOTES_READ_INTERVAL);
                 }
             }
-            Err(StoreError::Expired { first }) => next = first,
+            Err(StoreError::Expired { first, .. }) => next = first,
             Err(StoreError::EraChanged { previous, current }) => {
                 follow::log_era_change(NOTES_TOPIC, (previous, current), Some(next));
                 next = 0;
