Show instances that start reading again and again after status 410

The tests run seven daemons at a store with the users' rates (600 writing, 2,000 reading calls a second) that comes back from a copy every 5.5 s, while the operator adds routes and servers are replaced, by a draining entry or by the removal of their entry.

--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod odd_records;
 mod operations;
+mod refused_reads;
 mod repeated_refusals;
 mod soak;
 mod soak_streams;
