Wait at an end that the store refuses to read from

Cause: 410 has two meanings, deleted records and an offset that the topic does not have. Each reader took both for deleted records, discarded what it had read and started again, some without a pause. At an end that is refused this went on for ever, and used up the store's rate.

--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -130,6 +130,7 @@
             Err(StoreError::Expired { from, first }) => {
                 log_expired(topic, from, first);
                 next = None;
+                thread::sleep(RETRY_DELAY);
             }
             Err(StoreError::EraChanged { previous, current }) => {
                 log_era_change(topic, (previous, current), next.take());
@@ -376,7 +377,7 @@
             read => read.map(|read| Some(read.page)),
         };
         match page {
-            Ok(None) => {}
+            Ok(None) => thread::sleep(RETRY_DELAY),
             Ok(Some(page)) => {
                 monitor.succeeded(account::STREAM);
                 let end = page.end;
--- a/crates/hibiscus-front/src/streams.rs
+++ b/crates/hibiscus-front/src/streams.rs
@@ -124,10 +124,16 @@
                     StreamUpdate::VersionsConfirmed(requested, store.era()),
                 );
             }
-            Err(StoreError::Expired { .. } | StoreError::EraChanged { .. }) => {
+            Err(StoreError::EraChanged { .. }) => {
                 next = None;
                 continue;
             }
+            Err(StoreError::Expired { from, first }) => {
+                follow::log_expired(VERSIONS_TOPIC, from, first);
+                next = None;
+                thread::sleep(RETRY_DELAY);
+                continue;
+            }
             Err(error) => {
                 monitor.failed(VERSIONS_TOPIC, &error);
                 send(updates, StreamUpdate::VersionsUnconfirmed);
@@ -194,7 +200,11 @@
                     thread::sleep(NOTES_READ_INTERVAL);
                 }
             }
-            Err(StoreError::Expired { first, .. }) => next = first,
+            Err(StoreError::Expired { from, first }) => {
+                follow::log_expired(NOTES_TOPIC, from, first);
+                next = first;
+                thread::sleep(RETRY_DELAY);
+            }
             Err(StoreError::EraChanged { previous, current }) => {
                 follow::log_era_change(NOTES_TOPIC, (previous, current), Some(next));
                 next = 0;
--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -232,7 +232,8 @@
         }
     }
 
-    /// Lets the store come back from copies that are up to `DRILL_INTERVAL / 2` old.
+    /// Lets the store come back from copies that are up to `DRILL_INTERVAL / 2` old, at times
+    /// without the history of topics.
     fn run_drills(&self) {
         let mut random = fastrand::Rng::with_seed(48);
         while !self.is_stopped() {
@@ -247,6 +248,11 @@
             });
             thread::sleep(AWAY_TIME);
             self.store.come_back_from(copy);
+            if random.bool() {
+                for topic in ["keyed.op", "keyed.servers", "config-changes"] {
+                    self.store.expire_history(topic);
+                }
+            }
             self.store.set_faults(self.faults.clone());
             lock(&self.drills).push((away, Instant::now()));
         }
