--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -127,9 +127,10 @@
                 next = Some(offset);
                 thread::sleep(reader.pause());
             }
-            Err(StoreError::Expired { first }) => {
-                event!(EventCode::HistoryDropped, "topic={topic} first={first}");
+            Err(StoreError::Expired { from, first }) => {
+                log_expired(topic, from, first);
                 next = None;
+                thread::sleep(RETRY_DELAY);
             }
             Err(StoreError::EraChanged { previous, current }) => {
                 log_era_change(topic, (previous, current), next.take());
@@ -144,6 +145,15 @@
     }
 }
 
+/// Logs that `topic` cannot be read from the offset `from`, since its oldest record is at
+/// `first`.
+pub(crate) fn log_expired(topic: &str, from: u64, first: u64) {
+    event!(
+        EventCode::HistoryDropped,
+        "topic={topic} from={from} first={first}"
+    );
+}
+
 /// Logs that the store came back from a copy after `topic` was read up to `offset`.
 pub(crate) fn log_era_change(
     topic: &str,
@@ -356,7 +366,7 @@
             Duration::ZERO
         };
         let page = match store.read(account::STREAM, next, wait) {
-            Err(StoreError::Expired { first }) => {
+            Err(StoreError::Expired { first, .. }) => {
                 event!(EventCode::AccountsExpired, "first={first} next={next}");
                 read_snapshots(store, updates, first).map(|()| {
                     next = first;
@@ -367,7 +377,7 @@
             read => read.map(|read| Some(read.page)),
         };
         match page {
-            Ok(None) => {}
+            Ok(None) => thread::sleep(RETRY_DELAY),
             Ok(Some(page)) => {
                 monitor.succeeded(account::STREAM);
                 let end = page.end;
