Take calls that are refused for their rate for no outage of the store

Cause: a reader took 429 like an unreachable store. So removed servers were kept for 2 s, in case they had only failed to renew their entries, though servers renew them at a store that refuses the fleet's calls only. And it called more often, each 150 ms with short waits, which makes the store refuse more.

Fix: 429 marks the topic as delayed, not the store as lost; the call is repeated after 0.5 s, a quarter of the 2 s in which a change must be known, and reads wait as usual.

--- a/crates/hibiscus-front/src/config/deltas.rs
+++ b/crates/hibiscus-front/src/config/deltas.rs
@@ -58,8 +58,7 @@
                 shared.set_deltas_end(None);
             }
             Err(error) => {
-                monitor.failed(DELTAS_TOPIC, &error);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(monitor.failed(DELTAS_TOPIC, &error));
             }
         }
     }
--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -76,9 +76,9 @@
                     continue;
                 }
                 Err(error) => {
-                    self.monitor.failed(config::TOPIC, &error);
+                    let delay = self.monitor.failed(config::TOPIC, &error);
                     self.up_to_date = false;
-                    thread::sleep(RETRY_DELAY);
+                    thread::sleep(delay);
                     continue;
                 }
             }
--- a/crates/hibiscus-front/src/follow.rs
+++ b/crates/hibiscus-front/src/follow.rs
@@ -137,9 +137,9 @@
                 reader.store_restored(store, updates);
             }
             Err(error) => {
-                monitor.failed(topic, &error);
+                let delay = monitor.failed(topic, &error);
                 reader.call_finished(false, updates);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(delay);
             }
         }
     }
@@ -355,8 +355,7 @@
                 continue;
             }
             Err(error) => {
-                monitor.failed(account::STREAM, &error);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(monitor.failed(account::STREAM, &error));
                 continue;
             }
         }
@@ -407,8 +406,7 @@
                 send_update(updates, TrafficUpdate::AccountsRestored(current));
             }
             Err(error) => {
-                monitor.failed(account::STREAM, &error);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(monitor.failed(account::STREAM, &error));
             }
         }
     }
--- a/crates/hibiscus-front/src/servers.rs
+++ b/crates/hibiscus-front/src/servers.rs
@@ -73,9 +73,15 @@
                 send_update(updates, TrafficUpdate::ServerTopicUnavailable);
             }
             Err(error) => {
-                monitor.failed(servers::TOPIC, &error);
-                send_update(updates, TrafficUpdate::ServerTopicUnavailable);
-                thread::sleep(RETRY_DELAY);
+                let delay = monitor.failed(servers::TOPIC, &error);
+                // Servers renew their entries at a store that only refuses the fleet's calls.
+                let update = if error.is_over_rate() {
+                    TrafficUpdate::ServerTopicDelayed
+                } else {
+                    TrafficUpdate::ServerTopicUnavailable
+                };
+                send_update(updates, update);
+                thread::sleep(delay);
             }
         }
     }
--- a/crates/hibiscus-front/src/streams.rs
+++ b/crates/hibiscus-front/src/streams.rs
@@ -135,8 +135,9 @@
                 continue;
             }
             Err(error) => {
-                monitor.failed(VERSIONS_TOPIC, &error);
+                let delay = monitor.failed(VERSIONS_TOPIC, &error);
                 send(updates, StreamUpdate::VersionsUnconfirmed);
+                thread::sleep(delay);
             }
         }
         fulfilled = requested;
@@ -211,8 +212,7 @@
                 send(updates, StreamUpdate::NotesRestored);
             }
             Err(error) => {
-                monitor.failed(NOTES_TOPIC, &error);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(monitor.failed(NOTES_TOPIC, &error));
             }
         }
     }
--- a/crates/hibiscus-front/src/topic_monitor.rs
+++ b/crates/hibiscus-front/src/topic_monitor.rs
@@ -15,12 +15,17 @@
 const UNREACHABLE_READ_WAIT: Duration = Duration::from_millis(100);
 /// Delay before the retry of a failed call.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Delay before the retry of a call that the store refused for its rate: it is up, and more
+/// calls would make it refuse more. A quarter of the 2 s in which a change must be received.
+const RATE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// Logs when a topic becomes unreadable and readable again.
 #[derive(Default)]
 pub(crate) struct TopicMonitor {
     /// Time of the first failure since the last success.
     lost: Option<Instant>,
+    /// Whether the last call failed since the store did not execute or answer it.
+    is_unreachable: bool,
     /// Number of failures since the last success.
     failures: u32,
     /// Bytes received in truncated replies since the last success.
@@ -33,16 +38,17 @@
         self.wait_or(READ_WAIT)
     }
 
-    /// As [`Self::wait`], but returns `wait` while the topic can be read.
+    /// As [`Self::wait`], but returns `wait` while the store is reachable.
     pub(crate) fn wait_or(&self, wait: Duration) -> Duration {
-        if self.lost.is_some() {
+        if self.is_unreachable {
             UNREACHABLE_READ_WAIT
         } else {
             wait
         }
     }
 
-    pub(crate) fn failed(&mut self, topic: &str, error: &StoreError) {
+    /// Records a failed call; returns the time to wait before the next one.
+    pub(crate) fn failed(&mut self, topic: &str, error: &StoreError) -> Duration {
         if let StoreError::Truncated { transfer, .. } = error {
             self.cut_bytes += transfer.bytes;
             event!(EventCode::ReplyCut, "topic={topic} cause={error}");
@@ -52,6 +58,12 @@
         }
         self.lost.get_or_insert_with(Instant::now);
         self.failures += 1;
+        self.is_unreachable = !error.is_over_rate();
+        if self.is_unreachable {
+            RETRY_DELAY
+        } else {
+            RATE_RETRY_DELAY
+        }
     }
 
     pub(crate) fn succeeded(&mut self, topic: &str) {
--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -20,10 +20,12 @@
 use platform_standins::StoreStandin;
 
 use crate::front::PREPAID;
+use crate::front::Platform;
 use crate::front::config;
 use crate::front::request;
 use crate::front::start_fronts;
 use crate::front::status;
+use crate::front::steady_callers::SteadyCallers;
 use crate::front::write_server;
 
 /// Number of instances, as in the users' small deployments; some are no relays.
@@ -55,6 +57,12 @@
 /// Time after the return of the store in which a missing entry may be one that is written
 /// again, and instances are not in touch: `stable-window-ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Number of removals in a test of the store's rate.
+const ROUNDS: u32 = 4;
+/// Time before the first removal.
+const ROUND_PAUSE: Duration = Duration::from_secs(2);
+/// Time by which each further removal comes later, so that it meets other calls.
+const ROUND_STEP: Duration = Duration::from_millis(230);
 /// Pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
@@ -361,3 +369,45 @@
         ..StoreFaults::default()
     });
 }
+
+/// Number of reads a second that the store serves in a test of its rate: less than one
+/// instance's readers make, enough for one read a topic within two seconds.
+const SCARCE_READS: u32 = 6;
+
+/// Guards against instances that take calls refused for the store's rate (429) for an outage:
+/// they keep servers whose entries are removed, and call the store more often (issue 48).
+#[test]
+fn a_removed_server_is_not_kept_while_calls_exceed_the_rate_of_the_store() {
+    let platform = Platform::start();
+    platform.add_second_server();
+    let fronts = std::slice::from_ref(&platform.front);
+    let callers = SteadyCallers::new(fronts, "/often/x");
+    let mut late = Vec::new();
+    callers.during(|| {
+        platform.store.set_faults(StoreFaults {
+            rates: Some(StoreRates {
+                reads: SCARCE_READS,
+                ..RATES
+            }),
+            ..StoreFaults::default()
+        });
+        for round in 0..ROUNDS {
+            thread::sleep(ROUND_PAUSE + ROUND_STEP * round);
+            platform.store.write("keyed.servers", "i-second", b"");
+            let removed = Instant::now();
+            thread::sleep(2 * CHANGE_LIMIT);
+            let arrivals = platform.second.arrivals();
+            let arrivals = arrivals.iter().filter(|at| **at > removed + CHANGE_LIMIT);
+            late.push((arrivals.count(), platform.store.refused().rate));
+            write_server(
+                &platform.store,
+                "i-second",
+                "plain",
+                &platform.second,
+                "ready",
+            );
+        }
+    });
+    println!("late arrivals and calls refused so far: {late:?}");
+    assert!(late.iter().all(|(count, _refused)| *count == 0), "{late:?}");
+}
