--- a/tests/testsuite/front/soak.rs
+++ b/tests/testsuite/front/soak.rs
@@ -252,13 +252,18 @@
 }
 
 /// Injects a fault, often together with a minor fault of a server or the store.
-fn inject_fault(fleet: &mut CrashFleet, rng: &mut Rng, version: u64) -> Option<InstanceFault> {
+fn inject_fault(
+    fleet: &mut CrashFleet,
+    rng: &mut Rng,
+    version: u64,
+    calm: &StoreFaults,
+) -> Option<InstanceFault> {
     let minor = rng.usize(..fleet.servers.len());
     match rng.u8(..4) {
         0 => fleet.servers[minor].set_behaviour(BackendBehaviour::Reset),
         1 => fleet.store.set_faults(StoreFaults {
             delay: Duration::from_millis(rng.u64(10..300)),
-            ..StoreFaults::default()
+            ..calm.clone()
         }),
         2 => {
             let text = soak_streams::soak_config(version);
@@ -266,15 +271,19 @@
         }
         _ => {}
     }
-    let fault = inject_main_fault(fleet, rng);
+    let fault = inject_main_fault(fleet, rng, calm);
     fleet.servers[minor].set_behaviour(BackendBehaviour::Respond);
-    fleet.store.set_faults(StoreFaults::default());
+    fleet.store.set_faults(calm.clone());
     fault
 }
 
 /// Injects one main fault; a killed or shut down instance is started again. Returns
 /// the fault of an instance.
-fn inject_main_fault(fleet: &mut CrashFleet, rng: &mut Rng) -> Option<InstanceFault> {
+fn inject_main_fault(
+    fleet: &mut CrashFleet,
+    rng: &mut Rng,
+    calm: &StoreFaults,
+) -> Option<InstanceFault> {
     let front = rng.usize(..fleet.fronts.len());
     let server = rng.usize(..fleet.servers.len());
     let pause = Duration::from_millis(rng.u64(100..1_200));
@@ -314,29 +323,29 @@
         8 => {
             fleet.store.set_faults(StoreFaults {
                 refuse: Some(503),
-                ..StoreFaults::default()
+                ..calm.clone()
             });
             thread::sleep(pause * 2);
-            fleet.store.set_faults(StoreFaults::default());
+            fleet.store.set_faults(calm.clone());
         }
         9 => {
             let copy = fleet.store.copy();
             thread::sleep(pause);
             fleet.store.set_faults(StoreFaults {
                 refuse: Some(503),
-                ..StoreFaults::default()
+                ..calm.clone()
             });
             thread::sleep(pause / 2);
             fleet.store.come_back_from(copy);
-            fleet.store.set_faults(StoreFaults::default());
+            fleet.store.set_faults(calm.clone());
         }
         _ => {
             fleet.store.set_faults(StoreFaults {
                 delay: pause / 4,
-                ..StoreFaults::default()
+                ..calm.clone()
             });
             thread::sleep(pause);
-            fleet.store.set_faults(StoreFaults::default());
+            fleet.store.set_faults(calm.clone());
         }
     }
     (fault < 3).then(|| InstanceFault {
@@ -387,6 +396,13 @@
     let mut version = 2;
     let text = soak_streams::soak_config(version);
     fleet.store.write("keyed.op", "config", text.as_bytes());
+    // What a store answers to reads of offsets that a topic does not have is not known.
+    let calm = StoreFaults {
+        refuse_beyond_end: seed % 2 == 1,
+        refuse_at_end: seed % 4 >= 2,
+        ..StoreFaults::default()
+    };
+    fleet.store.set_faults(calm.clone());
     let fronts: Vec<_> = fleet
         .fronts
         .iter()
@@ -413,7 +429,7 @@
         named.extend(name_limits(&fleet, &mut rng));
         while started.elapsed() < FAULT_TIME {
             version += 1;
-            faults.extend(inject_fault(&mut fleet, &mut rng, version));
+            faults.extend(inject_fault(&mut fleet, &mut rng, version, &calm));
             if rng.u8(..3) == 0 {
                 models.inject_fault(&mut rng);
             }
