--- a/crates/hibiscus-events/src/catalogue.rs
+++ b/crates/hibiscus-events/src/catalogue.rs
@@ -78,6 +78,7 @@
     ConfigBehind = "HS2013", Info, "newer configuration is read in full, no delta arrived in time";
     StoreEraChanged = "HS2014", Warn, "store came back from a copy, the topic is read again";
     StoreEraInvalid = "HS2015", Warn, "reply of the store names no valid era or an earlier one";
+    EndRefused = "HS2016", Info, "store refuses to read from the end of a topic, it is asked at intervals";
     GrantObtained = "HS3001", Info, "allowance was granted";
     GrantRefused = "HS3002", Warn, "allowance was refused";
     GrantSealed = "HS3003", Warn, "grant was sealed by this witness";
