Freeze and kill single instances in the play of refused reads

One instance after the other freezes for 1.2 s or is killed and starts again; its requests count again once it was in touch for 3 s, as the users' rules say.

--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -1,6 +1,6 @@
 //! A store that comes back from copies of itself again and again, and answers 410 to reads
-//! from offsets that it does not have, while the operator changes the configuration and
-//! servers are replaced.
+//! from offsets that it does not have, while the operator changes the configuration,
+//! servers are replaced, and single instances freeze or are killed.
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use platform_standins::BackendBehaviour;
 use platform_standins::BackendStandin;
 use platform_standins::FrontProcess;
@@ -66,6 +67,11 @@
 /// Pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time between two troubles of single instances.
+const TROUBLE_INTERVAL: Duration = Duration::from_millis(2_600);
+/// Time for which an instance freezes, or is gone.
+const TROUBLE_TIME: Duration = Duration::from_millis(1_200);
+
 /// A change and the time at which the store acknowledged it.
 #[derive(Clone, Copy, Debug)]
 struct TimedChange {
@@ -92,6 +98,10 @@
     left: Mutex<Vec<LeftServer>>,
     /// Times at which the store went away and came back.
     drills: Mutex<Vec<(Instant, Instant)>>,
+    /// Instances that froze or were killed, and the times at which that began and ended.
+    troubles: Mutex<Vec<(usize, Instant, Option<Instant>)>>,
+    /// Processes that replace killed ones.
+    restarted: Mutex<Vec<FrontProcess>>,
     stopped: AtomicBool,
 }
 
@@ -111,6 +121,16 @@
     refused: RefusedCalls,
 }
 
+/// Returns an id for a request to the instance `index`.
+fn unique_id(index: usize) -> String {
+    format!("id-{index}-{:x}", fastrand::u64(..))
+}
+
+/// Returns the instance to which a request with an id of [`unique_id`] was sent.
+fn index_of(id: &str) -> Option<usize> {
+    id.split('-').nth(1)?.parse().ok()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -134,6 +154,8 @@
             routes: Mutex::default(),
             left: Mutex::default(),
             drills: Mutex::default(),
+            troubles: Mutex::default(),
+            restarted: Mutex::default(),
             stopped: AtomicBool::new(false),
         }
     }
@@ -154,6 +176,42 @@
         bound
     }
 
+    /// Whether the instance `index` is in touch at `at`: no trouble of its own in the stable
+    /// window before.
+    fn is_in_touch(&self, index: usize, at: Instant) -> bool {
+        let troubles = lock(&self.troubles);
+        !troubles.iter().any(|(troubled, began, ended)| {
+            let has_ended = ended.is_some_and(|ended| at > ended + STABLE_WINDOW);
+            *troubled == index && at >= *began && !has_ended
+        })
+    }
+
+    /// Freezes one instance after the other, or kills it and starts it again.
+    fn trouble_instances(&self) {
+        for (index, front) in self.fronts.iter().enumerate() {
+            thread::sleep(TROUBLE_INTERVAL - TROUBLE_TIME);
+            if self.is_stopped() {
+                return;
+            }
+            lock(&self.troubles).push((index, Instant::now(), None));
+            if index % 2 == 0 {
+                front.signal(Signal::SIGSTOP);
+                thread::sleep(TROUBLE_TIME);
+                front.signal(Signal::SIGCONT);
+            } else {
+                front.signal(Signal::SIGKILL);
+                thread::sleep(TROUBLE_TIME);
+                let name = format!("front-{index}");
+                let again = FrontProcess::start(&name, front.ports, self.store.address());
+                again.wait_ready();
+                lock(&self.restarted).push(again);
+            }
+            if let Some(trouble) = lock(&self.troubles).last_mut() {
+                trouble.2 = Some(Instant::now());
+            }
+        }
+    }
+
     /// Writes versions, each with a route more.
     fn write_versions(&self) {
         let mut version = 1;
@@ -268,12 +326,11 @@
 
     /// Sends requests to a route that all versions have, which reach servers whatever
     /// version is in force, and to the newest added route that has to be in force.
-    fn call(&self, front: &FrontProcess) -> PlayOutcome {
+    fn call(&self, index: usize, front: &FrontProcess) -> PlayOutcome {
         let mut outcome = PlayOutcome::default();
         while !self.is_stopped() {
             thread::sleep(CALLER_PAUSE);
-            let id = format!("id-{:x}", fastrand::u64(..));
-            front.call(&request("/often/x", &id, ""));
+            front.call(&request("/often/x", &unique_id(index), ""));
             let routes: Vec<TimedChange> = lock(&self.routes).iter().copied().collect();
             // The oldest one may be dropped at any moment.
             let mut in_force = routes.iter().skip(2).rev();
@@ -284,7 +341,10 @@
                 continue;
             };
             let path = format!("/added-{}/x", route.number);
-            let response = front.call(&request(&path, &format!("id-{:x}", fastrand::u64(..)), ""));
+            let response = front.call(&request(&path, &unique_id(index), ""));
+            if !self.is_in_touch(index, sent) {
+                continue;
+            }
             outcome.requests += 1;
             outcome.denied += usize::from(status(&response) == "404");
             outcome.served += usize::from(status(&response) == "200");
@@ -299,8 +359,9 @@
             scope.spawn(|| self.replace_servers());
             scope.spawn(|| self.run_drills());
             let mut callers = Vec::new();
-            for front in &self.fronts {
-                callers.push(scope.spawn(move || self.call(front)));
+            scope.spawn(|| self.trouble_instances());
+            for (index, front) in self.fronts.iter().enumerate() {
+                callers.push(scope.spawn(move || self.call(index, front)));
             }
             thread::sleep(PLAY_TIME);
             self.stopped.store(true, Ordering::Relaxed);
@@ -320,8 +381,13 @@
                 CHANGE_LIMIT
             };
             let bound = self.binds_from(left.at, return_limit);
-            let arrivals = left.server.arrivals();
-            let late = arrivals.iter().filter(|at| **at > bound).count();
+            let arrivals = left.server.arrivals().into_iter();
+            let mut late = 0;
+            for (at, request) in arrivals.zip(left.server.requests()) {
+                let index = request.header("request-id").and_then(index_of);
+                let is_judged = index.is_none_or(|index| self.is_in_touch(index, at));
+                late += usize::from(at > bound && is_judged);
+            }
             if left.is_removed {
                 outcome.late_after_removal += late;
             } else {
