--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -81,6 +81,7 @@
 
 /// A server that left, and when.
 struct LeftServer {
+    name: String,
     server: BackendStandin,
     at: Instant,
     is_removed: bool,
@@ -278,14 +279,15 @@
                 && let Some((number, server)) = servers.pop_front()
             {
                 let is_removed = number % 2 == 1;
+                let name = format!("i-{number}");
                 if is_removed {
-                    let name = format!("i-{number}");
                     self.store.write("keyed.servers", &name, b"");
                 } else {
                     self.write_entry(number, &server, "draining", sequence + 1);
                 }
                 replaced_at = Instant::now();
                 lock(&self.left).push(LeftServer {
+                    name,
                     server,
                     at: replaced_at,
                     is_removed,
@@ -319,6 +321,10 @@
                     self.store.expire_history(topic);
                 }
             }
+            // The store writes again what is lost but for removals.
+            for left in lock(&self.left).iter().filter(|left| left.is_removed) {
+                self.store.write("keyed.servers", &left.name, b"");
+            }
             self.store.set_faults(self.faults.clone());
             lock(&self.drills).push((away, Instant::now()));
         }
