--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod forwarding;
 mod joined_streams;
+mod leaving_in_drills;
 mod lifetime;
 mod limits;
 mod odd_records;
