--- a/crates/hibiscus-traffic/src/servers.rs
+++ b/crates/hibiscus-traffic/src/servers.rs
@@ -432,6 +432,11 @@
         }
         let start = entry.incarnation();
         let process = self.availability_table.get_or_insert(&start);
+        // The process stays draining if its entry is removed and a store that came back
+        // from a copy shows an earlier one.
+        if entry.phase == ServerPhase::Leaving {
+            process.availability.borrow_mut().note_draining();
+        }
         if let Some(before) = self.detach(&entry.name)
             && before.entry.incarnation() != start
         {
--- a/crates/hibiscus-traffic/tests/server_choice.rs
+++ b/crates/hibiscus-traffic/tests/server_choice.rs
@@ -144,3 +144,40 @@
     assert_eq!(second.server.entry.name, entry(0).name);
     assert!(reserve(500).is_none());
 }
+
+/// Guards against requests to a process that was draining when its entry was removed, and
+/// whose earlier entry is in a store that came back from a copy (issue 48).
+#[test]
+fn a_draining_process_whose_entry_was_removed_is_not_used_again() {
+    let mut pool = pool(1);
+    let draining = ServerEntry {
+        phase: ServerPhase::Leaving,
+        ..entry(0)
+    };
+    pool.apply(RegistryChange::Present(draining));
+    pool.apply(RegistryChange::Gone(entry(0).name));
+    pool.apply(RegistryChange::Present(entry(0)));
+    let none = choose(&pool, &[]).outcome.expect_err("the server drains");
+    assert_eq!(none, NoServer::Missing);
+    let restarted = ServerEntry {
+        started: 6,
+        ..entry(0)
+    };
+    pool.apply(RegistryChange::Present(restarted));
+    assert!(choose(&pool, &[]).outcome.is_ok());
+}
+
+/// Guards against a request that is sent to a server whose entry says that it is draining
+/// since the server was chosen (issue 48).
+#[test]
+fn a_request_is_withdrawn_when_the_entry_says_that_the_server_is_draining() {
+    let mut pool = pool(1);
+    let chosen = choose(&pool, &[]).outcome.expect("a server").take_permit();
+    assert!(chosen.server.still_accepts(false, chosen.permit));
+    let draining = ServerEntry {
+        phase: ServerPhase::Leaving,
+        ..entry(0)
+    };
+    pool.apply(RegistryChange::Present(draining));
+    assert!(!chosen.server.still_accepts(false, chosen.permit));
+}
--- a/tests/testsuite/front/leaving_in_drills.rs
+++ b/tests/testsuite/front/leaving_in_drills.rs
@@ -44,6 +44,9 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Time after a disruption from which instances are bound by the entries: `stable-window-ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time after the return of the store in which the removal of an entry is written again:
+/// three times `heartbeat-interval-ms`.
+const REMOVAL_DELAY: Duration = Duration::from_millis(3_600);
 /// Time in which instances read a removed or a renewed entry.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(700);
 /// Header of a server that is draining.
@@ -119,6 +122,20 @@
         Instant::now()
     }
 
+    /// Lets the store come back from `copy` with the ready entry of the server that left,
+    /// which is removed again later. Returns when the store was back.
+    fn drill_with_late_removal(&self, copy: StoreCopy) -> Instant {
+        make_store_unavailable(&self.store);
+        thread::sleep(AWAY_TIME);
+        self.store.come_back_from(copy);
+        self.write_leaving("ready", 20);
+        self.store.set_faults(StoreFaults::default());
+        let back = Instant::now();
+        thread::sleep(REMOVAL_DELAY);
+        self.remove_leaving();
+        back
+    }
+
     /// Number of requests that reached the leaving server after `from`.
     fn arrivals_after(&self, from: Instant) -> usize {
         let arrivals = self.leaving.arrivals();
@@ -203,6 +220,30 @@
     let _closed = to.shutdown(Shutdown::Both);
 }
 
+/// Guards against requests to a server that said it is draining, whose entry was then
+/// removed, and whose earlier entry is in a store that came back from a copy (issue 48).
+#[test]
+fn a_removed_server_that_was_draining_is_not_used_when_a_copy_shows_it_ready() {
+    let fleet = LeavingFleet::start();
+    let mut back = Instant::now();
+    fleet.callers().during(|| {
+        fleet.wait_for_use(Instant::now());
+        let copy = fleet.store.copy();
+        fleet.write_leaving("draining", 21);
+        thread::sleep(Duration::from_secs(1));
+        fleet.remove_leaving();
+        thread::sleep(DRAIN_LIMIT);
+        back = fleet.drill_with_late_removal(copy);
+        thread::sleep(Duration::from_secs(1));
+    });
+    let (early, late) = (
+        fleet.arrivals_after(back),
+        fleet.arrivals_after(back + STABLE_WINDOW),
+    );
+    println!("{early} requests after the drill, {late} of them late");
+    assert_eq!(late, 0);
+}
+
 /// Guards against requests to a server whose responses alone say that it is draining,
 /// because the store came back from a copy, its history expired, it was lost, or an
 /// instance was restarted (issue 48).
