--- a/crates/hibiscus-traffic/tests/roster.rs
+++ b/crates/hibiscus-traffic/tests/roster.rs
@@ -5,6 +5,7 @@
 use hibiscus_traffic::model::ServerEntry;
 use hibiscus_traffic::model::ServerPhase;
 use hibiscus_traffic::server_registry::ENTRY_RETURN_TIME;
+use hibiscus_traffic::server_registry::REMOVAL_RETURN_TIME;
 use hibiscus_traffic::server_registry::RegistryChange;
 use hibiscus_traffic::server_registry::ServerRegistry;
 use hibiscus_types::ServerName;
@@ -113,3 +114,81 @@
     assert!(registry.put(server("i-1", ServerPhase::Serving)).is_none());
     assert!(registry.put(server("i-1", ServerPhase::Leaving)).is_some());
 }
+
+/// A registry that read all entries, and then the removal of a server at 10 s.
+fn removed_at_10_s() -> ServerRegistry {
+    let mut registry = ServerRegistry::default();
+    registry.replace(vec![server("i-1", ServerPhase::Serving)], at(1_000));
+    assert!(registry.remove(&"i-1".into(), at(10_000)).is_some());
+    registry
+}
+
+/// Guards against requests to a server whose removal was known, and whose entry is in a
+/// store that came back from a copy (issue 48).
+#[test]
+fn a_removed_entry_in_a_copy_is_held_back_until_it_is_removed_again() {
+    let mut registry = removed_at_10_s();
+    let in_copy = vec![server("i-1", ServerPhase::Serving)];
+    assert_eq!(registry.replace(in_copy, at(12_000)), []);
+    // The servers' writes since the copy are repeated, too.
+    assert_eq!(registry.put(server("i-1", ServerPhase::Serving)), None);
+    let until = at(12_000) + REMOVAL_RETURN_TIME;
+    assert_eq!(registry.expire(until - at(1)), []);
+    assert_eq!(registry.remove(&"i-1".into(), until - at(1)), None);
+    assert_eq!(registry.expire(until + at(60_000)), []);
+}
+
+/// Guards against an entry that is held back for less than the three heartbeats and the 2 s
+/// in which its removal may be written again and known (issue 48).
+#[test]
+fn a_removed_entry_is_held_back_anew_by_each_further_copy() {
+    let mut registry = removed_at_10_s();
+    let in_copy = vec![server("i-1", ServerPhase::Serving)];
+    assert_eq!(registry.replace(in_copy.clone(), at(12_000)), []);
+    assert_eq!(registry.replace(in_copy, at(16_000)), []);
+    assert_eq!(registry.expire(at(16_000 + 3 * 1_200 + 1_999)), []);
+}
+
+/// Guards against a live server whose entry had lapsed before a drill, and that is never
+/// used again (issue 48).
+#[test]
+fn an_entry_in_a_copy_that_is_not_removed_again_is_used() {
+    let mut registry = removed_at_10_s();
+    let entry = server("i-1", ServerPhase::Serving);
+    assert_eq!(registry.replace(vec![entry.clone()], at(12_000)), []);
+    let changes = registry.expire(at(12_000) + REMOVAL_RETURN_TIME);
+    assert_eq!(changes, [RegistryChange::Present(entry)]);
+}
+
+/// Guards against live servers that are held back although their entries lapsed during the
+/// outage, and not before (issue 48).
+#[test]
+fn an_entry_that_lapsed_during_the_drill_is_used_as_soon_as_it_is_back() {
+    let mut registry = ServerRegistry::default();
+    let entry = server("i-1", ServerPhase::Serving);
+    registry.replace(vec![entry.clone()], at(1_000));
+    registry.note_store_lost();
+    assert_eq!(registry.replace(Vec::new(), at(10_000)), []);
+    registry.note_store_read(at(10_000));
+    let gone = registry.expire(at(10_000) + ENTRY_RETURN_TIME);
+    assert_eq!(gone, [RegistryChange::Gone("i-1".into())]);
+    let change = registry.put(entry.clone());
+    assert_eq!(change, Some(RegistryChange::Present(entry)));
+}
+
+/// Guards against a restarted server or one that writes its entry again that is held back
+/// (issue 48).
+#[test]
+fn only_a_removed_process_that_is_read_with_all_entries_is_held_back() {
+    let entry = server("i-1", ServerPhase::Serving);
+    let mut registry = removed_at_10_s();
+    assert!(registry.put(entry.clone()).is_some());
+    let mut registry = removed_at_10_s();
+    registry.replace(vec![entry.clone()], at(12_000));
+    let restarted = ServerEntry {
+        started: 2,
+        ..entry.clone()
+    };
+    assert!(registry.put(restarted).is_some());
+    assert_eq!(registry.expire(at(30_000)), []);
+}
--- a/tests/testsuite/front/leaving_in_drills.rs
+++ b/tests/testsuite/front/leaving_in_drills.rs
@@ -244,6 +244,31 @@
     assert_eq!(late, 0);
 }
 
+/// Guards against requests to a server whose entry was removed and is in a store that came
+/// back from a copy, and against a server that is not used again after it wrote its entry
+/// anew (issue 48).
+#[test]
+fn a_removed_server_is_not_used_when_a_copy_shows_it_but_when_it_returns() {
+    let fleet = LeavingFleet::start();
+    let mut back = Instant::now();
+    let mut returned = Instant::now();
+    fleet.callers().during(|| {
+        fleet.wait_for_use(Instant::now());
+        let copy = fleet.store.copy();
+        fleet.remove_leaving();
+        thread::sleep(DRAIN_LIMIT);
+        back = fleet.drill_with_late_removal(copy);
+        thread::sleep(Duration::from_secs(1));
+        returned = Instant::now();
+        fleet.write_leaving("ready", 30);
+        fleet.wait_for_use(returned);
+    });
+    let early = fleet.arrivals_after(back) - fleet.arrivals_after(returned);
+    let late = fleet.arrivals_after(back + STABLE_WINDOW) - fleet.arrivals_after(returned);
+    println!("{early} requests after the drill, {late} of them late");
+    assert_eq!(late, 0);
+}
+
 /// Guards against requests to a server whose responses alone say that it is draining,
 /// because the store came back from a copy, its history expired, it was lost, or an
 /// instance was restarted (issue 48).
