--- a/crates/hibiscus-traffic/src/server_registry.rs
+++ b/crates/hibiscus-traffic/src/server_registry.rs
@@ -21,6 +21,9 @@
 /// Time after the store's return by which expired entries are written again,
 /// as stated by the platform.
 pub const ENTRY_RETURN_TIME: Duration = Duration::from_secs(2);
+/// Shortest time without a read in which entries may lapse: an entry lapses 3.6 s after it
+/// was last written, and servers write it about every 1.2 s.
+pub const MIN_LAPSE_TIME: Duration = Duration::from_secs(2);
 /// Time after all entries were read in which the removal of an entry that the store lost
 /// is written again, within three heartbeats of 1.2 s, and known, within 2 s.
 pub const REMOVAL_RETURN_TIME: Duration = Duration::from_millis(5_600);
@@ -65,6 +68,8 @@
     full_reads: u64,
     fully_read_at: Duration,
     is_store_lost: bool,
+    last_read_at: Option<Duration>,
+    /// End of the last outage in which entries may have lapsed.
     store_returned_at: Option<Duration>,
 }
 
@@ -76,10 +81,18 @@
 
     /// Records that the store was read at `now`.
     pub fn note_store_read(&mut self, now: Duration) {
-        if self.is_store_lost {
+        if self.is_in_outage(now) {
             self.store_returned_at = Some(now);
         }
         self.is_store_lost = false;
+        self.last_read_at = Some(now);
+    }
+
+    /// Whether the store has not been read for so long that entries may have lapsed.
+    /// Single calls also fail in a stable store, for example beyond its rates.
+    fn is_in_outage(&self, now: Duration) -> bool {
+        let may_have_lapsed = |last_read: Duration| now >= last_read + MIN_LAPSE_TIME;
+        self.is_store_lost && self.last_read_at.is_none_or(may_have_lapsed)
     }
 
     /// Adds or updates an entry; returns `None` if only its age changed, or if the entry is
@@ -143,7 +156,7 @@
             removed.full_reads = self.full_reads;
         }
         let until = match self.store_returned_at {
-            _ if self.is_store_lost => Some(now + ENTRY_RETURN_TIME),
+            _ if self.is_in_outage(now) => Some(now + ENTRY_RETURN_TIME),
             Some(returned_at) if now < returned_at + ENTRY_RETURN_TIME => {
                 Some(returned_at + ENTRY_RETURN_TIME)
             }
@@ -166,6 +179,10 @@
     pub fn replace(&mut self, entries: Vec<ServerEntry>, now: Duration) -> Vec<RegistryChange> {
         self.full_reads += 1;
         self.fully_read_at = now;
+        // The store may have come back from a copy that lacks entries.
+        if self.is_store_lost {
+            self.store_returned_at = Some(now);
+        }
         for removed in self.removed.values_mut() {
             removed.returned = None;
         }
--- a/crates/hibiscus-traffic/tests/roster.rs
+++ b/crates/hibiscus-traffic/tests/roster.rs
@@ -5,6 +5,7 @@
 use hibiscus_traffic::model::ServerEntry;
 use hibiscus_traffic::model::ServerPhase;
 use hibiscus_traffic::server_registry::ENTRY_RETURN_TIME;
+use hibiscus_traffic::server_registry::MIN_LAPSE_TIME;
 use hibiscus_traffic::server_registry::REMOVAL_RETURN_TIME;
 use hibiscus_traffic::server_registry::RegistryChange;
 use hibiscus_traffic::server_registry::ServerRegistry;
@@ -192,3 +193,52 @@
     assert!(registry.put(restarted).is_some());
     assert_eq!(registry.expire(at(30_000)), []);
 }
+
+/// Guards against requests to a removed server because a single call to a stable store
+/// failed (issue 48).
+#[test]
+fn an_entry_removed_around_a_failed_call_is_dropped_at_once() {
+    let gone = Some(RegistryChange::Gone("i-1".into()));
+    let mut registry = ServerRegistry::default();
+    registry.put(server("i-1", ServerPhase::Serving));
+    registry.note_store_read(at(9_000));
+    registry.note_store_lost();
+    // The records of a read are handled before it counts as a success.
+    assert_eq!(registry.remove(&"i-1".into(), at(9_600)), gone);
+    registry.note_store_read(at(9_600));
+    registry.put(server("i-1", ServerPhase::Serving));
+    assert_eq!(registry.remove(&"i-1".into(), at(9_900)), gone);
+}
+
+/// Guards against live servers that are dropped since their entries lapsed in an outage
+/// (issue 48).
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_time_to_return_from_the_first_read_on() {
+    let outage = MIN_LAPSE_TIME;
+    for is_read_first in [false, true] {
+        let mut registry = ServerRegistry::default();
+        registry.put(server("i-1", ServerPhase::Serving));
+        registry.note_store_read(at(9_000));
+        registry.note_store_lost();
+        let returned = at(9_000) + outage;
+        if is_read_first {
+            registry.note_store_read(returned);
+        }
+        assert_eq!(registry.remove(&"i-1".into(), returned), None);
+    }
+}
+
+/// Guards against live servers that are dropped because a store that was away for a moment
+/// came back from a copy that lacks their entries (issue 48).
+#[test]
+fn an_entry_that_a_copy_lacks_has_time_to_return_after_a_short_outage() {
+    let mut registry = ServerRegistry::default();
+    registry.put(server("i-1", ServerPhase::Serving));
+    registry.note_store_read(at(9_000));
+    registry.note_store_lost();
+    assert_eq!(registry.replace(Vec::new(), at(9_300)), []);
+    registry.note_store_read(at(9_300));
+    assert_eq!(registry.expire(at(9_300) + ENTRY_RETURN_TIME - at(1)), []);
+    registry.put(server("i-1", ServerPhase::Serving));
+    assert_eq!(registry.expire(at(20_000)), []);
+}
--- a/tests/testsuite/front/leaving_in_drills.rs
+++ b/tests/testsuite/front/leaving_in_drills.rs
@@ -49,6 +49,10 @@
 const REMOVAL_DELAY: Duration = Duration::from_millis(3_600);
 /// Time in which instances read a removed or a renewed entry.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(700);
+/// Time between two renewals of an entry, as with several servers.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the store refuses calls beyond its rates.
+const REFUSAL_TIME: Duration = Duration::from_millis(600);
 /// Header of a server that is draining.
 const DRAINING: &str = "Server-Leaving: 1\r\n";
 /// Load of the callers: requests at the same time, and the pause of each.
@@ -61,7 +65,7 @@
     /// Makes the instances ready.
     _engine: BackendStandin,
     leaving: BackendStandin,
-    _staying: BackendStandin,
+    staying: BackendStandin,
     fronts: Vec<FrontProcess>,
 }
 
@@ -88,7 +92,7 @@
             store,
             _engine: engine,
             leaving,
-            _staying: staying,
+            staying,
             fronts,
         }
     }
@@ -101,6 +105,15 @@
         self.store.write("keyed.servers", "i-leaving", b"");
     }
 
+    /// Renews the entry of the server that stays, for `time`.
+    fn renew_entries_for(&self, time: Duration) {
+        let started = Instant::now();
+        while started.elapsed() < time {
+            write_server(&self.store, "i-staying", "plain", &self.staying, "ready");
+            thread::sleep(RENEWAL_INTERVAL);
+        }
+    }
+
     fn callers(&self) -> SteadyCallers<'_> {
         SteadyCallers::new(&self.fronts, "/often/x").with_load(CALLERS, CALLER_PAUSE)
     }
@@ -370,3 +383,29 @@
     println!("{late} late requests, {drills} instances saw the drill");
     assert_eq!(late, 0);
 }
+
+/// Guards against requests to a server whose entry was removed while a few calls were
+/// refused because of the store's rates: no entry can have lapsed in so short a time
+/// (issue 48).
+#[test]
+fn a_removed_server_gets_no_more_requests_if_the_store_refuses_a_few_calls() {
+    let fleet = LeavingFleet::start();
+    let mut removed_at = Instant::now();
+    fleet.callers().during(|| {
+        fleet.wait_for_use(Instant::now());
+        fleet.renew_entries_for(Duration::from_secs(2));
+        fleet.store.set_faults(StoreFaults {
+            refuse: Some(429),
+            ..StoreFaults::default()
+        });
+        // Reads that wait at the store end with a renewal, and the next ones are refused.
+        fleet.renew_entries_for(REFUSAL_TIME);
+        removed_at = Instant::now();
+        fleet.remove_leaving();
+        fleet.store.set_faults(StoreFaults::default());
+        fleet.renew_entries_for(DRAIN_LIMIT * 2);
+    });
+    let late = fleet.arrivals_after(removed_at + DRAIN_LIMIT);
+    println!("{late} late requests");
+    assert_eq!(late, 0);
+}
