Show callers refused after a store answered 429 to all calls for a while

Cause: the platform says that the store may reject some machines with 503 or 429, and that entries which lapse meanwhile are back within 2 s of its return. Since no 429 marks the store as lost, so that a server whose entry lapsed is removed at once.

A store at its rate serves some calls in each second, one that rejects the machine serves none.

--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -411,3 +411,54 @@
     println!("late arrivals and calls refused so far: {late:?}");
     assert!(late.iter().all(|(count, _refused)| *count == 0), "{late:?}");
 }
+
+/// Time for which the store refuses all calls, longer than any window of its rates.
+const REFUSAL_TIME: Duration = Duration::from_secs(4);
+/// Time after the return of the store by which a lapsed entry is written again: less than the
+/// 2 s that the platform names.
+const ENTRY_RETURN: Duration = Duration::from_secs(1);
+
+/// Sends requests while a store that refuses all calls with `status` removes the entry of the
+/// only server, which is written again after the store's return. Returns the numbers of
+/// requests and of those that were not served.
+fn play_lapsed_entry(status_code: u16) -> (usize, usize) {
+    let platform = Platform::start();
+    let fronts = std::slice::from_ref(&platform.front);
+    let callers = SteadyCallers::new(fronts, "/often/x").with_load(2, CALLER_PAUSE);
+    let responses = callers.during(|| {
+        platform.store.set_faults(StoreFaults {
+            refuse: Some(status_code),
+            ..StoreFaults::default()
+        });
+        thread::sleep(REFUSAL_TIME);
+        platform.store.write("keyed.servers", "i-plain", b"");
+        platform.store.set_faults(StoreFaults::default());
+        thread::sleep(ENTRY_RETURN);
+        write_server(
+            &platform.store,
+            "i-plain",
+            "plain",
+            &platform.plain,
+            "ready",
+        );
+        thread::sleep(CHANGE_LIMIT);
+    });
+    let failed = responses
+        .iter()
+        .filter(|response| status(&response.text) != "200");
+    let outcome = (responses.len(), failed.count());
+    println!("status {status_code}: requests, not served: {outcome:?}");
+    outcome
+}
+
+/// Guards against callers that are refused since an instance takes a store that rejects it
+/// with 429 for a while for one that is up: servers' entries may lapse then, as with 503, and
+/// are written again after its return (issue 48).
+#[test]
+fn a_server_whose_entry_lapses_while_the_store_refuses_all_calls_is_kept() {
+    for status_code in [503, 429] {
+        let (requests, failed) = play_lapsed_entry(status_code);
+        assert!(requests > 0);
+        assert_eq!(failed, 0, "status {status_code}");
+    }
+}
