Decide by the time without a read whether the store was away, not by a status

A store may reject an instance with it while it serves others, and entries lapse meanwhile.

Calls that got 429 were repeated after 0.5 s; in a store that refuses calls for 0.6 s of each second a reader could meet the refused part each time. They are repeated after 0.2 to 0.5 s at random now, and the first read after a failure is short again, so that its success is known at once.

The plays also check that replaced servers were used.

--- a/crates/hibiscus-front/src/config/operators.rs
+++ b/crates/hibiscus-front/src/config/operators.rs
@@ -114,6 +114,14 @@
             return self.read_newest(end);
         };
         let end = self.store.end_after(config::TOPIC, position)?;
+        if end < position {
+            // The store came back shorter, but named no other era.
+            follow::log_expired(config::TOPIC, position, end);
+            self.shared.discard_positions();
+            self.up_to_date = false;
+            thread::sleep(RETRY_DELAY);
+            return Ok(());
+        }
         self.up_to_date = position >= end;
         if self.up_to_date || self.shared.wait_for_position(end, self.delta_wait()) {
             return Ok(());
--- a/crates/hibiscus-front/src/servers.rs
+++ b/crates/hibiscus-front/src/servers.rs
@@ -74,13 +74,7 @@
             }
             Err(error) => {
                 let delay = monitor.failed(servers::TOPIC, &error);
-                // Servers renew their entries at a store that only refuses the fleet's calls.
-                let update = if error.is_over_rate() {
-                    TrafficUpdate::ServerTopicDelayed
-                } else {
-                    TrafficUpdate::ServerTopicUnavailable
-                };
-                send_update(updates, update);
+                send_update(updates, TrafficUpdate::ServerTopicUnavailable);
                 thread::sleep(delay);
             }
         }
--- a/crates/hibiscus-front/src/topic_monitor.rs
+++ b/crates/hibiscus-front/src/topic_monitor.rs
@@ -1,5 +1,6 @@
 //! Tracks whether a topic of the metadata store can be read.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,17 +16,16 @@
 const UNREACHABLE_READ_WAIT: Duration = Duration::from_millis(100);
 /// Delay before the retry of a failed call.
 pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Delay before the retry of a call that the store refused for its rate: it is up, and more
-/// calls would make it refuse more. A quarter of the 2 s in which a change must be received.
-const RATE_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Delay before the retry of a call that the store refused for its rate, in milliseconds: it is
+/// up, and more calls would make it refuse more. At least four tries within the 2 s in which a
+/// change must be received; random, since the store counts calls in intervals of its own.
+const RATE_RETRY_DELAY_MS: Range<u64> = 200..500;
 
 /// Logs when a topic becomes unreadable and readable again.
 #[derive(Default)]
 pub(crate) struct TopicMonitor {
     /// Time of the first failure since the last success.
     lost: Option<Instant>,
-    /// Whether the last call failed since the store did not execute or answer it.
-    is_unreachable: bool,
     /// Number of failures since the last success.
     failures: u32,
     /// Bytes received in truncated replies since the last success.
@@ -38,9 +38,9 @@
         self.wait_or(READ_WAIT)
     }
 
-    /// As [`Self::wait`], but returns `wait` while the store is reachable.
+    /// As [`Self::wait`], but returns `wait` while the topic can be read.
     pub(crate) fn wait_or(&self, wait: Duration) -> Duration {
-        if self.is_unreachable {
+        if self.lost.is_some() {
             UNREACHABLE_READ_WAIT
         } else {
             wait
@@ -58,11 +58,10 @@
         }
         self.lost.get_or_insert_with(Instant::now);
         self.failures += 1;
-        self.is_unreachable = !error.is_over_rate();
-        if self.is_unreachable {
-            RETRY_DELAY
+        if error.is_over_rate() {
+            Duration::from_millis(fastrand::u64(RATE_RETRY_DELAY_MS))
         } else {
-            RATE_RETRY_DELAY
+            RETRY_DELAY
         }
     }
 
--- a/crates/hibiscus-traffic/src/state.rs
+++ b/crates/hibiscus-traffic/src/state.rs
@@ -289,7 +289,6 @@
                 self.streams.note_entries_lost();
                 self.server_registry.borrow_mut().note_store_lost();
             }
-            TrafficUpdate::ServerTopicDelayed => self.streams.note_entries_lost(),
             TrafficUpdate::ServerTopicRead => {
                 self.streams.note_entries_read(self.now());
                 let mut registry = self.server_registry.borrow_mut();
--- a/crates/hibiscus-traffic/src/updates.rs
+++ b/crates/hibiscus-traffic/src/updates.rs
@@ -71,10 +71,8 @@
     Server(ServerEntry),
     /// A server's entry was removed.
     ServerRemoved(ServerName),
-    /// The servers' topic can't be read, and servers may be unable to renew their entries.
+    /// The servers' topic can't be read.
     ServerTopicUnavailable,
-    /// The servers' topic can't be read for now, although the store is up.
-    ServerTopicDelayed,
     /// The servers' topic was read.
     ServerTopicRead,
     /// Consecutive encoded records of the account stream.
--- a/tests/testsuite/front/refused_reads.rs
+++ b/tests/testsuite/front/refused_reads.rs
@@ -64,6 +64,14 @@
 const ROUND_PAUSE: Duration = Duration::from_secs(2);
 /// Time by which each further removal comes later, so that it meets other calls.
 const ROUND_STEP: Duration = Duration::from_millis(230);
+/// Part of each second for which the store refuses calls in that test.
+const REFUSED_TIME: Duration = Duration::from_millis(600);
+/// Number of an instance's threads that read from the store.
+const READERS: usize = 8;
+/// Time for which calls are counted.
+const COUNT_TIME: Duration = Duration::from_secs(3);
+/// Pause of a reader before it starts again, in milliseconds.
+const RESTART_PAUSE_MS: usize = 150;
 /// Pause of a caller between two requests.
 const CALLER_PAUSE: Duration = Duration::from_millis(20);
 
@@ -115,6 +123,8 @@
     denied: usize,
     /// Those that were served.
     served: usize,
+    /// Requests that reached servers before they left.
+    arrived: usize,
     /// Requests that reached servers after they had left, by whether the entry was removed
     /// without a word.
     late_after_draining: usize,
@@ -393,6 +403,7 @@
                 let index = request.header("request-id").and_then(index_of);
                 let is_judged = index.is_none_or(|index| self.is_in_touch(index, at));
                 late += usize::from(at > bound && is_judged);
+                outcome.arrived += usize::from(at < left.at);
             }
             if left.is_removed {
                 outcome.late_after_removal += late;
@@ -414,7 +425,7 @@
     });
     let outcome = play.run();
     println!("{outcome:?}");
-    assert!(outcome.served > 0, "{outcome:?}");
+    assert!(outcome.served > 0 && outcome.arrived > 0, "{outcome:?}");
     assert_eq!(outcome.denied, 0, "{outcome:?}");
     assert_eq!(outcome.late_after_draining, 0, "{outcome:?}");
     assert_eq!(outcome.late_after_removal, 0, "{outcome:?}");
@@ -442,46 +453,95 @@
     });
 }
 
-/// Number of reads a second that the store serves in a test of its rate: less than one
-/// instance's readers make, enough for one read a topic within two seconds.
-const SCARCE_READS: u32 = 6;
-
-/// Guards against instances that take calls refused for the store's rate (429) for an outage:
-/// they keep servers whose entries are removed, and call the store more often (issue 48).
+/// Guards against instances that take calls refused for the store's rate (429) for an outage,
+/// and keep servers whose entries are removed (issue 48). The store refuses all calls for
+/// [`REFUSED_TIME`] of each second, so that every reader is served within 2 s.
 #[test]
 fn a_removed_server_is_not_kept_while_calls_exceed_the_rate_of_the_store() {
     let platform = Platform::start();
     platform.add_second_server();
     let fronts = std::slice::from_ref(&platform.front);
     let callers = SteadyCallers::new(fronts, "/often/x");
+    let has_ended = AtomicBool::new(false);
     let mut late = Vec::new();
-    callers.during(|| {
-        platform.store.set_faults(StoreFaults {
-            rates: Some(StoreRates {
-                reads: SCARCE_READS,
-                ..RATES
-            }),
-            ..StoreFaults::default()
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !has_ended.load(Ordering::Relaxed) {
+                platform.store.set_faults(StoreFaults {
+                    refuse: Some(429),
+                    ..StoreFaults::default()
+                });
+                thread::sleep(REFUSED_TIME);
+                platform.store.set_faults(StoreFaults::default());
+                thread::sleep(Duration::from_secs(1) - REFUSED_TIME);
+            }
         });
-        for round in 0..ROUNDS {
-            thread::sleep(ROUND_PAUSE + ROUND_STEP * round);
-            platform.store.write("keyed.servers", "i-second", b"");
-            let removed = Instant::now();
-            thread::sleep(2 * CHANGE_LIMIT);
-            let arrivals = platform.second.arrivals();
-            let arrivals = arrivals.iter().filter(|at| **at > removed + CHANGE_LIMIT);
-            late.push((arrivals.count(), platform.store.refused().rate));
-            write_server(
-                &platform.store,
-                "i-second",
-                "plain",
-                &platform.second,
-                "ready",
-            );
-        }
+        callers.during(|| {
+            for round in 0..ROUNDS {
+                thread::sleep(ROUND_PAUSE + ROUND_STEP * round);
+                platform.store.write("keyed.servers", "i-second", b"");
+                let removed = Instant::now();
+                thread::sleep(2 * CHANGE_LIMIT);
+                let arrivals = platform.second.arrivals();
+                let arrivals = arrivals.iter().filter(|at| **at > removed + CHANGE_LIMIT);
+                late.push(arrivals.count());
+                write_server(
+                    &platform.store,
+                    "i-second",
+                    "plain",
+                    &platform.second,
+                    "ready",
+                );
+            }
+            has_ended.store(true, Ordering::Relaxed);
+        });
+    });
+    println!("late arrivals: {late:?}");
+    assert!(late.iter().all(|count| *count == 0), "{late:?}");
+}
+
+/// Guards against readers that call a store more often while it refuses calls for its rate
+/// (issue 48): each of them five times a second at most.
+#[test]
+fn readers_ask_a_store_that_refuses_calls_for_its_rate_less_often() {
+    let platform = Platform::start();
+    platform.store.set_faults(StoreFaults {
+        rates: Some(StoreRates {
+            reads: 0,
+            writes: 0,
+        }),
+        ..StoreFaults::default()
+    });
+    // Reads that wait for records end first.
+    thread::sleep(CHANGE_LIMIT);
+    let before = platform.store.refused().rate;
+    thread::sleep(COUNT_TIME);
+    let calls = platform.store.refused().rate - before;
+    println!("{calls} calls");
+    let limit = READERS * 5 * COUNT_TIME.as_secs() as usize;
+    assert!(
+        (1..=limit).contains(&calls),
+        "{calls} calls, {limit} allowed"
+    );
+}
+
+/// Guards against readers that start again without a pause where the store has deleted the
+/// records of all offsets that they read (issue 48).
+#[test]
+fn readers_pause_before_they_start_again() {
+    let platform = Platform::start();
+    let (_appends, before) = platform.store.calls();
+    platform.store.set_faults(StoreFaults {
+        expire_all: true,
+        ..StoreFaults::default()
     });
-    println!("late arrivals and calls refused so far: {late:?}");
-    assert!(late.iter().all(|(count, _refused)| *count == 0), "{late:?}");
+    thread::sleep(COUNT_TIME);
+    let (_appends, after) = platform.store.calls();
+    let reads = after - before;
+    println!("{reads} reads");
+    // Each start takes a look at the newest records, and a read that is refused.
+    let limit = READERS * 2 * (COUNT_TIME.as_millis() as usize / RESTART_PAUSE_MS + 1);
+    assert!(reads <= limit, "{reads} reads, {limit} allowed");
 }
 
 /// Time for which the store refuses all calls, longer than any window of its rates.
