Never call a request not run that an earlier server began

Callers whose first server broke off and whose next servers refused the request (429, 503 or a refused connection) got an error with outcome `not-run`, though the first server may have run it. A stream of which they had received tokens was settled as not run and not charged; a chat in one piece said "not run, costs nothing" of a request that had run.

Cause: `FailedRequest::dispatch_again` gave a `DispatchedRequest` that had forgotten the failed attempt, so evidence about the later attempt turned it into an `OpenedRequest`, which proves "not run" of the whole request. The dispatched request now remembers it, and `not_begun` returns the failed request, so the state has no way back.

The existing test of a refused connection only takes the Result apart.

--- a/crates/hibiscus-request/src/lifecycle.rs
+++ b/crates/hibiscus-request/src/lifecycle.rs
@@ -25,6 +25,8 @@
 pub struct DispatchedRequest {
     opened: OpenedRequest,
     server: ServerName,
+    /// Whether a server may have run it in an earlier attempt.
+    failed_before: bool,
 }
 
 /// A request that a server may have run and that has no complete response.
@@ -36,7 +38,10 @@
 impl FailedRequest {
     /// Sends an idempotent request to another server.
     pub fn dispatch_again(self, server: ServerName) -> DispatchedRequest {
-        self.opened.dispatch(server)
+        DispatchedRequest {
+            failed_before: true,
+            ..self.opened.dispatch(server)
+        }
     }
 }
 
@@ -135,6 +140,7 @@
         DispatchedRequest {
             opened: self,
             server,
+            failed_before: false,
         }
     }
 
@@ -156,8 +162,15 @@
     }
 
     /// Returns the request to its state before an attempt that ran nothing.
-    pub fn not_begun(self, _evidence: NotBegunEvidence) -> OpenedRequest {
-        self.opened
+    ///
+    /// # Errors
+    ///
+    /// Returns the failed request if a server may have run it in an earlier attempt.
+    pub fn not_begun(self, _evidence: NotBegunEvidence) -> Result<OpenedRequest, FailedRequest> {
+        if self.failed_before {
+            return Err(self.failed());
+        }
+        Ok(self.opened)
     }
 
     /// Marks an attempt as failed after the server may have started it. An
--- a/crates/hibiscus-request/tests/lifecycle.rs
+++ b/crates/hibiscus-request/tests/lifecycle.rs
@@ -21,7 +21,28 @@
     let admitted = AdmittedRequest::new(key.clone());
     let opened = admitted.opened(GrantId::generate(), TokenCount::new(5), 3);
     let dispatched = opened.dispatch(ServerName::from("server"));
-    let opened = dispatched.not_begun(NotBegunEvidence::connection_refused());
+    let opened = dispatched
+        .not_begun(NotBegunEvidence::connection_refused())
+        .expect("no earlier attempt may have run it");
     assert_eq!(opened.attempt(), 3);
     assert_eq!(*opened.refuse().key(), key);
 }
+
+/// Guards against a request that a server began being refused as not run because the
+/// next server refused it (issue 48).
+#[test]
+fn a_request_that_may_have_run_is_not_proved_not_run_by_a_later_attempt() {
+    let evidence = [
+        NotBegunEvidence::engine_refused(503).expect("503 is evidence"),
+        NotBegunEvidence::connection_refused(),
+    ];
+    let key = RequestKey::new("team".into(), "key");
+    let opened = AdmittedRequest::new(key).opened(GrantId::generate(), TokenCount::new(5), 3);
+    let mut failed = opened.dispatch(ServerName::from("first")).failed();
+    for evidence in evidence {
+        let dispatched = failed.dispatch_again(ServerName::from("next"));
+        failed = dispatched
+            .not_begun(evidence)
+            .expect_err("the first server may have run it");
+    }
+}
--- a/crates/hibiscus-router/src/requests/attempt.rs
+++ b/crates/hibiscus-router/src/requests/attempt.rs
@@ -172,7 +172,10 @@
                 None => AttemptEnd::Failed,
             };
             self.end_attempt(chosen, end);
-            return ReadyRequest::Opened(dispatched.not_begun(evidence));
+            return match dispatched.not_begun(evidence) {
+                Ok(opened) => ReadyRequest::Opened(opened),
+                Err(failed) => ReadyRequest::Failed(failed),
+            };
         }
         let stopped = suspects::has_stopped(chosen.load.address, error);
         // A call that was ended for its caller's sake shows nothing of the
--- a/tests/testsuite/broken_answers.rs
+++ b/tests/testsuite/broken_answers.rs
@@ -121,7 +121,14 @@
             cases.push(BrokenCase::repeated(kind, key, ATTEMPTS, answer));
         }
     }
-    fleet.check_all(&cases, |_case| AnswerEnd::Refused(502));
+    fleet.check_all(&cases, |case| {
+        // Only a refusal of this request by an engine shows that it did not run.
+        if case.key.ends_with("busy-sized") {
+            AnswerEnd::NotRun(503)
+        } else {
+            AnswerEnd::Refused(502)
+        }
+    });
 }
 
 /// The odd answer `name` to the request `key` that goes on from the token `next`.
@@ -300,3 +307,32 @@
     }
     fleet.check_all(&cases, |_case| AnswerEnd::Whole);
 }
+
+/// Guards against a request that a server began being called not run, and not charged,
+/// because the next server refused it (issue 48).
+#[test]
+fn a_request_that_a_server_began_is_not_called_not_run_when_the_next_one_refuses_it() {
+    let fleet = scripted_fleet();
+    let mut cases = Vec::new();
+    for kind in [CallKind::Stream, CallKind::Chat] {
+        for (name, status) in [("many", 429), ("busy", 503)] {
+            let key = format!("began-{kind:?}-{name}").to_lowercase();
+            let mut bytes = BodyFraming::Sized.answer(kind, &key);
+            bytes.truncate(half_of(&bytes, kind, &key));
+            let refusal = ScriptedAnswer::closed(sized(status, &key, b"FOREIGN"));
+            cases.push(BrokenCase {
+                answers: vec![ScriptedAnswer::closed(bytes), refusal.clone(), refusal],
+                deposits: RETRY_DEPOSITS,
+                ..BrokenCase::sound(kind, key)
+            });
+        }
+    }
+    fleet.check_all(&cases, |case| match case.kind {
+        CallKind::Stream => AnswerEnd::Broken(FIRST_TOKENS),
+        _ => AnswerEnd::Refused(502),
+    });
+    for case in &cases {
+        let attempts = fleet.script.attempts(&case.key);
+        assert_eq!(attempts.len(), ATTEMPTS, "{}", case.key);
+    }
+}
--- a/tests/testsuite/broken_answers/odd_answers.rs
+++ b/tests/testsuite/broken_answers/odd_answers.rs
@@ -68,6 +68,7 @@
         ("error-sized", sized(500, key, ERROR)),
         ("error-chunked", chunked(500, key, ERROR)),
         ("error-empty", sized(500, key, b"")),
+        ("busy-sized", sized(503, key, ERROR)),
         (
             "redirect",
             head(302, key, "location: /FOREIGN\r\ncontent-length: 0\r\n").into_bytes(),
