Refuse plain answers whose framing does not show their end

Callers of plain services got a 200 with a short body, with a matching Content-Length, when a server named a transfer coding other than `chunked` and its connection ended early; of an HTTP/1.0 server that sent chunks they got the lines of the chunk sizes as content. For calls that may run once such an answer is also what the settlement keeps for retries.

Cause: `check_framing` took any `transfer-encoding` or `content-length` header for a framing. The HTTP agent reads a body to the end of the connection if the coding is one it does not know, or if the server speaks HTTP/1.0, and a closed connection then passes for the end of the body. Only a single `chunked` of HTTP/1.1, or a length of digits, counts now; other answers are treated as broken, as those without a framing were.

Clients of the log and the list need no such check: a JSON object that is cut does not parse.

--- a/crates/hibiscus-clients/src/engine.rs
+++ b/crates/hibiscus-clients/src/engine.rs
@@ -17,6 +17,7 @@
 use ureq::Agent;
 use ureq::Body;
 use ureq::http::Response;
+use ureq::http::Version;
 
 use crate::http;
 
@@ -333,11 +334,23 @@
     }
 }
 
-/// Checks that the end of the body can be told from a closed connection.
+/// Checks that the end of the body can be told from a closed connection. The agent reads
+/// a body to the end of the connection if it cannot read the framing.
 fn check_framing(response: &Response<Body>) -> Result<()> {
-    let framed = !header(response, "content-length").is_empty()
-        || !header(response, "transfer-encoding").is_empty();
-    if framed || response.status().as_u16() == 204 {
+    let headers = response.headers();
+    let has_coding = headers.contains_key("transfer-encoding");
+    let is_framed = if has_coding {
+        let only = headers.get_all("transfer-encoding").iter().count() == 1;
+        let chunked = header(response, "transfer-encoding")
+            .trim()
+            .eq_ignore_ascii_case("chunked");
+        // HTTP/1.0 has no chunks.
+        only && chunked && response.version() == Version::HTTP_11
+    } else {
+        let length = header(response, "content-length");
+        !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit())
+    };
+    if is_framed || response.status().as_u16() == 204 {
         Ok(())
     } else {
         Err(EngineError::Truncated)
--- a/tests/testsuite/broken_answers.rs
+++ b/tests/testsuite/broken_answers.rs
@@ -103,6 +103,58 @@
     fleet.check_charges(&cases, &ends);
 }
 
+/// Guards against the end of a connection passing for the end of a body whose framing
+/// does not show it (issue 48).
+#[test]
+fn a_body_whose_framing_shows_no_end_is_never_whole() {
+    let fleet = scripted_fleet();
+    let framings = [
+        ("identity", "transfer-encoding: identity\r\n"),
+        ("gzip", "transfer-encoding: gzip\r\n"),
+        ("unknown", "transfer-encoding: xchunked\r\n"),
+        ("reversed", "transfer-encoding: chunked, gzip\r\n"),
+        ("word", "content-length: many\r\n"),
+        ("list", "content-length: 99, 99\r\n"),
+        ("signed", "content-length: +99\r\n"),
+        ("negative", "content-length: -99\r\n"),
+        ("suffix", "content-length: 99 bytes\r\n"),
+        ("blank", "content-length:\r\n"),
+        ("huge", "content-length: 18446744073709551623\r\n"),
+        ("differing", "content-length: 7\r\ncontent-length: 99\r\n"),
+        ("falling", "content-length: 99\r\ncontent-length: 7\r\n"),
+        ("twice", "content-length: 99\r\ncontent-length: 99\r\n"),
+        ("folded", "content-length:\r\n 99\r\n"),
+        ("spaced", "content-length : 99\r\n"),
+        (
+            "both-chunked",
+            "content-length: 7\r\ntransfer-encoding: chunked\r\n",
+        ),
+        (
+            "both",
+            "content-length: 7\r\ntransfer-encoding: identity\r\n",
+        ),
+    ];
+    let mut cases = Vec::new();
+    for kind in [CallKind::Sizes, CallKind::Order] {
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
+            for (name, framing) in framings {
+                let key = format!("{kind:?}-{name}-{version}").to_lowercase();
+                let head = head(200, &key, framing).replacen("HTTP/1.1", version, 1);
+                let bytes = [head.as_bytes(), &plain_body(&key).as_bytes()[..7]].concat();
+                let answer = ScriptedAnswer::closed(bytes);
+                cases.push(BrokenCase::repeated(kind, key, ATTEMPTS, answer));
+            }
+        }
+        // HTTP/1.0 has no chunks: the lines of their sizes would be content.
+        let key = format!("{kind:?}-chunks-http/1.0").to_lowercase();
+        let mut bytes = chunked(200, &key, plain_body(&key).as_bytes());
+        bytes[..8].copy_from_slice(b"HTTP/1.0");
+        let answer = ScriptedAnswer::closed(bytes);
+        cases.push(BrokenCase::repeated(kind, key, ATTEMPTS, answer));
+    }
+    fleet.check_all(&cases, |_case| AnswerEnd::Refused(502));
+}
+
 /// Guards against answers that are none, or not to the request, reaching a caller
 /// (issue 48).
 #[test]
