Take an end marker without a finish reason for a broken stream

Callers whose stream had broken off, and whose next server answered 200 with an error event and `[DONE]`, or with `[DONE]` alone, got their short stream with a usage of zero and `data: [DONE]`, framed as complete. A chat in one piece was answered 200 with empty text.

Cause: an event without choices was passed over, and the end marker alone made a stream whole; engines send the marker after an error too.

--- a/crates/hibiscus-router/src/requests/chat.rs
+++ b/crates/hibiscus-router/src/requests/chat.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc::SyncSender;
 use std::time::Instant;
 
+use hibiscus_clients::engine::EngineError;
 use hibiscus_clients::engine::StreamStep;
 use hibiscus_events::EventCode;
 use hibiscus_ledger::holder::TokenReservation;
@@ -236,6 +237,8 @@
         watched.note_byte();
         let chunk = match stream.next_step()? {
             StreamStep::Chunk(chunk) => chunk,
+            // Engines end a stream with the marker after an error too.
+            StreamStep::End if !progress.is_finished() => return Err(EngineError::Truncated),
             StreamStep::End => {
                 if let Some(seconds) = pace.token_seconds() {
                     context.servers.note_speed(&chosen.load.name, seconds);
--- a/crates/hibiscus-router/src/requests/progress.rs
+++ b/crates/hibiscus-router/src/requests/progress.rs
@@ -53,6 +53,11 @@
         self.tokens
     }
 
+    /// Whether a server has said why the answer ended.
+    pub fn is_finished(&self) -> bool {
+        !self.finish_reason.is_empty()
+    }
+
     /// Takes one event over; false when the caller has left.
     pub fn take(&mut self, chunk: &ChatChunk) -> bool {
         if self.model.is_empty() {
--- a/tests/testsuite/broken_answers/odd_answers.rs
+++ b/tests/testsuite/broken_answers/odd_answers.rs
@@ -63,6 +63,7 @@
 pub(super) fn odd_streams(key: &str) -> Vec<(&'static str, Vec<u8>)> {
     let stream = |events: &str| chunked(200, key, events.as_bytes());
     let other = chat_events("another-request", 0) + &chat_end("another-request");
+    let own_error = format!(r#"data: {{"id":"{key}","error":{{"message":"FOREIGN"}}}}"#);
     let error = r#"data: {"error":{"message":"FOREIGN"}}"#;
     vec![
         ("error-sized", sized(500, key, ERROR)),
@@ -83,6 +84,15 @@
             "error-event-named",
             stream(&format!("event: error\ndata: FOREIGN\n\n{END_MARKER}")),
         ),
+        (
+            "error-event-own",
+            stream(&format!("{own_error}\n\n{END_MARKER}")),
+        ),
+        ("end-alone", stream(END_MARKER)),
+        (
+            "end-alone-unframed",
+            unframed(200, key, END_MARKER.as_bytes()),
+        ),
     ]
 }
 
@@ -94,6 +104,7 @@
     let stream = |events: &str| chunked(200, key, events.as_bytes());
     let error = sized(500, key, ERROR);
     vec![
+        ("then-end", stream(&format!("{event}{END_MARKER}"))),
         ("then-other", stream(&format!("{event}{other}{END_MARKER}"))),
         (
             "then-head",
