Prove "not run" only by an engine's refusal of the same request

Callers were told `not-run` (503 `no_server`) on the strength of 429 or 503 answers that named another request or none, so of servers that had said nothing of this request.

Cause: `start_chat` looked at the status before the request id, and a refusal is evidence that the request did not begin. The id is compared first now; an answer with another id or without one is crossed, the request may have run, and another server is tried. docs/operators/servers.md already asks servers to send the id back in each answer; a proxy that answers 503 for an engine without it now gives `unknown` (502) instead of `not-run`.

--- a/crates/hibiscus-clients/src/engine.rs
+++ b/crates/hibiscus-clients/src/engine.rs
@@ -252,11 +252,12 @@
         headers: &CallHeaders<'_>,
     ) -> Result<ChatStream> {
         let response = self.send(server, "/v1/chat/completions", body, headers)?;
+        // The refusal of another request proves nothing of this one.
+        check_id(&response, headers.request_id)?;
         let status = response.status().as_u16();
         if status != 200 {
             return Err(EngineError::Refused { status });
         }
-        check_id(&response, headers.request_id)?;
         Ok(ChatStream {
             request_id: headers.request_id.to_owned(),
             reader: BufReader::new(response.into_body().into_reader()),
--- a/tests/testsuite/broken_answers/odd_answers.rs
+++ b/tests/testsuite/broken_answers/odd_answers.rs
@@ -21,6 +21,8 @@
     vec![
         ("error-unframed", unframed(500, key, ERROR)),
         ("error-half-head", half_head),
+        ("busy-other", sized(503, "another-request", ERROR)),
+        ("busy-no-id", sized(503, "", ERROR)),
         ("status-line", b"HTTP/1.1 200 FOREIGN\r\n".to_vec()),
         ("status-line-error", b"HTTP/1.1 500 FOREIGN\r\n".to_vec()),
         ("status-line-end", b"HTTP/1.1 200 FOREIGN\r\n\r\n".to_vec()),
