Pass no 101 of a plain service on to callers

Callers who asked for no other protocol got `101 Switching Protocols` when a plain service answered so; for calls that may run once it was settled as the call's answer.

Cause: the HTTP agent skips other interim answers but returns 101 as the answer. Interim statuses count as broken answers now (502, `unknown`).

After: broken_answers:: passes, 9 tests, 13 s.

--- a/crates/hibiscus-clients/src/engine.rs
+++ b/crates/hibiscus-clients/src/engine.rs
@@ -351,7 +351,10 @@
         let length = header(response, "content-length");
         !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit())
     };
-    if is_framed || response.status().as_u16() == 204 {
+    let status = response.status();
+    // The agent skips other interim answers, but 101 ends HTTP on the connection.
+    let is_final = !status.is_informational();
+    if is_final && (is_framed || status.as_u16() == 204) {
         Ok(())
     } else {
         Err(EngineError::Truncated)
--- a/tests/testsuite/broken_answers/odd_answers.rs
+++ b/tests/testsuite/broken_answers/odd_answers.rs
@@ -18,6 +18,7 @@
     let chunks = head(200, key, "transfer-encoding: chunked\r\n").into_bytes();
     let half_head = sized(500, key, ERROR)[..60].to_vec();
     let hints = b"HTTP/1.1 103 FOREIGN\r\nlink: x\r\n\r\n".to_vec();
+    let switching = "content-length: 0\r\nupgrade: x\r\nconnection: upgrade\r\n";
     vec![
         ("error-unframed", unframed(500, key, ERROR)),
         ("error-half-head", half_head),
@@ -42,6 +43,7 @@
             [hints.clone(), unframed(500, key, ERROR)].concat(),
         ),
         ("early-hints-alone", hints),
+        ("switching", head(101, key, switching).into_bytes()),
         (
             "interim",
             head(199, key, "content-length: 0\r\n").into_bytes(),
