Answer 502 instead of an empty 200 if a head cannot be built

Not seen at a caller: every status, content type and key that reaches `respond` was read as valid before. The fallback is a 502 now.

--- a/crates/hibiscus-router/src/callers/answer.rs
+++ b/crates/hibiscus-router/src/callers/answer.rs
@@ -7,6 +7,7 @@
 use hibiscus_types::RefusalReason;
 use hibiscus_types::RequestOutcome;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::http::HeaderValue;
 use serde::Serialize;
 
@@ -226,9 +227,11 @@
     if !head.key.is_empty() {
         builder = builder.header(KEY_HEADER, &head.key);
     }
-    builder
-        .body(body)
-        .unwrap_or_else(|_error| Response::new(AnswerBody::whole("")))
+    builder.body(body).unwrap_or_else(|_error| {
+        let mut response = Response::new(AnswerBody::whole(""));
+        *response.status_mut() = StatusCode::BAD_GATEWAY;
+        response
+    })
 }
 
 /// The answer to a failed request.
