--- a/crates/hibiscus-clients/src/engine.rs
+++ b/crates/hibiscus-clients/src/engine.rs
@@ -17,6 +17,7 @@
 use ureq::Agent;
 use ureq::Body;
 use ureq::http::Response;
+use ureq::http::Version;
 
 use crate::http;
 
@@ -251,11 +252,12 @@
         headers: &CallHeaders<'_>,
     ) -> Result<ChatStream> {
         let response = self.send(server, "/v1/chat/completions", body, headers)?;
+        // The refusal of another request proves nothing of this one.
+        check_id(&response, headers.request_id)?;
         let status = response.status().as_u16();
         if status != 200 {
             return Err(EngineError::Refused { status });
         }
-        check_id(&response, headers.request_id)?;
         Ok(ChatStream {
             request_id: headers.request_id.to_owned(),
             reader: BufReader::new(response.into_body().into_reader()),
@@ -333,11 +335,26 @@
     }
 }
 
-/// Checks that the end of the body can be told from a closed connection.
+/// Checks that the end of the body can be told from a closed connection. The agent reads
+/// a body to the end of the connection if it cannot read the framing.
 fn check_framing(response: &Response<Body>) -> Result<()> {
-    let framed = !header(response, "content-length").is_empty()
-        || !header(response, "transfer-encoding").is_empty();
-    if framed || response.status().as_u16() == 204 {
+    let headers = response.headers();
+    let has_coding = headers.contains_key("transfer-encoding");
+    let is_framed = if has_coding {
+        let only = headers.get_all("transfer-encoding").iter().count() == 1;
+        let chunked = header(response, "transfer-encoding")
+            .trim()
+            .eq_ignore_ascii_case("chunked");
+        // HTTP/1.0 has no chunks.
+        only && chunked && response.version() == Version::HTTP_11
+    } else {
+        let length = header(response, "content-length");
+        !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit())
+    };
+    let status = response.status();
+    // The agent skips other interim answers, but 101 ends HTTP on the connection.
+    let is_final = !status.is_informational();
+    if is_final && (is_framed || status.as_u16() == 204) {
         Ok(())
     } else {
         Err(EngineError::Truncated)
