--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -1,6 +1,7 @@
 //! The daemon as a process, with test doubles of the platform's store and servers.
 
 mod accounts;
+mod broken_answers;
 mod changes;
 mod deadly_parts;
 mod draining;
@@ -14,6 +15,7 @@
 mod limits;
 mod odd_records;
 mod operations;
+mod raw_caller;
 mod repeated_refusals;
 mod soak;
 mod soak_streams;
