--- a/crates/hibiscus-traffic/src/handler/response_intake.rs
+++ b/crates/hibiscus-traffic/src/handler/response_intake.rs
@@ -7,6 +7,7 @@
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
 use http::Response;
+use http::Version;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
@@ -119,6 +120,15 @@
     admitted.route.kind.is_stream() && response.response.status().is_success()
 }
 
+/// Removes from the head of a server's response what concerns the connection to the
+/// server only.
+fn prepare_head(head: &mut http::response::Parts) {
+    // With an older version, the HTTP library ends a body without a length with the
+    // connection, so that the caller could not tell a broken stream from a complete one.
+    head.version = Version::HTTP_11;
+    send::strip_connection_headers(&mut head.headers);
+}
+
 /// Starts to forward a stream.
 pub(super) fn start_stream(
     response: ServerResponse,
@@ -128,7 +138,7 @@
     let (mut head, body) = response.response.into_parts();
     let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
         || head.headers.contains_key(header::TRANSFER_ENCODING);
-    send::strip_connection_headers(&mut head.headers);
+    prepare_head(&mut head);
     StartedStream {
         head,
         body,
@@ -147,7 +157,7 @@
     attempt: &mut SentAttempt,
 ) -> std::result::Result<Response<Bytes>, FailureCause> {
     let (mut head, body) = response.response.into_parts();
-    send::strip_connection_headers(&mut head.headers);
+    prepare_head(&mut head);
     let mut in_flight = response.in_flight;
     attempt.request.head_at = Some(Instant::now());
     if head.status.is_success() {
--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -13,6 +13,7 @@
 mod joined_streams;
 mod lifetime;
 mod limits;
+mod odd_answers;
 mod odd_records;
 mod operations;
 mod raw_caller;
