--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -62,6 +62,8 @@
     Silent,
     /// The response has the id of another request.
     OtherRequest,
+    /// The response is a failure without a request id, so it may be for another request.
+    Unnamed,
     /// The response reports success but has no signature or no request id.
     Unsigned,
     /// The status promises that the request did not run, but the response lacks
@@ -85,6 +87,7 @@
             Self::ResponseBroken => "the response is incomplete",
             Self::Silent => "the server is silent",
             Self::OtherRequest => "the response is for another request",
+            Self::Unnamed => "the response names no request",
             Self::Unsigned => "the response is not signed",
             Self::Unproven => "the server refused without proof",
             Self::ServerError => "the server responded with an error",
@@ -318,15 +321,16 @@
         server.note_inconclusive();
         return SendOutcome::Unknown(FailureCause::OtherRequest);
     }
+    let is_unnamed = headers.id.is_none() && !id.is_empty();
     if headers.not_run || status == StatusCode::MISDIRECTED_REQUEST {
         server.note_inconclusive();
         // A faulty server may repeat the refusal of an earlier request.
-        if headers.id.is_none() && !id.is_empty() {
+        if is_unnamed {
             return SendOutcome::Unknown(FailureCause::Unproven);
         }
         return SendOutcome::NotRun(status);
     }
-    if status.is_success() && (!headers.signed || (headers.id.is_none() && !id.is_empty())) {
+    if status.is_success() && (!headers.signed || is_unnamed) {
         server.note_failed();
         return SendOutcome::Unknown(FailureCause::Unsigned);
     }
@@ -335,6 +339,11 @@
         server.note_failed();
         return SendOutcome::Unknown(FailureCause::Unproven);
     }
+    if is_unnamed {
+        // A response to an earlier request may arrive late on a connection in use again.
+        server.note_inconclusive();
+        return SendOutcome::Unknown(FailureCause::Unnamed);
+    }
     if let Some(timeout) = idle_timeout(response.headers())
         && let Some(connection) = in_flight.connection()
     {
--- a/tests/testsuite/front/odd_answers.rs
+++ b/tests/testsuite/front/odd_answers.rs
@@ -20,6 +20,8 @@
 const OLD_SUCCESS: &str = "HTTP/1.0 200 OK";
 /// A body that is also a stream of one event.
 const BODY: &str = "id: 0\ndata: a\n\n";
+/// That body in one chunk.
+const CHUNKED_BODY: &str = "f\r\nid: 0\ndata: a\n\n\r\n0\r\n\r\n";
 /// A stream that ends inside its second event.
 const CUT_EVENTS: &str = "id: 0\ndata: a\n\nid: 1\nda";
 
@@ -145,3 +147,65 @@
         stream.check(name, &answer, 200, body, of_stream);
     }
 }
+
+/// Guards against bytes of an earlier answer that arrive late on a connection that is used
+/// again, and reach the caller of the next request (issue 48, MIXED).
+#[test]
+fn the_late_rest_of_an_earlier_answer_reaches_no_other_caller() {
+    const SERVER_TIME: Duration = Duration::from_millis(12);
+    const DELAYS_MS: [u64; 4] = [0, 1, 3, 6];
+    let platform = Platform::start();
+    let other = "Request-Id: earlier\r\nResponse-Seal: seal-earlier\r\n";
+    let rests = [
+        "rest".to_owned(),
+        "\r\n".to_owned(),
+        "5\r\nother\r\n0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nResp".to_owned(),
+        "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother".to_owned(),
+        "HTTP/1.1 404 No\r\nContent-Length: 5\r\n\r\nother".to_owned(),
+        "HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nother".to_owned(),
+        format!("HTTP/1.1 200 OK\r\n{other}Content-Length: 5\r\n\r\nother"),
+        format!("HTTP/1.1 404 No\r\n{other}Content-Length: 5\r\n\r\nother"),
+        format!("HTTP/1.1 503 No\r\n{other}Not-Executed: 1\r\nContent-Length: 5\r\n\r\nother"),
+        format!("HTTP/1.1 200 OK\r\n{other}Transfer-Encoding: chunked\r\n\r\n5\r\nother\r\n"),
+        format!("HTTP/1.1 103 Hints\r\n{other}\r\n"),
+    ];
+    let first = signed(SUCCESS, "Transfer-Encoding: chunked\r\n", CHUNKED_BODY);
+    let next = signed(
+        SUCCESS,
+        "Transfer-Encoding: chunked\r\n",
+        "12\r\nid: 0\ndata: {id}\n\n\r\n0\r\n\r\n",
+    );
+    let mut used = 0;
+    for case in [CallerCase::plain(&platform), CallerCase::stream(&platform)] {
+        let cases = rests
+            .iter()
+            .flat_map(|rest| DELAYS_MS.map(|delay| (rest, delay)));
+        for (number, (rest, delay)) in cases.enumerate() {
+            let mut caller = RawCaller::new(platform.front.ports.callers);
+            let delay = Duration::from_millis(delay);
+            let ids = [format!("c{number:03}"), format!("d{number:03}")];
+            let first = RawAnswer::new(&*first, AnswerEnd::Keep).late(delay, &**rest);
+            let next = RawAnswer::new("", AnswerEnd::Keep).then(SERVER_TIME, &*next);
+            case.server
+                .set_script([first.only_for(&ids[0]), next.only_for(&ids[1])]);
+            for (id, own) in ids
+                .iter()
+                .zip([BODY, &format!("id: 0\ndata: {}\n\n", ids[1])])
+            {
+                let got = caller.call(&case.request(id));
+                let name = format!("{} {delay:?} {rest}: {got:?}", case.path);
+                check_answer(&name, &got, id);
+                assert!(got.is_whole, "{name}");
+                // The rest may break the connection of either request.
+                let is_own = got.status == 200 && got.text() == own;
+                assert!(is_own || got.status == 502, "{name}");
+            }
+        }
+        let requests = case.server.requests();
+        used += requests.iter().filter(|request| request.number > 1).count();
+    }
+    println!("{used} requests on connections in use again");
+    assert!(used > rests.len(), "{used}");
+}
