--- a/crates/hibiscus-traffic/src/handler/response_intake.rs
+++ b/crates/hibiscus-traffic/src/handler/response_intake.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use hibiscus_events::EventCode;
 use hibiscus_events::event;
+use http::Method;
 use http::Response;
+use http::StatusCode;
 use http::Version;
 use http::header;
 use http_body_util::BodyExt;
@@ -120,6 +122,23 @@
     admitted.route.kind.is_stream() && response.response.status().is_success()
 }
 
+/// Whether the end of the body is marked by a length or a last chunk. Otherwise it ends with
+/// its connection, which a crash of the server also ends.
+fn is_framed(head: &http::response::Parts) -> bool {
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+    let Some(coding) = codings.iter().next_back() else {
+        return head.headers.contains_key(header::CONTENT_LENGTH);
+    };
+    let coding = coding.to_str().unwrap_or_default();
+    let last = coding.rsplit(',').next().unwrap_or_default();
+    last.trim().eq_ignore_ascii_case("chunked")
+}
+
+/// Whether a body may follow `head` in the response to `admitted`.
+fn may_have_body(admitted: &AdmittedRequest, head: &http::response::Parts) -> bool {
+    admitted.method != Method::HEAD && head.status != StatusCode::NO_CONTENT
+}
+
 /// Removes from the head of a server's response what concerns the connection to the
 /// server only.
 fn prepare_head(head: &mut http::response::Parts) {
@@ -136,8 +155,7 @@
     attempt: SentAttempt,
 ) -> StartedStream {
     let (mut head, body) = response.response.into_parts();
-    let is_framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let is_framed = is_framed(&head);
     prepare_head(&mut head);
     StartedStream {
         head,
@@ -157,6 +175,7 @@
     attempt: &mut SentAttempt,
 ) -> std::result::Result<Response<Bytes>, FailureCause> {
     let (mut head, body) = response.response.into_parts();
+    let is_unframed = !is_framed(&head) && may_have_body(admitted, &head);
     prepare_head(&mut head);
     let mut in_flight = response.in_flight;
     attempt.request.head_at = Some(Instant::now());
@@ -170,6 +189,12 @@
         in_flight.server().note_failed();
         return Err(FailureCause::ResponseBroken);
     };
+    let body = gathered.to_bytes();
+    // The connection ended right after the head, which a crash also causes.
+    if is_unframed && head.status.is_success() && body.is_empty() {
+        in_flight.server().note_failed();
+        return Err(FailureCause::ResponseBroken);
+    }
     in_flight.note_prefill_done();
     in_flight.server().note_healthy();
     attempt.note_responded();
@@ -183,5 +208,5 @@
         admitted.arrived.elapsed().as_millis()
     );
     in_flight.keep_connection();
-    Ok(Response::from_parts(head, gathered.to_bytes()))
+    Ok(Response::from_parts(head, body))
 }
--- a/tests/testsuite/front/broken_answers.rs
+++ b/tests/testsuite/front/broken_answers.rs
@@ -73,8 +73,13 @@
         if cut < self.head_length || end == AnswerEnd::Reset {
             return false;
         }
+        // A body without a byte tells of a crash after the head.
         let body = &self.body[..cut - self.head_length];
-        !self.is_stream || body.ends_with("\n\n")
+        if self.is_stream {
+            body.ends_with("\n\n")
+        } else {
+            !body.is_empty()
+        }
     }
 }
 
--- a/tests/testsuite/front/odd_answers.rs
+++ b/tests/testsuite/front/odd_answers.rs
@@ -148,6 +148,30 @@
     }
 }
 
+/// Guards against a success without length whose server closed right after the head, and
+/// that reaches its caller as an empty answer (issue 48, MIXED).
+#[test]
+fn an_unframed_success_that_ends_with_its_head_is_not_whole() {
+    let platform = Platform::start();
+    let answer = RawAnswer::new(signed(SUCCESS, "", ""), AnswerEnd::Close);
+    let plain = CallerCase::plain(&platform);
+    plain.check("empty", &answer, 200, "", CallerResult::Broken);
+    let stream = CallerCase::stream(&platform);
+    stream.check("empty", &answer, 200, "", CallerResult::Broken);
+    let coded = signed(SUCCESS, "Transfer-Encoding: gzip\r\n", "");
+    let coded = RawAnswer::new(coded, AnswerEnd::Close);
+    plain.check("coded", &coded, 200, "", CallerResult::Broken);
+    stream.check("coded", &coded, 200, "", CallerResult::Broken);
+    let whole = signed(SUCCESS, "Content-Length: 0\r\n", "");
+    let whole = RawAnswer::new(whole, AnswerEnd::Keep);
+    plain.check("length", &whole, 200, "", CallerResult::Whole);
+    for line in ["HTTP/1.1 204 None", "HTTP/1.1 404 No"] {
+        let status = if line.contains("204") { 204 } else { 404 };
+        let bare = RawAnswer::new(signed(line, "", ""), AnswerEnd::Close);
+        plain.check(line, &bare, status, "", CallerResult::Whole);
+    }
+}
+
 /// Guards against bytes of an earlier answer that arrive late on a connection that is used
 /// again, and reach the caller of the next request (issue 48, MIXED).
 #[test]
