--- a/crates/hibiscus-traffic/src/handler/forwarding.rs
+++ b/crates/hibiscus-traffic/src/handler/forwarding.rs
@@ -426,7 +426,7 @@
     let name = &server.entry.name;
     match outcome {
         SendOutcome::Responded(response) if response_intake::is_stream(admitted, &response) => {
-            let stream = response_intake::start_stream(*response, charge, attempt);
+            let stream = response_intake::start_stream(admitted, *response, charge, attempt);
             let response = ForwardedResponse::Stream(Box::new(stream));
             NextStep::Respond(Box::new(response))
         }
--- a/crates/hibiscus-traffic/src/handler/response_intake.rs
+++ b/crates/hibiscus-traffic/src/handler/response_intake.rs
@@ -141,22 +141,29 @@
 
 /// Removes from the head of a server's response what concerns the connection to the
 /// server only.
-fn prepare_head(head: &mut http::response::Parts) {
+fn prepare_head(admitted: &AdmittedRequest, head: &mut http::response::Parts) {
     // With an older version, the HTTP library ends a body without a length with the
     // connection, so that the caller could not tell a broken stream from a complete one.
     head.version = Version::HTTP_11;
     send::strip_connection_headers(&mut head.headers);
+    // The HTTP library states the length of a whole body, and sends a stream in chunks, so
+    // that a stream may still fail after its last byte. The response to HEAD states the
+    // length of another one.
+    if admitted.method != Method::HEAD {
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
 }
 
 /// Starts to forward a stream.
 pub(super) fn start_stream(
+    admitted: &AdmittedRequest,
     response: ServerResponse,
     charge: Option<&Rc<RequestCharge>>,
     attempt: SentAttempt,
 ) -> StartedStream {
     let (mut head, body) = response.response.into_parts();
     let is_framed = is_framed(&head);
-    prepare_head(&mut head);
+    prepare_head(admitted, &mut head);
     StartedStream {
         head,
         body,
@@ -176,7 +183,7 @@
 ) -> std::result::Result<Response<Bytes>, FailureCause> {
     let (mut head, body) = response.response.into_parts();
     let is_unframed = !is_framed(&head) && may_have_body(admitted, &head);
-    prepare_head(&mut head);
+    prepare_head(admitted, &mut head);
     let mut in_flight = response.in_flight;
     attempt.request.head_at = Some(Instant::now());
     if head.status.is_success() {
--- a/tests/testsuite/front/broken_answers.rs
+++ b/tests/testsuite/front/broken_answers.rs
@@ -111,7 +111,7 @@
         let id = format!("c-{cut:03}");
         let answer = ServerAnswer::new(is_stream, framing, &id);
         let mut script = Vec::new();
-        let earlier = ServerAnswer::new(is_stream, ServerFraming::Chunks, "{id}");
+        let earlier = ServerAnswer::new(is_stream, ServerFraming::Length, "{id}");
         let earlier_length = earlier.body.len();
         if is_used {
             script.push(RawAnswer::new(earlier.bytes, AnswerEnd::Keep));
--- a/tests/testsuite/front/odd_answers.rs
+++ b/tests/testsuite/front/odd_answers.rs
@@ -172,6 +172,91 @@
     }
 }
 
+/// Guards against the length that a server states for another body than the one that is
+/// sent, and for a stream that ends inside an event (issue 48, MIXED and ORDER).
+#[test]
+fn the_length_of_an_answer_is_that_of_its_bytes() {
+    use CallerResult::Broken;
+    use CallerResult::Whole;
+    let platform = Platform::start();
+    let plain = CallerCase::plain(&platform);
+    let stream = CallerCase::stream(&platform);
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    for (name, headers, body, of_plain, of_stream) in [
+        (
+            "one length",
+            "Content-Length: 15\r\n".to_owned(),
+            BODY,
+            Whole,
+            Whole,
+        ),
+        (
+            "twice",
+            "Content-Length: 15\r\nContent-Length: 15\r\n".to_owned(),
+            BODY,
+            Whole,
+            Whole,
+        ),
+        (
+            "list",
+            "Content-Length: 15, 15\r\n".to_owned(),
+            BODY,
+            Whole,
+            Whole,
+        ),
+        (
+            "two",
+            "Content-Length: 15\r\nContent-Length: 14\r\n".to_owned(),
+            BODY,
+            Broken,
+            Broken,
+        ),
+        (
+            "negative",
+            "Content-Length: -15\r\n".to_owned(),
+            BODY,
+            Broken,
+            Broken,
+        ),
+        (
+            "sign",
+            "Content-Length: +15\r\n".to_owned(),
+            BODY,
+            Broken,
+            Broken,
+        ),
+        (
+            "long and chunks",
+            format!("{chunked}Content-Length: 99\r\n"),
+            CHUNKED_BODY,
+            Whole,
+            Whole,
+        ),
+        (
+            "short and chunks",
+            format!("Content-Length: 3\r\n{chunked}"),
+            CHUNKED_BODY,
+            Whole,
+            Whole,
+        ),
+    ] {
+        let bytes = signed(SUCCESS, &headers, body);
+        let answer = RawAnswer::new(bytes, AnswerEnd::Keep);
+        plain.check(name, &answer, 200, BODY, of_plain);
+        stream.check(name, &answer, 200, BODY, of_stream);
+    }
+    let cut = signed(SUCCESS, "Content-Length: 23\r\n", CUT_EVENTS);
+    let cut = RawAnswer::new(cut, AnswerEnd::Keep);
+    plain.check("inside an event", &cut, 200, CUT_EVENTS, Whole);
+    stream.check("inside an event", &cut, 200, CUT_EVENTS, Broken);
+    for (line, status) in [("HTTP/1.1 204 None", 204), ("HTTP/1.1 304 Same", 304)] {
+        let answer = signed(line, "Content-Length: 15\r\n", "");
+        let answer = RawAnswer::new(answer, AnswerEnd::Keep);
+        plain.check(line, &answer, status, "", Whole);
+        stream.check(line, &answer, status, "", Whole);
+    }
+}
+
 /// Guards against bytes of an earlier answer that arrive late on a connection that is used
 /// again, and reach the caller of the next request (issue 48, MIXED).
 #[test]
