--- a/crates/hibiscus-traffic/src/send.rs
+++ b/crates/hibiscus-traffic/src/send.rs
@@ -62,6 +62,8 @@
     Silent,
     /// The response has the id of another request.
     OtherRequest,
+    /// The response switches to another protocol, which was not requested.
+    Switched,
     /// The response is a failure without a request id, so it may be for another request.
     Unnamed,
     /// The response reports success but has no signature or no request id.
@@ -87,6 +89,7 @@
             Self::ResponseBroken => "the response is incomplete",
             Self::Silent => "the server is silent",
             Self::OtherRequest => "the response is for another request",
+            Self::Switched => "the response switches to another protocol",
             Self::Unnamed => "the response names no request",
             Self::Unsigned => "the response is not signed",
             Self::Unproven => "the server refused without proof",
@@ -339,6 +342,10 @@
         server.note_failed();
         return SendOutcome::Unknown(FailureCause::Unproven);
     }
+    if status.is_informational() {
+        server.note_failed();
+        return SendOutcome::Unknown(FailureCause::Switched);
+    }
     if is_unnamed {
         // A response to an earlier request may arrive late on a connection in use again.
         server.note_inconclusive();
--- a/tests/testsuite/front/odd_answers.rs
+++ b/tests/testsuite/front/odd_answers.rs
@@ -257,6 +257,19 @@
     }
 }
 
+/// Guards against a switch of protocols that no caller asked for and that takes the place
+/// of its answer (issue 48, MIXED).
+#[test]
+fn a_switch_of_protocols_is_no_answer() {
+    let platform = Platform::start();
+    let switch = "HTTP/1.1 101 Switching Protocols";
+    let answer = signed(switch, "Upgrade: other\r\nConnection: upgrade\r\n", BODY);
+    let answer = RawAnswer::new(answer, AnswerEnd::Keep);
+    for case in [CallerCase::plain(&platform), CallerCase::stream(&platform)] {
+        case.check("switch", &answer, 101, "", CallerResult::Broken);
+    }
+}
+
 /// Guards against bytes of an earlier answer that arrive late on a connection that is used
 /// again, and reach the caller of the next request (issue 48, MIXED).
 #[test]
