--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod broken_answers;
+mod broken_take_ups;
 mod changes;
 mod deadly_parts;
 mod draining;
