--- a/tests/testsuite/front/odd_answers.rs
+++ b/tests/testsuite/front/odd_answers.rs
@@ -331,3 +331,32 @@
     println!("{used} requests on connections in use again");
     assert!(used > rests.len(), "{used}");
 }
+
+/// Guards against an answer that begins inside the head of another, so that a head holds
+/// the ids of two requests and the body is that of the other (issue 48, MIXED).
+#[test]
+fn an_answer_that_begins_inside_another_head_is_no_answer() {
+    let platform = Platform::start();
+    let other = signed(SUCCESS, "Content-Length: 15\r\n", BODY).replace("{id}", "other");
+    let length = signed(SUCCESS, "Content-Length: 15\r\n", "").len();
+    let mut foreign = 0;
+    for case in [CallerCase::plain(&platform), CallerCase::stream(&platform)] {
+        for cut in 0..length - 1 {
+            let id = format!("c{cut:03}");
+            let head = signed(SUCCESS, "Content-Length: 15\r\n", "").replace("{id}", &id);
+            let begun = &head[..cut];
+            let answer = RawAnswer::new(format!("{begun}{other}"), AnswerEnd::Close);
+            case.server.set_script([answer.only_for(&id)]);
+            let mut caller = RawCaller::new(platform.front.ports.callers);
+            let got = caller.call(&case.request(&id));
+            if got.status == 200 {
+                println!("{} at {cut}: {got:?}", case.path);
+                foreign += 1;
+                continue;
+            }
+            check_answer(&format!("{} at {cut}: {got:?}", case.path), &got, &id);
+            assert_eq!(got.status, 502, "{} at {cut}: {got:?}", case.path);
+        }
+    }
+    assert_eq!(foreign, 0, "answers with the body of another");
+}
