--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -1,6 +1,8 @@
 //! The daemon as a process, with test doubles of the platform's store and servers.
 
 mod accounts;
+mod broken_answers;
+mod broken_take_ups;
 mod changes;
 mod deadly_parts;
 mod draining;
@@ -13,8 +15,10 @@
 mod leaving_in_drills;
 mod lifetime;
 mod limits;
+mod odd_answers;
 mod odd_records;
 mod operations;
+mod raw_caller;
 mod refused_reads;
 mod repeated_refusals;
 mod soak;
