--- a/tests/testsuite/front.rs
+++ b/tests/testsuite/front.rs
@@ -19,6 +19,7 @@
 mod odd_records;
 mod operations;
 mod raw_caller;
+mod refused_calls;
 mod refused_reads;
 mod repeated_refusals;
 mod soak;
