--- a/tests/testsuite/front/refused_calls.rs
+++ b/tests/testsuite/front/refused_calls.rs
@@ -10,9 +10,13 @@
 use platform_standins::StoreFaults;
 use platform_standins::StoreRates;
 
+use crate::front::PREPAID;
 use crate::front::Platform;
+use crate::front::config;
+use crate::front::count_logs;
 use crate::front::status;
 use crate::front::steady_callers::SteadyCallers;
+use crate::front::wait_for;
 use crate::front::write_server;
 
 /// Time after a change in which it has to be known: `drain-timeout-ms`.
@@ -174,3 +178,43 @@
         assert_eq!(failed, 0, "status {status_code}");
     }
 }
+
+/// Guards against an instance that reads the operators' topic again and again without a pause,
+/// and no new version, at a store that came back shorter and names no new era (issue 48).
+#[test]
+fn a_version_comes_into_force_if_the_topic_is_shorter_and_no_new_era_is_named() {
+    let platform = Platform::start();
+    let faults = StoreFaults {
+        named_era: Some("0"),
+        refuse_beyond_end: true,
+        ..StoreFaults::default()
+    };
+    platform.store.set_faults(faults);
+    let copy = platform.store.copy();
+    let in_force = |version: u64| {
+        let line = format!("HS2001 configuration version is in force version={version} ");
+        let fronts = std::slice::from_ref(&platform.front);
+        wait_for(&line, || count_logs(fronts, &line) == 1);
+    };
+    let write = |version: u64| {
+        let text = config(version, PREPAID, "");
+        platform.store.write("keyed.op", "config", text.as_bytes());
+    };
+    for version in 2..8 {
+        write(version);
+        in_force(version);
+    }
+    platform.store.come_back_from(copy);
+    let (_appends, before) = platform.store.calls();
+    thread::sleep(COUNT_TIME);
+    let (_appends, after) = platform.store.calls();
+    let reads = after - before;
+    let written = Instant::now();
+    write(8);
+    in_force(8);
+    let took = written.elapsed();
+    println!("{reads} reads, in force after {took:?}");
+    let limit = READERS * 2 * (COUNT_TIME.as_millis() as usize / RESTART_PAUSE_MS + 1);
+    assert!(reads <= limit, "{reads} reads, {limit} allowed");
+    assert!(took < CHANGE_LIMIT, "{took:?}");
+}
