Review: streams of a frozen machine are refused when a release begins

One machine of three freezes for 4 s; 0.5 s later two servers of another software version are added. Clients take the streams of the frozen machine up at the others, which refuse all of them, while new streams begin there and three servers of the streams' version serve.

--- a/review/stand-2/standins.py
+++ b/review/stand-2/standins.py
@@ -26,6 +26,8 @@
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3 * HEARTBEAT_S
 STORE_LATENCY_S = 0.004
+# Clients abandon a stream after a gap of two seconds, or four times the objective (500 ms).
+GAP_S = 2.0
 BEGAN = time.monotonic()
 
 
@@ -268,14 +270,14 @@
 class Server:
     """A server of a service. `serve` answers one request and names what it ran."""
 
-    def __init__(self, store, record, name, service, address, version="v1", slots=96):
+    def __init__(self, store, record, name, service, address, version="v1", slots=96, events=20):
         self.store = store
         self.record = record
         self.name = name
         self.service = service
         self.version = version
         self.slots = slots
-        self.events = 20
+        self.events = events
         self.pause_s = 0.05
         self.body = b"answer"
         self.sequence = 0
@@ -744,6 +746,8 @@
         self.retries = retries
         self.events = []
         self.complete = False
+        self.take_ups = 0
+        self.went_on = False
 
     def run(self, first_machine, later_machines):
         """Sends to `first_machine`, and retries at one of `later_machines`."""
@@ -760,6 +764,7 @@
             what = "begins"
             if resumes:
                 what = f"resumes {resumes} after {self.events[-1][0]}"
+                self.take_ups += 1
                 more += f"Last-Event-Id: {self.events[-1][0]}\r\nResumes: {resumes}\r\n"
             machine = random.choice([first_machine] if attempt == 0 else later_machines)
             name = self.fleet.names[machine]
@@ -768,7 +773,7 @@
             try:
                 message = post("/resume/x", request, int(left * 1000), more)
                 address = (self.fleet.addresses[machine], 8227)
-                answer = Client.exchange(address, message, left)
+                answer = Client.exchange(address, message, min(left, GAP_S))
             except OSError as error:
                 self.record.line(f"client {self.number} {request}: {error}")
                 continue
@@ -780,6 +785,7 @@
                 f" first and last event {ends}, complete={answer.complete} {reason}"
             )
             if answer.status == 200:
+                self.went_on |= bool(got) and resumes is not None
                 if got and resumes is None:
                     resumes = request
                 self.events += got
