--- a/review/stand-2/standins.py
+++ b/review/stand-2/standins.py
@@ -78,7 +78,7 @@
                     self.send_response(status)
                     self.send_header("Content-Type", kind)
                     self.send_header("Content-Length", str(len(reply)))
-                    self.send_header("Store-Era", "0")
+                    self.send_header("Store-Era", str(gate.store.era))
                     self.end_headers()
                     self.wfile.write(reply)
                     self.wfile.flush()
@@ -111,6 +111,7 @@
         self.topics = {}
         self.condition = threading.Condition()
         self.down = False
+        self.era = 0
         self.host = address
         self.address = Gate(self, address).address
 
@@ -237,6 +238,31 @@
         page = {"items": items, "has-more": False, "end-offset": end}
         return 200, "application/json", json.dumps(page).encode()
 
+    def copy(self):
+        """A copy of all topics, from which the store may come back."""
+        with self.condition:
+            return {
+                name: {
+                    "first": topic["first"],
+                    "records": list(topic["records"]),
+                    "newest": dict(topic["newest"]),
+                }
+                for name, topic in self.topics.items()
+            }
+
+    def come_back_from(self, copy):
+        """Comes back from `copy`; what the operator wrote since is written again at once,
+        and the servers write their entries with their next heartbeats."""
+        with self.condition:
+            lost = self.topics
+            self.topics = copy
+            self.era += 1
+            for key, (value, offset) in lost["keyed.op"]["newest"].items():
+                topic = self.topic("keyed.op")
+                if offset >= topic["first"] + len(topic["records"]):
+                    self.append("keyed.op", [bytes([len(key)]) + key + value])
+            self.condition.notify_all()
+
     def set_down(self, down):
         """The store refuses all calls with 503 ("busy"), or serves again."""
         with self.condition:
