Review: a killed process counts a budget as spent when little history is kept

The store keeps 20 s of history, as the sheets say and the settings of the script name; one process that does not rank first for the budget is killed and starts again.

--- a/review/10/run.py
+++ b/review/10/run.py
@@ -1,7 +1,6 @@
-"""A part of prompts crashes the servers while few other requests come."""
+"""A process is killed and starts again while the store keeps 20 s of history."""
 
 import os
-import random
 import sys
 import threading
 import time
@@ -21,132 +20,81 @@
 from standins import route
 
 MACHINES = 3
-SERVERS = 4
-DAY_S = 60
-DEADLY_PART = "dead01"
-DEADLY_EVERY_S = 2.5
-SOUND_EVERY_S = float(os.environ.get("SOUND_EVERY_S", "6.0"))
-DOWN_S = 2.0
+KILLED = 1
+# The sheets: "20 s of history".
+KEEP_S = 20
+PREPAID = 1_000_000
+PROMPT = 100
+OUTPUT = 30
+DAY_S = 40
+PROBES = 200
 STABLE_S = 3.0
-FIRST_CRASHES = 5
-# The rule allows three such requests.
-LIMIT = 3
+# More than 5 + one in 500 of all requests.
+DENIED_BASE = 5
+DENIED_SHARE = 500
 
 
-class FragileServer(Server):
-    """Crashes when it begins to write an answer to a prompt with the deadly part."""
-
-    is_fragile = True
-
-    def serve(self, connection, line, headers, body, version):
-        parts = headers.get("prompt-prefix", "").split(",")[:-1]
-        if not any(part.split(":")[0] == DEADLY_PART for part in parts):
-            super().serve(connection, line, headers, body, version)
-            return
-        request = headers["request-id"]
-        now = time.monotonic()
-        self.deadly.append((now, request))
-        self.record.line(f"server {self.name} gets {request} with the deadly part")
-        if not self.is_fragile:
-            super().serve(connection, line, headers, body, version)
-            return
-        # It reads the prompt, sends the head and crashes before the first event.
-        time.sleep(0.06)
-        head = (
-            f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Seal: s.{request}\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        connection.sendall(head.encode())
-        time.sleep(0.02)
-        if self.alive:
-            self.crashes.append(time.monotonic())
-            self.stop()
-            threading.Thread(target=self.come_back, daemon=True).start()
-
-    def come_back(self):
-        time.sleep(DOWN_S)
-        self.restart(self.version)
-        self.beat()
-
-
-def send(fleet, record, number, parts, answers):
+def send(fleet, record, machine, number, statuses):
     request = request_id()
-    machine = random.randrange(MACHINES)
-    kind = "deadly" if DEADLY_PART in parts else "sound"
-    more = (
-        "Model: m\r\nToken-Counts: 700,60\r\n"
-        f"Prompt-Prefix: {parts},{number + 1:x}:100\r\n"
-    )
-    began = time.monotonic()
-    record.line(f"client sends {request} ({kind}) to {fleet.names[machine]}")
+    more = f"Model: m\r\nToken-Counts: {PROMPT},{OUTPUT}\r\nPrompt-Prefix: 5c1e07a2:80,{number + 1:x}:20\r\n"
     try:
         answer = Client.exchange(
-            (fleet.addresses[machine], 8227),
-            post("/plan/x", request, 6000, more, body=b"body %d" % number),
-            6,
+            (fleet.addresses[machine], 8227), post("/chat/x", request, 4000, more), 4
         )
     except OSError as error:
-        record.line(f"{request}: {error}")
+        record.line(f"{request} at {fleet.names[machine]}: {error}")
         return
     record.line(
-        f"{request} ({kind}): status {answer.status}, {len(answer.events())} events,"
-        f" complete={answer.complete} {answer.body[:30] if answer.status != 200 else answer.fault}"
+        f"{request} at {fleet.names[machine]}: status {answer.status}"
+        f" {answer.body[:30] if answer.status != 200 else ''}"
     )
-    answers.append((began, request, kind, answer))
+    statuses.append((machine, answer.status))
 
 
 def case(record, trouble):
     base = loopback_base()
-    store = Store(f"{base}.2")
-    routes = [route("r-p", "plan", "streaming", "engine", 6000, 1, session_affinity=True)]
-    store.write("keyed.op", "config", config(1, routes))
-    FragileServer.is_fragile = trouble
-    FragileServer.deadly = []
-    FragileServer.crashes = []
-    for number in range(SERVERS):
-        server = FragileServer(store, record, f"i-{number}", "engine", f"{base}.{100 + number}")
-        server.events = 20
-        server.pause_s = 0.03
-    fleet = Fleet(record, store, MACHINES, base)
-    answers = []
+    store = Store(f"{base}.2", keep_s=KEEP_S)
+    routes = [route("r-c", "chat", "streaming", "engine", 4000, 1, session_affinity=True)]
+    store.write("keyed.op", "config", config(1, routes, prepaid=PREPAID))
+    for number in range(2):
+        server = Server(store, record, f"i-{number}", "engine", f"{base}.{100 + number}")
+        server.events = OUTPUT // 3
+        server.pause_s = 0.01
+    fleet = Fleet(record, store, MACHINES, base, keep_s=KEEP_S)
+    statuses = []
     try:
         fleet.start_all()
         time.sleep(4)
         began = time.monotonic()
-        next_deadly = began + 1
-        next_sound = began
         number = 0
         while time.monotonic() < began + DAY_S:
             number += 1
-            now = time.monotonic()
-            parts = None
-            if now >= next_deadly:
-                next_deadly += DEADLY_EVERY_S
-                parts = f"5c1e07a2:300,{DEADLY_PART}:300"
-            elif now >= next_sound:
-                next_sound += SOUND_EVERY_S
-                parts = f"5c1e07a2:300,{0xa000 + number % 4:x}:300"
-            if parts:
-                threading.Thread(
-                    target=send, args=(fleet, record, number, parts, answers), daemon=True
-                ).start()
-            time.sleep(0.02)
-        time.sleep(3)
+            thread = threading.Thread(
+                target=send, args=(fleet, record, number % MACHINES, number, statuses)
+            )
+            thread.start()
+            time.sleep(0.2)
+        if trouble:
+            fleet.kill(KILLED)
+            time.sleep(1)
+            fleet.start(KILLED)
+            fleet.wait_ready(KILLED)
+        # The machine is in touch from then on.
+        time.sleep(STABLE_S + 1)
+        for probe in range(PROBES):
+            number += 1
+            send(fleet, record, probe % MACHINES, number, statuses)
     finally:
         fleet.end()
-    crashes = sorted(FragileServer.crashes)
-    late = []
-    if len(crashes) >= FIRST_CRASHES:
-        since = crashes[FIRST_CRASHES - 1] + STABLE_S
-        late = [request for at, request in FragileServer.deadly if at > since]
-    sound = [answer for _at, _request, kind, answer in answers if kind == "sound"]
+    denied = [machine for machine, status in statuses if status == 402]
+    # Each request was charged its 130 tokens at the most.
+    used = len(statuses) * (PROMPT + OUTPUT)
     record.line(
-        f"crashes: {len(crashes)}, deadly requests at servers: {len(FragileServer.deadly)},"
-        f" later than {STABLE_S} s after the fifth crash: {len(late)};"
-        f" sound requests: {len(sound)}, complete: {sum(answer.complete for answer in sound)}"
+        f"requests: {len(statuses)}, tokens used at the most: {used} of {PREPAID},"
+        f" answered 402: {len(denied)} by machines {sorted(set(denied))}"
     )
-    if len(late) > LIMIT:
-        return f"BUDGET: {len(late)} requests with the deadly part reached servers later than the stable window after the fifth crash"
+    if len(denied) > DENIED_BASE + len(statuses) / DENIED_SHARE:
+        return f"DENIED: {len(denied)} of {len(statuses)} requests got 402, with {used} of {PREPAID} tokens used"
     return None
 
 
