--- a/review/10/run.py
+++ b/review/10/run.py
@@ -12,6 +12,7 @@
 from standins import Fleet
 from standins import Server
 from standins import Store
+from standins import Unrunnable
 from standins import config
 from standins import loopback_base
 from standins import main
@@ -93,6 +94,8 @@
         f"requests: {len(statuses)}, tokens used at the most: {used} of {PREPAID},"
         f" answered 402: {len(denied)} by machines {sorted(set(denied))}"
     )
+    if sum(status == 200 for _machine, status in statuses) < len(statuses) / 2 or len(statuses) < PROBES:
+        raise Unrunnable("too few requests were served")
     if len(denied) > DENIED_BASE + len(statuses) / DENIED_SHARE:
         return f"DENIED: {len(denied)} of {len(statuses)} requests got 402, with {used} of {PREPAID} tokens used"
     return None
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -13,6 +13,7 @@
 from standins import Server
 from standins import Store
 from standins import StreamClient
+from standins import Unrunnable
 from standins import config
 from standins import loopback_base
 from standins import main
@@ -85,6 +86,8 @@
         f"streams: {STREAMS}, begun at v2: {newer}, complete: {complete},"
         f" of two versions: {joined}"
     )
+    if sum(1 for client in clients if client.events) < STREAMS / 2:
+        raise Unrunnable("too few streams began")
     if joined > JOINED_LIMIT:
         return f"ORDER: {joined} of {STREAMS} streams hold events of two software versions"
     return None
--- a/review/8/run.py
+++ b/review/8/run.py
@@ -14,6 +14,7 @@
 from standins import Server
 from standins import Store
 from standins import StreamClient
+from standins import Unrunnable
 from standins import config
 from standins import loopback_base
 from standins import main
@@ -93,6 +94,8 @@
         f"taken up: {len(taken_up)}, of these went on: {len(went_on)};"
         f" new streams: {len(new_clients)}, of these began: {len(begun)}"
     )
+    if sum(1 for client in clients + new_clients if client.events) < STREAMS:
+        raise Unrunnable("too few streams began")
     if len(taken_up) < LEAST:
         return None
     share = len(went_on) / len(taken_up)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -13,6 +13,7 @@
 from standins import Fleet
 from standins import Server
 from standins import Store
+from standins import Unrunnable
 from standins import config
 from standins import loopback_base
 from standins import main
@@ -146,6 +147,8 @@
         f" later than {STABLE_S} s after the fifth crash: {len(late)};"
         f" sound requests: {len(sound)}, cut in the middle by a crash: {len(cut)}"
     )
+    if sum(answer.status == 200 for answer in sound) < DAY_S / SOUND_EVERY_S / 2:
+        raise Unrunnable("too few requests were served")
     if len(late) > LIMIT:
         return (
             f"BUDGET: {len(late)} requests with the deadly part reached servers later than"
--- a/review/stand-2/standins.py
+++ b/review/stand-2/standins.py
@@ -851,12 +851,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.line(f"TROUBLE={1 if trouble else 0}")
+    # Ends the daemons too if the time limit of run.sh is reached.
+    signal.signal(signal.SIGTERM, lambda *_args: sys.exit(2))
     try:
         broken = case(record, trouble)
-    except Unrunnable as error:
-        record.line(f"could not run: {error}")
-        print(f"could not run: {error}")
-        sys.exit(2)
+    except Exception as error:
+        record.line(f"could not run: {type(error).__name__}: {error}")
+        print(f"could not run: {type(error).__name__}: {error}")
+        sys.stdout.flush()
+        os._exit(2)
     verdict = f"broken: {broken}" if broken else "held"
     record.line(verdict)
     print(verdict)
