--- a/review/8/run.py
+++ b/review/8/run.py
@@ -21,8 +21,8 @@
 from standins import route
 
 MACHINES = 3
-OLD_SERVERS = 3
-NEW_SERVERS = 2
+OLD_SERVERS = 4
+NEW_SERVERS = 1
 STREAMS = 24
 NEW_STREAMS = 24
 EVENTS = 60
@@ -72,7 +72,7 @@
         if trouble:
             fleet.signal(0, signal.SIGSTOP)
         time.sleep(0.5)
-        # A release begins: the new servers start first.
+        # A release begins: the new server starts first.
         for number in range(OLD_SERVERS, OLD_SERVERS + NEW_SERVERS):
             add(number, "v2")
         time.sleep(2)
