--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -451,8 +451,8 @@
 
     def __init__(self, fleet, number):
         self.fleet, self.number = fleet, number
-        self.name = f"front-{number + 1}"
         self.zone = ("regina", "saskatoon", "winnipeg")[number % 3]
+        self.name = f"front-{self.zone}-{number // 3 + 1}"
         self.ip = f"127.0.{fleet.subnet}.{number + 1}"
         self.process = None
 
@@ -543,8 +543,9 @@
             daemon.start(bootstrap)
 
     def wait_ready(self, limit_s=20):
+        """Waits until all daemons that were started are ready."""
         until = time.monotonic() + limit_s
-        while not all(daemon.is_ready() for daemon in self.daemons):
+        while not all(daemon.is_ready() for daemon in self.daemons if daemon.process):
             if time.monotonic() > until:
                 self.record.say("a daemon does not become ready: the case can't run")
                 self.end()
