--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -61,9 +61,10 @@
         return f"{self.host}:{self.port}"
 
     def accept(self):
+        listener = self.listener
         while True:
             try:
-                stream, _peer = self.listener.accept()
+                stream, _peer = listener.accept()
             except OSError:
                 return
             if not self.is_up:
@@ -105,8 +106,21 @@
         """Ends the port as a server that exits."""
         self.is_up = False
         self.close_connections()
+        # Wakes the thread that accepts, which holds the port open.
+        try:
+            self.listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self.listener.close()
 
+    def start_again(self):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((self.host, self.port))
+        self.listener.listen(512)
+        self.is_up = True
+        threading.Thread(target=self.accept, daemon=True).start()
+
 
 def read_request(reader):
     line = reader.readline().decode("latin-1").strip()
@@ -288,13 +302,15 @@
 
     HEARTBEAT_S = 1.2
 
-    def __init__(self, store, record, name, service, version, zone, events=5, gap_s=0.004):
+    def __init__(self, store, record, name, service, version, zone, events=5, gap_s=0.004, pad=0):
         super().__init__()
         self.store, self.record, self.name = store, record, name
         self.service, self.version, self.zone = service, version, zone
-        self.events, self.gap_s = events, gap_s
+        self.events, self.gap_s, self.pad = events, gap_s, pad
         self.breaks_after = None
         self.registers = True
+        self.base, self.starts = name, 0
+        self.on_run = None
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
@@ -317,8 +333,27 @@
     def register(self):
         self.store.write("keyed.servers", self.name, self.entry())
 
+    def crash(self, down_s):
+        """Ends at once and comes back as a new incarnation under a new id."""
+        self.record.note(f"server: {self.name} crashes")
+        old, self.registers = self.name, False
+        self.stop()
+
+        def come_back():
+            time.sleep(down_s)
+            self.starts += 1
+            self.name = f"{self.base}-{self.starts}"
+            self.born = int(time.time() * 1000)
+            self.start_again()
+            self.registers = True
+            # The entry of the crashed one lapses after three heartbeats.
+            time.sleep(max(0.0, 3 * self.HEARTBEAT_S - down_s))
+            self.store.write("keyed.servers", old, None)
+
+        threading.Thread(target=come_back, daemon=True).start()
+
     def beat(self):
-        while self.is_up:
+        while True:
             if self.registers and not self.store.refuse:
                 self.register()
             time.sleep(self.HEARTBEAT_S)
@@ -350,6 +385,8 @@
             f"run: {identity} at {self.name} version {self.version} tenant "
             f"{headers.get('tenant')} tokens {headers.get('token-counts')} from event {first}"
         )
+        if self.on_run and self.on_run(self, target, identity):
+            return False
         seal = f"{identity[:4]}.{self.name}"
         head = (
             f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {identity}\r\n"
@@ -361,7 +398,7 @@
             if self.breaks_after is not None and number > self.breaks_after:
                 # A server that ends: its connection closes without the last chunk.
                 return False
-            event = f"id: {number}\ndata: {self.version}\n\n".encode()
+            event = f"id: {number}\ndata: {self.version}{'.' * self.pad}\n\n".encode()
             stream.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             time.sleep(self.gap_s)
         stream.sendall(b"0\r\n\r\n")
@@ -672,6 +709,13 @@
 
 def run(main):
     """Ends the script with 0 (held), 1 (broken) or 2 (the case can't run)."""
+
+    def give_up(_number, _frame):
+        raise SystemExit(2)
+
+    # Set here, as a shell may start its background jobs with SIGINT ignored.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, give_up)
     try:
         code = main()
     except BaseException as error:  # the processes were ended on the way here
