--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -394,7 +394,11 @@
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         stream.sendall(head.encode())
+        # A server stops work at the deadline that it receives.
+        until = time.monotonic() + int(headers.get("deadline-ms", "60000")) / 1000
         for number in range(first, self.events + 1):
+            if time.monotonic() > until:
+                return False
             if self.breaks_after is not None and number > self.breaks_after:
                 # A server that ends: its connection closes without the last chunk.
                 return False
